--- /dev/null
+++ b/Makefile
@@ -0,0 +1,27 @@
+# Targets need nothing but Go, make, git and a C compiler.
+PROGRAMS := anvilcrossd anvilcross anvilstandin anvilload
+MODULES := kernel $(PROGRAMS)
+PACKAGES := $(addsuffix /...,$(addprefix ./,$(MODULES)))
+
+.PHONY: build demo test lint matrix clean
+
+build:
+	@mkdir -p bin
+	@for p in $(PROGRAMS); do go build -o bin/$$p ./$$p || exit 1; done
+
+demo: build
+	scripts/demo.sh
+
+test:
+	go test -race $(PACKAGES)
+
+lint:
+	@bad=$$(gofmt -l $(MODULES)); if [ -n "$$bad" ]; then echo "not gofmt-clean:"; echo "$$bad"; exit 1; fi
+	go vet $(PACKAGES)
+	go run honnef.co/go/tools/cmd/staticcheck $(PACKAGES)
+
+matrix:
+	go test ./kernel/matrix -count=1 -v -run 'TestMatrix$$' -args -full
+
+clean:
+	rm -rf bin run
--- /dev/null
+++ b/anvilcross/command/status.go
@@ -0,0 +1,60 @@
+package command
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+
+	"github.com/juju/errors"
+
+	"anvilcross/anvilcross/instance"
+	"anvilcross/kernel/node"
+)
+
+// status shows the instances of a deployment.
+type status struct {
+	Instances string `required:"" help:"Instance list of the deployment." type:"existingfile"`
+	JSON      bool   `help:"Print JSON."`
+}
+
+// Help is shown by anvilcross status --help.
+func (status) Help() string {
+	return "Example: anvilcross status --instances run/wroclaw/instances.json"
+}
+
+// Run does the work of the verb.
+func (s *status) Run(out io.Writer) error {
+	instances, err := instance.ReadList(s.Instances)
+	if err != nil {
+		return err
+	}
+	var all []*node.Status
+	missing := 0
+	table := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	if !s.JSON {
+		_, _ = fmt.Fprintln(table, "SEAT\tDATA CENTRE\tREADY\tREVISION\tREADER\tUNFINISHED\tWHOLE\tLATE\tNOT RUN\tLOST\tREFUSED")
+	}
+	for _, i := range instances {
+		st, err := instance.Status(i.OperatorAddress)
+		if err != nil {
+			missing++
+			st = &node.Status{Seat: i.Seat, DataCentre: i.DataCentre}
+		}
+		all = append(all, st)
+		if s.JSON {
+			continue
+		}
+		c := st.Counters
+		_, _ = fmt.Fprintf(table, "%s\t%s\t%v\t%d\t%v\t%d\t%d\t%d\t%d\t%d\t%d\n", st.Seat, st.DataCentre, st.Ready, st.Revision, st.Reader, st.Unfinished, c.Whole, c.Late, c.NotRun, c.Lost, c.Refused)
+	}
+	if s.JSON {
+		return printJSON(out, all)
+	}
+	if err := table.Flush(); err != nil {
+		return errors.Trace(err)
+	}
+	if missing > 0 {
+		return errors.Errorf("%d of %d instances did not answer", missing, len(instances))
+	}
+	return nil
+}
--- /dev/null
+++ b/anvilcrossd/daemon/daemon.go
@@ -0,0 +1,263 @@
+// Package daemon is the entry instance's process: it reads the settings, puts
+// the kernel and its adapters together, serves until a signal, and stops
+// without cutting a request off.
+package daemon
+
+import (
+	"context"
+	crand "crypto/rand"
+	"encoding/binary"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+
+	"anvilcross/anvilcrossd/caller"
+	"anvilcross/anvilcrossd/endpoint"
+	"anvilcross/anvilcrossd/link"
+	"anvilcross/anvilcrossd/operator"
+	"anvilcross/anvilcrossd/owner"
+	"anvilcross/anvilcrossd/peer"
+	"anvilcross/anvilcrossd/platform"
+	"anvilcross/anvilcrossd/settings"
+	"anvilcross/kernel/configuration"
+	"anvilcross/kernel/ident"
+	"anvilcross/kernel/message"
+	"anvilcross/kernel/node"
+	"anvilcross/kernel/timer"
+)
+
+// arguments are the daemon's flags.
+type arguments struct {
+	Settings string   `required:"" help:"INI file with this instance's settings." type:"existingfile" short:"s"`
+	Set      []string `help:"Override a setting: section.key=value. May be repeated." placeholder:"SECTION.KEY=VALUE" sep:"none"`
+	Check    bool     `help:"Check the settings and exit."`
+}
+
+// Exit codes of the daemon.
+const (
+	exitOK       = 0
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+// Main runs the daemon and returns its exit code.
+func Main(args []string) int {
+	var a arguments
+	parser := kong.Must(&a, kong.Name("anvilcrossd"), kong.Description("The anvilcross daemon: serves callers on an entry instance.\n\nExample: anvilcrossd --settings instance.ini --set log.level=debug"))
+	if _, err := parser.Parse(args); err != nil {
+		fmt.Fprintln(os.Stderr, "anvilcrossd:", err)
+		return exitSettings
+	}
+	text, err := os.ReadFile(a.Settings)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "anvilcrossd:", err)
+		return exitSettings
+	}
+	s, err := settings.Parse(text, a.Set)
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "anvilcrossd: %s: %v\n", a.Settings, err)
+		return exitSettings
+	}
+	if a.Check {
+		fmt.Println("settings are good")
+		return exitOK
+	}
+	if err := newDaemon(s).run(); err != nil {
+		fmt.Fprintln(os.Stderr, "anvilcrossd:", err)
+		return exitFailed
+	}
+	return exitOK
+}
+
+const (
+	maxEndpointConnections = 512
+	maxPeerConnections     = 16
+	// drainWait is how long a stopping instance goes on accepting requests
+	// while the balancer notices that it is not ready.
+	drainWait = 300 * time.Millisecond
+)
+
+// daemon holds the parts of the process.
+type daemon struct {
+	settings *settings.Settings
+	log      *logrus.Entry
+	owner    *owner.Owner
+	callers  *caller.Server
+	operator *operator.Server
+	mesh     *peer.Mesh
+	reader   *platform.Reader
+	stop     chan struct{}
+}
+
+func newDaemon(s *settings.Settings) *daemon {
+	d := &daemon{settings: s, log: newLogger(s), stop: make(chan struct{})}
+	near := link.NewTransport(link.Config{MaxPerHost: maxEndpointConnections})
+	far := link.NewTransport(link.Config{MaxPerHost: maxEndpointConnections, Delay: s.CrossDelay, Loss: s.CrossLoss})
+	d.mesh = peer.NewMesh(peer.Config{
+		Key:        s.PeerKey,
+		DataCentre: s.DataCentre,
+		Near:       link.NewTransport(link.Config{MaxPerHost: maxPeerConnections}),
+		Far:        link.NewTransport(link.Config{MaxPerHost: maxPeerConnections, Delay: s.CrossDelay, Loss: s.CrossLoss}),
+		Receive:    func(e message.Envelope) { d.do(func(n *node.Node) { n.HandlePeer(e) }) },
+	})
+	client := endpoint.NewClient(endpoint.Config{DataCentre: s.DataCentre, Near: near, Far: far, Events: endpoint.Events{
+		Token: func(id ident.CallID, token string) { d.do(func(n *node.Node) { n.CallToken(id, token) }) },
+		Done:  func(id ident.CallID, r node.Result) { d.do(func(n *node.Node) { n.CallDone(id, r) }) },
+		Failed: func(id ident.CallID, f node.Failure, detail string) {
+			d.do(func(n *node.Node) { n.CallFailed(id, f, detail) })
+		},
+	}})
+	d.operator = operator.NewServer(operator.Config{Do: d.do, Transport: func() (int64, int64) { return d.mesh.Dropped(), d.mesh.SentBytes() }})
+	d.callers = caller.NewServer(caller.Config{Do: d.do, Observe: d.operator.Observe})
+	timers := timer.NewService(timer.Config{Start: time.Now()})
+	d.owner = owner.NewOwner(owner.Config{Timers: timers, Node: node.NewNode(node.Config{
+		Seat:        s.Seat,
+		Incarnation: newIncarnation(),
+		DataCentre:  s.DataCentre,
+		Random:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Timers:      timers,
+		TicketKey:   s.TicketKey,
+		Policy:      s.Policy,
+		Bounds:      s.Bounds,
+		Output: node.Output{
+			Call:   client.Start,
+			Cancel: client.Cancel,
+			Reply:  d.callers.Reply,
+			Token:  d.callers.Token,
+			Peer:   d.mesh.Send,
+			Event:  d.logEvent,
+		},
+	})})
+	d.reader = platform.NewReader(platform.Config{
+		Address:    s.PlatformAddress,
+		IsReader:   d.isReader,
+		Revision:   d.revision,
+		Configured: func(doc *configuration.Document) { d.do(func(n *node.Node) { n.Configure(doc) }) },
+		ListedAll:  d.listed,
+		Problem:    func(what string, err error) { d.log.WithError(err).WithField("read", what).Warn("platformUnreachable") },
+	})
+	return d
+}
+
+// newIncarnation draws the identity of this process. Two processes of a seat
+// must never share one, so it does not come from a clock.
+func newIncarnation() ident.Incarnation {
+	var b [8]byte
+	if _, err := crand.Read(b[:]); err != nil {
+		panic("no randomness for the incarnation: " + err.Error())
+	}
+	return ident.Incarnation(binary.LittleEndian.Uint64(b[:]) >> 1)
+}
+
+func newLogger(s *settings.Settings) *logrus.Entry {
+	log := logrus.New()
+	log.SetOutput(os.Stderr)
+	log.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: time.RFC3339Nano})
+	level, err := logrus.ParseLevel(s.LogLevel)
+	if err != nil {
+		panic("unchecked log level: " + err.Error())
+	}
+	log.SetLevel(level)
+	return log.WithFields(logrus.Fields{"seat": s.Seat, "dataCentre": s.DataCentre})
+}
+
+func (d *daemon) do(f func(*node.Node)) { d.owner.Do(f) }
+
+func (d *daemon) isReader() (reader bool) {
+	d.do(func(n *node.Node) { reader = n.IsReader() })
+	return reader
+}
+
+func (d *daemon) revision() (revision ident.Revision) {
+	d.do(func(n *node.Node) { revision = n.Revision() })
+	return revision
+}
+
+func (d *daemon) logEvent(e node.Event) {
+	d.log.WithFields(logrus.Fields{"key": e.Key.String(), "detail": e.Detail, "count": e.Count}).Info(e.Name)
+}
+
+func (d *daemon) listed(list *platform.InstanceList) {
+	addresses := make(map[ident.Instance]peer.Address, len(list.Instances))
+	var peers []ident.Instance
+	for _, i := range list.Instances {
+		addresses[i.Seat] = peer.Address{DataCentre: i.DataCentre, HostPort: i.PeerAddress}
+		if i.Seat != d.settings.Seat {
+			peers = append(peers, i.Seat)
+		}
+	}
+	d.mesh.SetAddresses(addresses)
+	d.do(func(n *node.Node) {
+		n.SetPeers(peers)
+		n.Listed(list.Endpoints)
+	})
+}
+
+func (d *daemon) run() error {
+	callers, err := d.callers.HTTPServer()
+	if err != nil {
+		return errors.Trace(err)
+	}
+	operators := d.operator.HTTPServer()
+	peers := &http.Server{Handler: d.mesh.Handler(), ReadHeaderTimeout: time.Second}
+	failed := make(chan error, 3)
+	for _, l := range []struct {
+		server  *http.Server
+		address string
+	}{{operators, d.settings.OperatorListen}, {peers, d.settings.PeerListen}, {callers, d.settings.CallerListen}} {
+		listener, err := net.Listen("tcp", l.address)
+		if err != nil {
+			return errors.Trace(err)
+		}
+		go func() { failed <- l.server.Serve(listener) }()
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go d.owner.Run(d.stop)
+	go d.operator.Run(d.stop)
+	go d.reader.Run(ctx)
+	d.log.WithField("callers", d.settings.CallerListen).Info("started")
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	select {
+	case err := <-failed:
+		return errors.Annotate(err, "a listener ended")
+	case <-signals:
+	}
+	d.shutDown(callers, signals)
+	close(d.stop)
+	d.mesh.Close()
+	return nil
+}
+
+// shutDown is the planned stop: not ready, no new connections, everything in
+// flight finished and the tickets handed over. A second signal or the limit
+// ends it early.
+func (d *daemon) shutDown(callers *http.Server, signals <-chan os.Signal) {
+	d.log.Info("stopRequested")
+	ended := make(chan struct{})
+	d.do(func(n *node.Node) { n.BeginDrain() })
+	time.Sleep(drainWait)
+	ctx, cancel := context.WithTimeout(context.Background(), d.settings.StopLimit)
+	defer cancel()
+	go func() { _ = callers.Shutdown(ctx) }()
+	d.do(func(n *node.Node) { n.Stop(func() { close(ended) }) })
+	select {
+	case <-ended:
+		_ = callers.Shutdown(ctx)
+		d.log.Info("stopComplete")
+	case <-signals:
+		d.log.Warn("stopCutShort")
+	case <-ctx.Done():
+		d.log.Warn("stopLimitReached")
+	}
+}
--- /dev/null
+++ b/anvilcrossd/operator/operator.go
@@ -0,0 +1,144 @@
+// Package operator serves the operators' interface of an instance: health,
+// readiness, metrics and status.
+package operator
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+
+	"anvilcross/kernel/ident"
+	"anvilcross/kernel/node"
+	"anvilcross/kernel/outcome"
+)
+
+const (
+	reportPeriod      = time.Second
+	readHeaderTimeout = 5 * time.Second
+)
+
+// Config sets up a Server.
+type Config struct {
+	// Do gives access to the node.
+	Do func(func(*node.Node))
+	// Transport returns the counts of the peer transport.
+	Transport func() (dropped, sentBytes int64)
+}
+
+// Server is the operators' HTTP interface and the home of the metrics.
+type Server struct {
+	config   Config
+	scope    tally.Scope
+	reporter prometheus.Reporter
+	close    func() error
+}
+
+// NewServer returns a server with its metrics registry.
+func NewServer(c Config) *Server {
+	reporter := prometheus.NewReporter(prometheus.Options{})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:                 "anvilcross",
+		CachedReporter:         reporter,
+		Separator:              prometheus.DefaultSeparator,
+		SanitizeOptions:        &prometheus.DefaultSanitizerOpts,
+		OmitCardinalityMetrics: true,
+	}, reportPeriod)
+	return &Server{config: c, scope: scope, reporter: reporter, close: closer.Close}
+}
+
+// Close ends the reporting of metrics.
+func (s *Server) Close() error { return s.close() }
+
+// latencyBuckets are the bounds of the latency histograms.
+var latencyBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 1.5, 28)
+
+// Observe counts a finished request.
+func (s *Server) Observe(p ident.Pipeline, a *outcome.Answer, took, firstToken time.Duration) {
+	scope := s.scope.Tagged(map[string]string{"pipeline": string(p), "outcome": string(a.Outcome)})
+	scope.Counter("requests").Inc(1)
+	if a.Late {
+		scope.Counter("late").Inc(1)
+	}
+	scope.Histogram("latency", latencyBuckets).RecordDuration(took)
+	if firstToken > 0 {
+		scope.Histogram("first_token", latencyBuckets).RecordDuration(firstToken)
+	}
+}
+
+// Run exports the kernel's totals until the stop channel is closed.
+func (s *Server) Run(stop <-chan struct{}) {
+	ticker := time.NewTicker(reportPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-stop:
+			return
+		case <-ticker.C:
+			s.export()
+		}
+	}
+}
+
+func (s *Server) export() {
+	status := s.status()
+	c := status.Counters
+	dropped, sent := s.config.Transport()
+	gauges := map[string]int64{
+		"revision":            int64(status.Revision),
+		"unfinished":          int64(status.Unfinished),
+		"remembered":          int64(status.Remembered),
+		"claims_remembered":   int64(status.Claims),
+		"submitted":           c.Submitted,
+		"calls":               c.Calls,
+		"calls_failed":        c.FailedCalls,
+		"retries":             c.Retries,
+		"tokens":              c.Tokens,
+		"peer_messages":       c.PeerMessages,
+		"peer_dropped":        dropped,
+		"peer_bytes":          sent,
+		"outcomes_whole":      c.Whole,
+		"outcomes_late":       c.Late,
+		"outcomes_not_run":    c.NotRun,
+		"outcomes_lost":       c.Lost,
+		"outcomes_refused":    c.Refused,
+		"follows":             c.Follows,
+		"answers_from_others": c.Adopted,
+	}
+	for name, value := range gauges {
+		s.scope.Gauge(name).Update(float64(value))
+	}
+}
+
+func (s *Server) status() node.Status {
+	var status node.Status
+	s.config.Do(func(n *node.Node) { status = n.Status() })
+	return status
+}
+
+// HTTPServer returns the server to listen with.
+func (s *Server) HTTPServer() *http.Server {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", s.reporter.HTTPHandler())
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
+	mux.HandleFunc("GET /readyz", s.ready)
+	mux.HandleFunc("GET /status", s.showStatus)
+	return &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
+}
+
+func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
+	ready := false
+	s.config.Do(func(n *node.Node) { ready = n.Ready() })
+	if !ready {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = w.Write([]byte("ready\n"))
+}
+
+func (s *Server) showStatus(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(s.status())
+}
--- /dev/null
+++ b/anvilcrossd/owner/owner.go
@@ -0,0 +1,80 @@
+// Package owner serializes access to the kernel and drives its timer service
+// by the wall clock.
+package owner
+
+import (
+	"sync"
+	"time"
+
+	"anvilcross/kernel/node"
+	"anvilcross/kernel/timer"
+)
+
+// Owner holds a node and its timers under one lock.
+type Owner struct {
+	mutex  sync.Mutex
+	node   *node.Node
+	timers *timer.Service
+	wake   chan struct{}
+	due    time.Time
+}
+
+// Config sets up an Owner.
+type Config struct {
+	Node   *node.Node
+	Timers *timer.Service
+}
+
+// idleWait is how long the clock sleeps when nothing is due.
+const idleWait = time.Second
+
+// NewOwner returns an owner whose clock does not run yet.
+func NewOwner(c Config) *Owner {
+	return &Owner{node: c.Node, timers: c.Timers, wake: make(chan struct{}, 1)}
+}
+
+// Do advances the time and lets the function use the node. The function must
+// not block.
+func (o *Owner) Do(f func(n *node.Node)) {
+	o.mutex.Lock()
+	o.timers.Advance(time.Now())
+	f(o.node)
+	next, ok := o.timers.Next()
+	earlier := ok && next.Before(o.due)
+	o.mutex.Unlock()
+	if earlier {
+		select {
+		case o.wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// Run advances the timers until the stop channel is closed.
+func (o *Owner) Run(stop <-chan struct{}) {
+	for {
+		wait := o.advance()
+		sleep := time.NewTimer(wait)
+		select {
+		case <-stop:
+			sleep.Stop()
+			return
+		case <-o.wake:
+			sleep.Stop()
+		case <-sleep.C:
+		}
+	}
+}
+
+func (o *Owner) advance() time.Duration {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	now := time.Now()
+	o.timers.Advance(now)
+	next, ok := o.timers.Next()
+	if !ok {
+		next = now.Add(idleWait)
+	}
+	o.due = next
+	return max(time.Until(next), 0)
+}
--- /dev/null
+++ b/anvilcrossd/peer/peer.go
@@ -0,0 +1,217 @@
+// Package peer carries messages between instances: HTTP POSTs of JSON batches,
+// signed with the deployment's peer key. Delivery is best effort; the kernel
+// repeats what needs an answer.
+package peer
+
+import (
+	"bytes"
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+
+	"anvilcross/anvilcrossd/link"
+	"anvilcross/kernel/ident"
+	"anvilcross/kernel/message"
+)
+
+const (
+	path            = "/peer"
+	headerSignature = "X-Signature"
+	// maxBatch is the number of messages in one POST.
+	maxBatch = 64
+	// maxQueued bounds the messages that wait for one peer; further ones are
+	// dropped and counted.
+	maxQueued = 4096
+	// maxPosts is the number of POSTs in flight to one peer, so that the
+	// delay of a link does not limit the rate of messages.
+	maxPosts     = 8
+	maxBodyBytes = 4 << 20
+)
+
+// Config sets up a Mesh.
+type Config struct {
+	Key        []byte
+	DataCentre ident.DataCentre
+	Near       *link.Transport
+	Far        *link.Transport
+	// Receive takes each message that arrives with a valid signature.
+	Receive func(message.Envelope)
+}
+
+// Address tells where an instance listens for its peers.
+type Address struct {
+	DataCentre ident.DataCentre
+	HostPort   string
+}
+
+// Mesh sends to and receives from the other instances.
+type Mesh struct {
+	config    Config
+	mutex     sync.Mutex
+	addresses map[ident.Instance]Address
+	queues    map[ident.Instance]chan message.Envelope
+	stop      chan struct{}
+	dropped   atomic.Int64
+	sentBytes atomic.Int64
+}
+
+// NewMesh returns a mesh that knows no address yet.
+func NewMesh(c Config) *Mesh {
+	return &Mesh{
+		config:    c,
+		addresses: map[ident.Instance]Address{},
+		queues:    map[ident.Instance]chan message.Envelope{},
+		stop:      make(chan struct{}),
+	}
+}
+
+// SetAddresses takes over the addresses of the instance list. An instance
+// that the list does not name any more keeps its last address: the list lags.
+func (m *Mesh) SetAddresses(addresses map[ident.Instance]Address) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	for instance, a := range addresses {
+		m.addresses[instance] = a
+	}
+}
+
+// Dropped returns the number of messages that could not be sent.
+func (m *Mesh) Dropped() int64 { return m.dropped.Load() }
+
+// SentBytes returns the number of body bytes sent.
+func (m *Mesh) SentBytes() int64 { return m.sentBytes.Load() }
+
+// Close stops sending.
+func (m *Mesh) Close() { close(m.stop) }
+
+// Send queues a message. It does not block.
+func (m *Mesh) Send(e message.Envelope) {
+	m.mutex.Lock()
+	queue := m.queues[e.To]
+	if queue == nil {
+		queue = make(chan message.Envelope, maxQueued)
+		m.queues[e.To] = queue
+		go m.drain(e.To, queue)
+	}
+	m.mutex.Unlock()
+	select {
+	case queue <- e:
+	default:
+		m.dropped.Add(1)
+	}
+}
+
+func (m *Mesh) drain(to ident.Instance, queue chan message.Envelope) {
+	posts := make(chan struct{}, maxPosts)
+	for {
+		batch := m.nextBatch(queue)
+		if batch == nil {
+			return
+		}
+		posts <- struct{}{}
+		go func() {
+			m.post(to, batch)
+			<-posts
+		}()
+	}
+}
+
+// nextBatch waits for a message and takes along what else is queued.
+func (m *Mesh) nextBatch(queue chan message.Envelope) []message.Envelope {
+	var batch []message.Envelope
+	select {
+	case <-m.stop:
+		return nil
+	case first := <-queue:
+		batch = append(batch, first)
+	}
+	for len(batch) < maxBatch {
+		select {
+		case next := <-queue:
+			batch = append(batch, next)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+func (m *Mesh) post(to ident.Instance, batch []message.Envelope) {
+	m.mutex.Lock()
+	address, known := m.addresses[to]
+	m.mutex.Unlock()
+	if !known {
+		m.dropped.Add(int64(len(batch)))
+		return
+	}
+	body, err := json.Marshal(batch)
+	if err != nil {
+		panic("peer message cannot be encoded: " + err.Error())
+	}
+	request, err := http.NewRequest(http.MethodPost, "http://"+address.HostPort+path, bytes.NewReader(body))
+	if err != nil {
+		m.dropped.Add(int64(len(batch)))
+		return
+	}
+	request.Header.Set(headerSignature, m.sign(body))
+	m.sentBytes.Add(int64(len(body)))
+	transport := m.config.Near
+	if address.DataCentre != m.config.DataCentre {
+		transport = m.config.Far
+	}
+	response, err := transport.RoundTrip(request)
+	if err != nil {
+		m.dropped.Add(int64(len(batch)))
+		return
+	}
+	_, _ = io.Copy(io.Discard, response.Body)
+	_ = response.Body.Close()
+}
+
+func (m *Mesh) sign(body []byte) string {
+	h := hmac.New(sha256.New, m.config.Key)
+	h.Write(body)
+	return hex.EncodeToString(h.Sum(nil))
+}
+
+// Handler receives batches.
+func (m *Mesh) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+path, m.receive)
+	return mux
+}
+
+func (m *Mesh) receive(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err != nil {
+		http.Error(w, "body too large or cut off", http.StatusBadRequest)
+		return
+	}
+	if !hmac.Equal([]byte(m.sign(body)), []byte(r.Header.Get(headerSignature))) {
+		http.Error(w, "wrong signature", http.StatusForbidden)
+		return
+	}
+	batch, err := Decode(body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+	for _, e := range batch {
+		m.config.Receive(e)
+	}
+}
+
+// Decode parses a batch of messages.
+func Decode(body []byte) ([]message.Envelope, error) {
+	var batch []message.Envelope
+	if err := json.Unmarshal(body, &batch); err != nil {
+		return nil, err
+	}
+	return batch, nil
+}
--- /dev/null
+++ b/anvilload/command/added.go
@@ -0,0 +1,112 @@
+package command
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/google/uuid"
+	"github.com/juju/errors"
+
+	"anvilcross/anvilcross/instance"
+	"anvilcross/anvilload/deployment"
+	"anvilcross/kernel/configuration"
+	"anvilcross/kernel/ident"
+	"anvilcross/kernel/outcome"
+	"anvilcross/kernel/stage"
+)
+
+// added measures the system's own latency: the same stages called directly
+// and through the system, in turn.
+type added struct {
+	Directory string         `arg:"" help:"Directory that anvilcross local wrote." type:"existingdir"`
+	Pipeline  ident.Pipeline `required:"" help:"Pipeline without a streaming stage or with one."`
+	Requests  int            `default:"300" help:"Requests of each kind."`
+}
+
+// Help is shown by anvilload added --help.
+func (added) Help() string { return "Example: anvilload added run/wroclaw --pipeline slot" }
+
+const maxMicros = 60_000_000
+
+// Run does the work of the verb.
+func (a *added) Run(out io.Writer) error {
+	target, err := deployment.Open(a.Directory)
+	if err != nil {
+		return err
+	}
+	if err := target.WaitReady(readyLimit); err != nil {
+		return err
+	}
+	p := target.Document.Pipeline(a.Pipeline)
+	if p == nil {
+		return errors.Errorf("there is no pipeline %q", a.Pipeline)
+	}
+	direct := hdrhistogram.New(1, maxMicros, significant)
+	through := hdrhistogram.New(1, maxMicros, significant)
+	client := &http.Client{Timeout: requestLimit}
+	for i := range a.Requests {
+		body := fmt.Sprintf("request %d", i)
+		start := time.Now()
+		if err := callDirectly(client, target, p, target.Instances[0].DataCentre, body); err != nil {
+			return err
+		}
+		_ = direct.RecordValue(time.Since(start).Microseconds())
+		start = time.Now()
+		w := target.Document.Workspaces[0].Name
+		r := instance.Request{ID: ident.RequestID(uuid.NewString()), Pipeline: p.Name, Body: body, FirstSent: start}
+		answer, err := instance.Submit(client, target.Instances[0].CallerAddress, "key-"+string(w), r, nil)
+		if err != nil {
+			return err
+		}
+		if answer.Outcome != outcome.Whole {
+			return errors.Errorf("answer is %s (%s)", answer.Outcome, answer.Reason)
+		}
+		_ = through.RecordValue(time.Since(start).Microseconds())
+	}
+	_, err = fmt.Fprintf(out, "pipeline=%s requests=%d directP50Ms=%.2f throughP50Ms=%.2f directP99Ms=%.2f throughP99Ms=%.2f ratioP50=%.3f ratioP99=%.3f\n", p.Name, a.Requests,
+		millis(direct, 50), millis(through, 50), millis(direct, 99), millis(through, 99), millis(through, 50)/millis(direct, 50), millis(through, 99)/millis(direct, 99))
+	return errors.Trace(err)
+}
+
+func millis(h *hdrhistogram.Histogram, quantile float64) float64 {
+	return float64(h.ValueAtQuantile(quantile)) / 1000
+}
+
+// callDirectly runs a pipeline's stages one after the other on endpoints of
+// one data centre.
+func callDirectly(client *http.Client, target *deployment.Deployment, p *configuration.Pipeline, dc ident.DataCentre, body string) error {
+	var results []outcome.StageResult
+	for _, s := range p.Stages {
+		kind := stage.Lookup(target.Document.Service(s.Service).Kind)
+		input := kind.Build(stage.Input{Body: body, Results: results})
+		address := ""
+		for _, e := range target.Endpoints {
+			if e.Service == s.Service && (address == "" || e.DataCentre == dc) {
+				address = e.Address
+			}
+		}
+		data, err := json.Marshal(map[string]any{
+			"key": uuid.NewString(), "stage": s.Name, "input": input,
+			"prompt": input, "max_tokens": s.MaxTokens, "stream": true,
+		})
+		if err != nil {
+			return errors.Trace(err)
+		}
+		response, err := client.Post("http://"+address+kind.Path, "application/json", bytes.NewReader(data))
+		if err != nil {
+			return errors.Trace(err)
+		}
+		reply, err := io.ReadAll(response.Body)
+		_ = response.Body.Close()
+		if err != nil {
+			return errors.Trace(err)
+		}
+		results = append(results, outcome.StageResult{Stage: s.Name, Output: string(reply)})
+	}
+	return nil
+}
--- /dev/null
+++ b/anvilload/command/command.go
@@ -0,0 +1,35 @@
+// Package command is the load tool's command line: one file for each verb.
+package command
+
+import (
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/alecthomas/kong"
+)
+
+// verbs is the look-up table of the verbs.
+type verbs struct {
+	Demo  demo  `cmd:"" help:"Send requests through every pipeline and check answers and books."`
+	Added added `cmd:"" help:"Measure the latency that the system adds over calling the endpoints directly."`
+}
+
+// Main runs a verb and returns its exit code.
+func Main(args []string) int {
+	var v verbs
+	parser := kong.Must(&v,
+		kong.Name("anvilload"),
+		kong.Description("Load and experiments against a deployment that anvilcross local laid out."),
+		kong.BindTo(os.Stdout, (*io.Writer)(nil)),
+	)
+	context, err := parser.Parse(args)
+	if err == nil {
+		err = context.Run()
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "anvilload:", err)
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/anvilload/expect/expect.go
@@ -0,0 +1,69 @@
+// Package expect computes the one whole answer that a request must get from
+// the stand-ins, and finds what is wrong with an answer.
+package expect
+
+import (
+	"fmt"
+
+	"anvilcross/anvilstandin/script"
+	"anvilcross/kernel/configuration"
+	"anvilcross/kernel/ident"
+	"anvilcross/kernel/outcome"
+	"anvilcross/kernel/stage"
+)
+
+// Request is what was asked.
+type Request struct {
+	Key      ident.Key
+	Pipeline *configuration.Pipeline
+	Body     string
+}
+
+// Outputs returns the output of every stage.
+func Outputs(d *configuration.Document, r Request) []outcome.StageResult {
+	digest := ident.NewDigest(r.Pipeline.Name, r.Body)
+	key := r.Key
+	if r.Pipeline.SameAnswer {
+		key.ID = ident.RequestID("same:" + string(r.Pipeline.Name) + ":" + digest.String())
+	}
+	var results []outcome.StageResult
+	for _, s := range r.Pipeline.Stages {
+		kind := stage.Lookup(d.Service(s.Service).Kind)
+		input := kind.Build(stage.Input{Body: r.Body, Results: results})
+		output := ""
+		switch kind.Name {
+		case "engine":
+			output = script.Text(input, uint64(digest), s.MaxTokens)
+		case "pool":
+			output = script.PoolOutput(string(s.Name), input)
+		case "service":
+			output = script.ServiceOutput(string(s.Name), key.String(), input)
+		}
+		results = append(results, outcome.StageResult{Stage: s.Name, Output: output})
+	}
+	return results
+}
+
+// Problem returns what is wrong with a whole answer, or "".
+func Problem(d *configuration.Document, r Request, a *outcome.Answer) string {
+	want := Outputs(d, r)
+	if a.ID != r.Key.ID {
+		return fmt.Sprintf("answer is for id %q, not %q", a.ID, r.Key.ID)
+	}
+	if len(a.Stages) != len(want) {
+		return fmt.Sprintf("answer has %d stages, not %d", len(a.Stages), len(want))
+	}
+	text := ""
+	for i := range want {
+		if a.Stages[i].Stage != want[i].Stage || a.Stages[i].Output != want[i].Output {
+			return fmt.Sprintf("stage %s said %q, not %q", want[i].Stage, a.Stages[i].Output, want[i].Output)
+		}
+		if d.Service(r.Pipeline.Stages[i].Service).Kind == "engine" {
+			text = want[i].Output
+		}
+	}
+	if a.Text != text {
+		return fmt.Sprintf("text is %q, not %q", a.Text, text)
+	}
+	return ""
+}
--- /dev/null
+++ b/anvilload/main.go
@@ -0,0 +1,11 @@
+// Command anvilload sends load to a running deployment, checks every answer
+// against what the stand-ins must have said, and measures.
+package main
+
+import (
+	"os"
+
+	"anvilcross/anvilload/command"
+)
+
+func main() { os.Exit(command.Main(os.Args[1:])) }
--- /dev/null
+++ b/kernel/claim/memory.go
@@ -0,0 +1,333 @@
+package claim
+
+import (
+	"slices"
+	"time"
+
+	"anvilcross/kernel/ident"
+	"anvilcross/kernel/outcome"
+	"anvilcross/kernel/value"
+)
+
+// Holder is one attempt of one process to own a key.
+type Holder struct {
+	Instance    ident.Instance    `json:"instance"`
+	Incarnation ident.Incarnation `json:"incarnation"`
+	Attempt     uint64            `json:"attempt"`
+}
+
+// Record is what a seat remembers about a key.
+type Record struct {
+	Key     ident.Key    `json:"key"`
+	Digest  ident.Digest `json:"digest"`
+	Holder  Holder       `json:"holder"`
+	Granted time.Time    `json:"granted"`
+	// Rivals are further holders that other seats reported while this seat
+	// recovered. Its earlier process granted the key to one of them at most
+	// and it cannot know to which, so none is granted until the others have
+	// released the key.
+	Rivals []Holder `json:"rivals,omitempty"`
+	// Answer is the settled answer; nil while the key is held.
+	Answer *outcome.Answer `json:"answer,omitempty"`
+}
+
+// Verdict is a seat's reply to a claim.
+type Verdict string
+
+// The verdicts.
+const (
+	// Granted means that the claimer holds the key at this seat.
+	Granted Verdict = "granted"
+	// Held means that another claimer holds the key.
+	Held Verdict = "held"
+	// Settled means that the key's final answer is known.
+	Settled Verdict = "settled"
+	// Conflict means that the id was used with another pipeline or body.
+	Conflict Verdict = "conflict"
+	// Doubt means that the seat does not know the key and its memory does
+	// not reach back far enough to rule out an earlier grant.
+	Doubt Verdict = "doubt"
+	// Free is the reply to a query for a key that the seat does not hold.
+	Free Verdict = "free"
+)
+
+// Request asks for a key.
+type Request struct {
+	Key    ident.Key    `json:"key"`
+	Digest ident.Digest `json:"digest"`
+	Holder Holder       `json:"holder"`
+	// FirstSent is the caller's time of the first sending; zero if unknown.
+	FirstSent time.Time `json:"firstSent,omitzero"`
+	// Query asks what is known without claiming.
+	Query bool `json:"query,omitempty"`
+}
+
+// Vote is one seat's reply to a Request.
+type Vote struct {
+	Key     ident.Key      `json:"key"`
+	Attempt uint64         `json:"attempt"`
+	Seat    ident.Instance `json:"seat"`
+	Epoch   ident.Epoch    `json:"epoch"`
+	// Views are the epochs that the seat knows of the group's other seats.
+	Views   map[ident.Instance]ident.Epoch `json:"views"`
+	Verdict Verdict                        `json:"verdict"`
+	Record  *Record                        `json:"record,omitempty"`
+}
+
+// MemoryConfig sets up a Memory.
+type MemoryConfig struct {
+	Seat        ident.Instance
+	Incarnation ident.Incarnation
+	// Start is when this process began to remember.
+	Start time.Time
+	// MaxRecords bounds the table. At the bound the seat answers Doubt.
+	MaxRecords int
+	// KeepAnswerBytes bounds the text of a remembered answer.
+	KeepAnswerBytes int
+}
+
+// Rules are the promises about time that a Memory relies on.
+type Rules struct {
+	Horizon time.Duration
+	Skew    time.Duration
+}
+
+type view struct {
+	epoch       ident.Epoch
+	incarnation ident.Incarnation
+	// synced is set when the other seat has sent its records since the
+	// current registration.
+	synced bool
+	since  time.Time
+}
+
+// Memory is the voting side of one seat.
+type Memory struct {
+	config  MemoryConfig
+	rules   Rules
+	epoch   ident.Epoch
+	views   map[ident.Instance]*view
+	records map[ident.Key]*Record
+	// expiry lists the keys in the order of their grants.
+	expiry []expiring
+}
+
+type expiring struct {
+	key     ident.Key
+	granted time.Time
+}
+
+// NewMemory returns an empty memory that has to register with the other
+// seats before it can vote.
+func NewMemory(c MemoryConfig) *Memory {
+	return &Memory{
+		config:  c,
+		epoch:   1,
+		views:   map[ident.Instance]*view{},
+		records: map[ident.Key]*Record{},
+	}
+}
+
+// SetSeats makes the memory register with the given seats and sets its rules.
+// Seats that it knows already keep their registration.
+func (m *Memory) SetSeats(seats []ident.Instance, r Rules) {
+	m.rules = r
+	for _, seat := range seats {
+		if seat == m.config.Seat || m.views[seat] != nil {
+			continue
+		}
+		m.views[seat] = &view{}
+	}
+	for _, seat := range value.SortedKeys(m.views) {
+		if !slices.Contains(seats, seat) {
+			delete(m.views, seat)
+		}
+	}
+}
+
+// Epoch returns the seat's registration number.
+func (m *Memory) Epoch() ident.Epoch { return m.epoch }
+
+// Len returns the number of remembered keys.
+func (m *Memory) Len() int { return len(m.records) }
+
+// Since returns the time from which on the memory is complete. It reaches
+// back past the start of the process only when every other seat has sent its
+// records, and then as far as the shortest of theirs.
+func (m *Memory) Since() time.Time {
+	oldest := time.Time{}
+	for _, v := range m.views {
+		if !v.synced {
+			return m.config.Start
+		}
+		if v.since.After(oldest) {
+			oldest = v.since
+		}
+	}
+	if oldest.IsZero() || oldest.After(m.config.Start) {
+		return m.config.Start
+	}
+	return oldest
+}
+
+// Vote answers a claim or a query. The group is the key's, this seat included.
+func (m *Memory) Vote(now time.Time, r Request, group []ident.Instance) Vote {
+	m.expire(now)
+	v := Vote{Key: r.Key, Attempt: r.Holder.Attempt, Seat: m.config.Seat, Epoch: m.epoch, Views: m.groupViews(group)}
+	known := m.records[r.Key]
+	switch {
+	case known != nil:
+		v.Verdict = judge(known, r)
+		if v.Verdict != Granted {
+			record := *known
+			v.Record = &record
+		}
+	case r.Query:
+		v.Verdict = Free
+		if !m.complete(now, r, group) {
+			v.Verdict = Doubt
+		}
+	case !m.complete(now, r, group) || len(m.records) >= m.config.MaxRecords:
+		v.Verdict = Doubt
+	default:
+		m.store(&Record{Key: r.Key, Digest: r.Digest, Holder: r.Holder, Granted: now})
+		v.Verdict = Granted
+	}
+	return v
+}
+
+func judge(known *Record, r Request) Verdict {
+	switch {
+	case !r.Query && known.Digest != r.Digest:
+		return Conflict
+	case known.Answer != nil:
+		return Settled
+	case !r.Query && known.Holder == r.Holder && len(known.Rivals) == 0:
+		return Granted
+	default:
+		return Held
+	}
+}
+
+// complete reports whether an unknown key was certainly never granted by an
+// earlier process of this seat. The caller's time of first sending is the
+// evidence: a grant cannot be older. Without it only the resend horizon
+// bounds the age of a grant.
+func (m *Memory) complete(now time.Time, r Request, group []ident.Instance) bool {
+	for _, seat := range group {
+		if seat != m.config.Seat && !m.registered(seat) {
+			return false
+		}
+	}
+	since := m.Since()
+	if r.FirstSent.IsZero() {
+		return now.Sub(since) >= m.rules.Horizon
+	}
+	if now.Sub(r.FirstSent) > m.rules.Horizon-m.rules.Skew {
+		return false
+	}
+	return r.FirstSent.After(since.Add(m.rules.Skew))
+}
+
+func (m *Memory) registered(seat ident.Instance) bool {
+	v := m.views[seat]
+	return v != nil && v.synced
+}
+
+func (m *Memory) groupViews(group []ident.Instance) map[ident.Instance]ident.Epoch {
+	views := make(map[ident.Instance]ident.Epoch, GroupSize)
+	for _, seat := range group {
+		if v := m.views[seat]; v != nil {
+			views[seat] = v.epoch
+		}
+	}
+	return views
+}
+
+func (m *Memory) store(r *Record) {
+	if _, known := m.records[r.Key]; !known {
+		m.expiry = append(m.expiry, expiring{key: r.Key, granted: r.Granted})
+	}
+	m.records[r.Key] = r
+}
+
+// expire drops records that are older than the horizon plus the skew. No
+// caller sends such an id again, and complete refuses one that shows its age.
+func (m *Memory) expire(now time.Time) {
+	limit := m.rules.Horizon + m.rules.Skew
+	n := 0
+	for n < len(m.expiry) && now.Sub(m.expiry[n].granted) > limit {
+		key := m.expiry[n].key
+		if r := m.records[key]; r != nil && now.Sub(r.Granted) > limit {
+			delete(m.records, key)
+		}
+		n++
+	}
+	m.expiry = m.expiry[n:]
+}
+
+// Release gives a key back. Only the exact attempt that holds it can, so a
+// delayed message cannot release a later claim of the same process.
+func (m *Memory) Release(key ident.Key, h Holder) {
+	r := m.records[key]
+	if r == nil || r.Answer != nil {
+		return
+	}
+	if r.Holder != h {
+		r.Rivals = slices.DeleteFunc(slices.Clone(r.Rivals), func(o Holder) bool { return o == h })
+		return
+	}
+	if len(r.Rivals) == 0 {
+		delete(m.records, key)
+		return
+	}
+	r.Holder = r.Rivals[0]
+	r.Rivals = slices.Clone(r.Rivals[1:])
+}
+
+// Settle records the final answer of a key. Only the winner of a majority
+// sends it, so it replaces a minority's hold, and a seat that was replaced
+// and does not know the key learns it.
+func (m *Memory) Settle(now time.Time, r Record) {
+	if known := m.records[r.Key]; known != nil && known.Answer != nil {
+		return
+	}
+	r.Granted = now
+	r.Rivals = nil
+	r.Answer = m.trim(r.Answer)
+	m.store(&r)
+}
+
+// learn merges a record that another seat sent during recovery.
+func (m *Memory) learn(r *Record) {
+	known := m.records[r.Key]
+	if known == nil {
+		m.store(r)
+		return
+	}
+	if known.Answer != nil {
+		return
+	}
+	merged := *known
+	merged.Rivals = slices.Clone(known.Rivals)
+	for _, h := range append([]Holder{r.Holder}, r.Rivals...) {
+		if h != merged.Holder && !slices.Contains(merged.Rivals, h) {
+			merged.Rivals = append(merged.Rivals, h)
+		}
+	}
+	m.records[r.Key] = &merged
+}
+
+// trim drops what does not fit from a copy of the answer. A seat without the
+// whole text must not pass for one that has it, so it keeps the record held
+// instead; the caller then collects the answer from the holder.
+func (m *Memory) trim(a *outcome.Answer) *outcome.Answer {
+	size := len(a.Text)
+	for i := range a.Stages {
+		size += len(a.Stages[i].Output)
+	}
+	if size > m.config.KeepAnswerBytes {
+		return nil
+	}
+	return a
+}
--- /dev/null
+++ b/kernel/claim/recovery.go
@@ -0,0 +1,145 @@
+package claim
+
+import (
+	"slices"
+	"time"
+
+	"anvilcross/kernel/ident"
+	"anvilcross/kernel/value"
+)
+
+// Register announces a process that votes for a seat. The receiving seat
+// from then on reports the new epoch in its votes, which makes the votes of
+// an earlier process of that seat unusable.
+type Register struct {
+	Seat        ident.Instance    `json:"seat"`
+	Incarnation ident.Incarnation `json:"incarnation"`
+	Epoch       ident.Epoch       `json:"epoch"`
+}
+
+// Sync is the reply to a Register.
+type Sync struct {
+	Seat        ident.Instance    `json:"seat"`
+	Incarnation ident.Incarnation `json:"incarnation"`
+	Epoch       ident.Epoch       `json:"epoch"`
+	// For echoes the registration that this answers.
+	For Register `json:"for"`
+	// Known is set on a rejection: the epoch that has to be exceeded.
+	Known ident.Epoch `json:"known,omitempty"`
+	// Since is when the sender's memory starts to be complete.
+	Since time.Time `json:"since"`
+	// Views are the epochs that the sender knows of all seats.
+	Views map[ident.Instance]ident.Epoch `json:"views,omitempty"`
+	// Records are the keys on which both seats vote, without answers.
+	Records []Record `json:"records,omitempty"`
+}
+
+// Unregistered returns the seats that have not yet sent their records.
+func (m *Memory) Unregistered() []ident.Instance {
+	var seats []ident.Instance
+	for _, seat := range value.SortedKeys(m.views) {
+		if !m.views[seat].synced {
+			seats = append(seats, seat)
+		}
+	}
+	return seats
+}
+
+// Registration returns the message that announces this process.
+func (m *Memory) Registration() Register {
+	return Register{Seat: m.config.Seat, Incarnation: m.config.Incarnation, Epoch: m.epoch}
+}
+
+// HandleRegister accepts or rejects the announcement of another seat. The
+// group function returns the seats that vote on a key.
+func (m *Memory) HandleRegister(now time.Time, r Register, group func(ident.Key) []ident.Instance) (Sync, bool) {
+	v := m.views[r.Seat]
+	if v == nil {
+		return Sync{}, false
+	}
+	reply := Sync{Seat: m.config.Seat, Incarnation: m.config.Incarnation, Epoch: m.epoch, For: r}
+	again := r.Epoch == v.epoch && r.Incarnation == v.incarnation
+	if r.Epoch <= v.epoch && !again {
+		reply.Known = v.epoch
+		return reply, true
+	}
+	if !again {
+		v.epoch = r.Epoch
+		v.incarnation = r.Incarnation
+	}
+	m.expire(now)
+	reply.Since = m.Since()
+	reply.Views = m.allViews()
+	reply.Records = m.shared(r.Seat, group)
+	return reply, true
+}
+
+// HandleSync absorbs the reply to a registration. It reports whether this
+// process must announce itself again under a higher epoch.
+func (m *Memory) HandleSync(s Sync) (again bool) {
+	v := m.views[s.Seat]
+	if v == nil || s.For != m.Registration() {
+		return false
+	}
+	if s.Known > 0 {
+		m.raise(s.Known)
+		return true
+	}
+	if s.Epoch < v.epoch {
+		// An outdated process answered for that seat; its successor will.
+		return false
+	}
+	m.noteViews(s)
+	v.epoch = s.Epoch
+	v.incarnation = s.Incarnation
+	v.synced = true
+	v.since = s.Since
+	for i := range s.Records {
+		m.learn(&s.Records[i])
+	}
+	return false
+}
+
+// raise moves to an epoch above the known one and forgets who has answered.
+func (m *Memory) raise(known ident.Epoch) {
+	m.epoch = known + 1
+	for _, v := range m.views {
+		v.synced = false
+	}
+}
+
+// noteViews takes over higher epochs of third seats. A seat that answered
+// from an outdated process has to be asked again.
+func (m *Memory) noteViews(s Sync) {
+	for seat, epoch := range s.Views {
+		v := m.views[seat]
+		if v == nil || epoch <= v.epoch {
+			continue
+		}
+		v.epoch = epoch
+		v.incarnation = 0
+		v.synced = false
+	}
+}
+
+func (m *Memory) allViews() map[ident.Instance]ident.Epoch {
+	views := make(map[ident.Instance]ident.Epoch, len(m.views))
+	for seat, v := range m.views {
+		views[seat] = v.epoch
+	}
+	return views
+}
+
+func (m *Memory) shared(seat ident.Instance, group func(ident.Key) []ident.Instance) []Record {
+	var records []Record
+	for _, e := range m.expiry {
+		r := m.records[e.key]
+		if r == nil || !slices.Contains(group(e.key), seat) {
+			continue
+		}
+		bare := *r
+		bare.Answer = nil
+		records = append(records, bare)
+	}
+	return records
+}
--- /dev/null
+++ b/kernel/message/message.go
@@ -0,0 +1,147 @@
+// Package message defines what instances say to each other. Every message is
+// one-way and may be lost, delayed, doubled or overtaken; the kernel repeats
+// what needs an answer. The wire form is JSON.
+package message
+
+import (
+	"time"
+
+	"anvilcross/kernel/claim"
+	"anvilcross/kernel/configuration"
+	"anvilcross/kernel/ident"
+	"anvilcross/kernel/outcome"
+)
+
+// Envelope carries exactly one message between two instances.
+type Envelope struct {
+	From        ident.Instance    `json:"from"`
+	Incarnation ident.Incarnation `json:"incarnation"`
+	To          ident.Instance    `json:"to"`
+
+	Claim         *claim.Request   `json:"claim,omitempty"`
+	Vote          *claim.Vote      `json:"vote,omitempty"`
+	Release       *Release         `json:"release,omitempty"`
+	Settle        *claim.Record    `json:"settle,omitempty"`
+	Settled       *Settled         `json:"settled,omitempty"`
+	Register      *claim.Register  `json:"register,omitempty"`
+	Sync          *claim.Sync      `json:"sync,omitempty"`
+	Follow        *Follow          `json:"follow,omitempty"`
+	Followed      *Followed        `json:"followed,omitempty"`
+	Forward       *Forward         `json:"forward,omitempty"`
+	Blame         *Blame           `json:"blame,omitempty"`
+	Revision      *Revision        `json:"revision,omitempty"`
+	Configuration *Configuration   `json:"configuration,omitempty"`
+	Successor     *TicketSuccessor `json:"successor,omitempty"`
+	SuccessorKept *SuccessorKept   `json:"successorKept,omitempty"`
+}
+
+// Release gives a claimed key back.
+type Release struct {
+	Key    ident.Key    `json:"key"`
+	Holder claim.Holder `json:"holder"`
+}
+
+// Settled confirms a Settle.
+type Settled struct {
+	Key     ident.Key `json:"key"`
+	Attempt uint64    `json:"attempt"`
+}
+
+// Follow asks the holder of a key for the answer.
+type Follow struct {
+	Key    ident.Key    `json:"key"`
+	Holder claim.Holder `json:"holder"`
+}
+
+// FollowState is the state of a followed request.
+type FollowState string
+
+// The states of a followed request.
+const (
+	// Running means that the answer will be sent when it is there.
+	Running FollowState = "running"
+	// Finished means that the message carries the final answer.
+	Finished FollowState = "finished"
+	// Abandoned means that the holder gave the claim up without running.
+	Abandoned FollowState = "abandoned"
+	// Gone means that the process that answers knows nothing of the claim:
+	// the holder was replaced.
+	Gone FollowState = "gone"
+)
+
+// Followed answers a Follow or a Forward.
+type Followed struct {
+	Key    ident.Key       `json:"key"`
+	Holder claim.Holder    `json:"holder"`
+	State  FollowState     `json:"state"`
+	Answer *outcome.Answer `json:"answer,omitempty"`
+}
+
+// Submission is a caller's request as it travels between instances.
+type Submission struct {
+	Key       ident.Key      `json:"key"`
+	Pipeline  ident.Pipeline `json:"pipeline"`
+	Body      string         `json:"body"`
+	FirstSent time.Time      `json:"firstSent,omitzero"`
+	// Resend is the caller's evidence that an earlier sending was made.
+	Resend bool `json:"resend,omitempty"`
+}
+
+// Digest returns the hash of the submission's content.
+func (s *Submission) Digest() ident.Digest { return ident.NewDigest(s.Pipeline, s.Body) }
+
+// Forward hands a ticket's submission to the ticket's owner.
+type Forward struct {
+	Submission  Submission        `json:"submission"`
+	Incarnation ident.Incarnation `json:"incarnation"`
+}
+
+// Blame tells that an endpoint died while a request ran on it.
+type Blame struct {
+	Digest ident.Digest `json:"digest"`
+	// Crash identifies the event, so that a doubled message counts once.
+	Crash uint64 `json:"crash"`
+	// Alone is set when nothing else of the sender ran on the endpoint.
+	Alone bool `json:"alone"`
+	// Cleared is set when a suspect finished on an endpoint of its own.
+	Cleared bool `json:"cleared,omitempty"`
+}
+
+// Revision tells which configuration the sender serves by.
+type Revision struct {
+	Revision ident.Revision `json:"revision"`
+	Digest   string         `json:"digest"`
+	// Ask is set when the sender wants at least the receiver's revision.
+	Ask bool `json:"ask,omitempty"`
+}
+
+// Configuration carries an accepted document.
+type Configuration struct {
+	Document configuration.Document `json:"document"`
+}
+
+// FinishedRun is one answered request in a hand-over.
+type FinishedRun struct {
+	Key    ident.Key      `json:"key"`
+	Digest ident.Digest   `json:"digest"`
+	Answer outcome.Answer `json:"answer"`
+}
+
+// TicketSuccessor makes the receiver the owner of a stopping process's
+// tickets. The sender never runs a request again. Parts carry the finished
+// requests in portions; the hand-over counts when all have arrived.
+type TicketSuccessor struct {
+	Instance    ident.Instance    `json:"instance"`
+	Incarnation ident.Incarnation `json:"incarnation"`
+	Successor   ident.Instance    `json:"successor"`
+	Part        int               `json:"part"`
+	Parts       int               `json:"parts"`
+	Finished    []FinishedRun     `json:"finished,omitempty"`
+}
+
+// SuccessorKept confirms one part of a TicketSuccessor.
+type SuccessorKept struct {
+	Instance    ident.Instance    `json:"instance"`
+	Incarnation ident.Incarnation `json:"incarnation"`
+	Part        int               `json:"part"`
+}
--- /dev/null
+++ b/kernel/node/failure.go
@@ -0,0 +1,140 @@
+package node
+
+import (
+	"time"
+
+	"anvilcross/kernel/blame"
+	"anvilcross/kernel/configuration"
+	"anvilcross/kernel/ident"
+	"anvilcross/kernel/message"
+	"anvilcross/kernel/outcome"
+)
+
+// retryBase is the pause before the second attempt of a stage; each further
+// one doubles it.
+const retryBase = 10 * time.Millisecond
+
+// CallFailed takes the failure of a call. The detail goes to the log.
+func (n *Node) CallFailed(id ident.CallID, f Failure, detail string) {
+	c := n.findCall(id)
+	if c == nil {
+		n.counters.LateReplies++
+		return
+	}
+	n.failCall(c, f, detail)
+}
+
+func (n *Node) failCall(c *call, f Failure, detail string) {
+	r := c.run
+	if f == Leaving {
+		n.book.MarkLeaving(n.now(), c.endpoint.Name)
+	}
+	if f == Broken {
+		n.accuse(c)
+	}
+	n.endCall(c)
+	c.endpoint.Failed(n.now())
+	n.counters.FailedCalls++
+	n.event("callFailed", r.key, string(c.endpoint.Name)+" "+string(f)+" "+detail)
+	if r.phase != working {
+		return
+	}
+	r.failed.Add(c.endpoint.Name)
+	n.retryStage(r, c, f)
+}
+
+// retryStage repeats a failed stage if that is safe and there is a budget.
+func (n *Node) retryStage(r *run, c *call, f Failure) {
+	s := &r.pipeline.Stages[r.stage]
+	check := configuration.NoCheck
+	if service := n.document.Service(s.Service); service != nil {
+		check = service.DuplicateCheck
+	}
+	took := float64(n.now().Sub(c.started)) / float64(time.Millisecond)
+	r.current.Millis += took
+	if !f.ProvedNotRun() {
+		r.current.Cost.WastedMillis += took
+	}
+	if !n.rules.MayRepeat(f, s.Idempotent, check) {
+		n.finish(r, outcome.Lost, outcome.ReplyLost, "the call to "+string(c.endpoint.Name)+" was sent and no reply came")
+		return
+	}
+	if !s.Idempotent && f.ProvedNotRun() && !r.ranBefore() {
+		r.dispatched = false
+	}
+	if n.turnedGuilty(r) {
+		return
+	}
+	// An endpoint that is leaving is no sign of overload; the others have
+	// room for what it declines.
+	free := f == Leaving || f == NotSent
+	if r.current.Attempts >= maxAttempts || !free && !n.retries.Take() {
+		n.abort(r, outcome.StageFailed)
+		return
+	}
+	n.counters.Retries++
+	n.retryLater(r, retryBase<<min(r.current.Attempts-1, 6))
+}
+
+// ranBefore reports whether an earlier attempt or stage may have had effects.
+func (r *run) ranBefore() bool {
+	if r.current.Cost.WastedMillis > 0 {
+		return true
+	}
+	for i := range r.results {
+		if !r.pipeline.Stages[i].Idempotent {
+			return true
+		}
+	}
+	return false
+}
+
+func (n *Node) retryLater(r *run, pause time.Duration) {
+	n.timers.Stop(r.retrying)
+	r.retrying = n.timers.After(pause, func() { n.advance(r) })
+}
+
+// turnedGuilty ends a run whose content has just been quarantined.
+func (n *Node) turnedGuilty(r *run) bool {
+	if n.blame.Standing(n.now(), r.digest) != blame.Guilty || !n.rules.Quarantine() {
+		return false
+	}
+	n.abort(r, outcome.Quarantined)
+	return true
+}
+
+// accuse blames the content of a broken call for the endpoint's death and
+// tells the other instances, which may get the same content next.
+func (n *Node) accuse(c *call) {
+	r := c.run
+	if r.stage < len(r.pipeline.Stages) && !r.pipeline.Stages[r.stage].Idempotent {
+		// It is never sent again anyway.
+		return
+	}
+	n.crashes++
+	b := message.Blame{Digest: r.digest, Crash: uint64(n.config.Incarnation)<<20 + n.crashes, Alone: c.endpoint.InFlight == 1}
+	n.blame.Crash(n.now(), b.Digest, b.Crash, b.Alone)
+	n.event("endpointCrash", r.key, string(c.endpoint.Name))
+	n.broadcast(message.Envelope{Blame: &b})
+}
+
+// acquit clears content that finished alone on an endpoint.
+func (n *Node) acquit(d ident.Digest) {
+	n.blame.Clear(d)
+	n.broadcast(message.Envelope{Blame: &message.Blame{Digest: d, Cleared: true}})
+}
+
+func (n *Node) handleBlame(b message.Blame) {
+	if b.Cleared {
+		n.blame.Clear(b.Digest)
+		return
+	}
+	n.blame.Crash(n.now(), b.Digest, b.Crash, b.Alone)
+}
+
+// broadcast tells all other instances. Only rare events may use it.
+func (n *Node) broadcast(m message.Envelope) {
+	for _, peer := range n.peers {
+		n.send(peer, m)
+	}
+}
--- /dev/null
+++ b/kernel/node/rules.go
@@ -0,0 +1,72 @@
+package node
+
+import (
+	"time"
+
+	"anvilcross/kernel/claim"
+	"anvilcross/kernel/configuration"
+	"anvilcross/kernel/ident"
+)
+
+// Rules are the decisions that the promises rest on, as functions, so that
+// the tests can replace each by a wrong one and show that the fault matrix
+// notices. Nil functions stand for the right decision.
+type Rules struct {
+	// MayDispatch decides whether a non-idempotent stage may be sent.
+	MayDispatch func(owned bool) bool
+	// LeaseValid decides whether a claim of the given age may be used.
+	LeaseValid func(age, horizon time.Duration) bool
+	// KeepTombstone decides whether an answered request stays remembered.
+	KeepTombstone func() bool
+	// MayRepeat decides whether a failed stage may be sent again.
+	MayRepeat func(f Failure, idempotent bool, check configuration.DuplicateCheck) bool
+	// TakeOver decides whether a request may run after its holder is gone.
+	TakeOver func(idempotent bool) bool
+	// Consistent decides whether two grants count together.
+	Consistent func(a, b *claim.Vote) bool
+	// MatchCall finds the call that an endpoint's reply belongs to.
+	MatchCall func(id ident.CallID, open []ident.CallID) ident.CallID
+	// ResumeAt returns the number of received tokens that a resumed stream
+	// starts after.
+	ResumeAt func(received int) int
+	// Quarantine decides whether guilty content is turned away.
+	Quarantine func() bool
+}
+
+func (r Rules) withDefaults() Rules {
+	if r.MayDispatch == nil {
+		r.MayDispatch = func(owned bool) bool { return owned }
+	}
+	if r.LeaseValid == nil {
+		// Half the horizon leaves the other half for a pause between this
+		// check and the arrival at the endpoint: only then could a seat have
+		// forgotten the claim and granted it again.
+		r.LeaseValid = func(age, horizon time.Duration) bool { return age < horizon/2 }
+	}
+	if r.KeepTombstone == nil {
+		r.KeepTombstone = func() bool { return true }
+	}
+	if r.MayRepeat == nil {
+		r.MayRepeat = mayRepeat
+	}
+	if r.TakeOver == nil {
+		r.TakeOver = func(idempotent bool) bool { return idempotent }
+	}
+	if r.Consistent == nil {
+		r.Consistent = claim.SameEpochs
+	}
+	if r.MatchCall == nil {
+		r.MatchCall = func(id ident.CallID, _ []ident.CallID) ident.CallID { return id }
+	}
+	if r.ResumeAt == nil {
+		r.ResumeAt = func(received int) int { return received }
+	}
+	if r.Quarantine == nil {
+		r.Quarantine = func() bool { return true }
+	}
+	return r
+}
+
+func mayRepeat(f Failure, idempotent bool, check configuration.DuplicateCheck) bool {
+	return idempotent || f.ProvedNotRun() || check == configuration.Deduplicate
+}
--- /dev/null
+++ b/kernel/node/spread.go
@@ -0,0 +1,167 @@
+package node
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"anvilcross/kernel/claim"
+	"anvilcross/kernel/configuration"
+	"anvilcross/kernel/ident"
+	"anvilcross/kernel/message"
+	"anvilcross/kernel/route"
+)
+
+const (
+	// gossipPeriod is how often an instance tells a random other one its
+	// revision, so that a lost announcement is made up for.
+	gossipPeriod = time.Second
+	// announceFanout is the number of instances told of a new revision at
+	// once. Each of them tells as many again.
+	announceFanout = 3
+	// readersPerDataCentre is the number of instances per data centre that
+	// watch the platform; the others hear of changes from their peers.
+	readersPerDataCentre = 2
+)
+
+// Configure offers a document from the platform or a peer. It is taken only
+// if it is newer than the one in force; an instance never moves back.
+func (n *Node) Configure(d *configuration.Document) {
+	if !d.Newer(n.document) {
+		return
+	}
+	if problems := d.Check(); len(problems) > 0 {
+		n.event("badConfiguration", ident.Key{}, problems[0])
+		return
+	}
+	n.document = d
+	n.digest = d.Digest()
+	seats := d.Seats()
+	n.peers = slices.DeleteFunc(slices.Clone(seats), func(s ident.Instance) bool { return s == n.config.Seat })
+	if len(n.peers) == 0 {
+		n.confirmed = true
+	}
+	n.memory.SetSeats(seats, claim.Rules{Horizon: d.ResendHorizonMillis.Duration(), Skew: d.ClockSkewMillis.Duration()})
+	n.admission.SetWorkspaces(n.now(), d.Workspaces, len(seats))
+	n.out.Event(Event{Name: "configured", Detail: n.digest, Count: int64(d.Revision)})
+	n.register()
+	for _, peer := range n.somePeers(announceFanout) {
+		n.tellRevision(peer, false)
+	}
+}
+
+// SetPeers names the other instances before a configuration is known.
+func (n *Node) SetPeers(peers []ident.Instance) {
+	if n.document == nil {
+		n.peers = peers
+	}
+}
+
+// Revision returns the revision in force; zero without configuration.
+func (n *Node) Revision() ident.Revision {
+	if n.document == nil {
+		return 0
+	}
+	return n.document.Revision
+}
+
+// IsReader reports whether this instance is one of those in its data centre
+// that watch the platform. It is computed, not elected: all instances rank
+// the seats of the data centre alike.
+func (n *Node) IsReader() bool {
+	if n.document == nil {
+		return true
+	}
+	for _, dc := range n.document.DataCentres {
+		if dc.Name != n.config.DataCentre {
+			continue
+		}
+		ranked := slices.Clone(dc.Seats)
+		slices.SortFunc(ranked, func(a, b ident.Instance) int {
+			return cmp.Compare(ident.Score("reader", string(a)), ident.Score("reader", string(b)))
+		})
+		i := slices.Index(ranked, n.config.Seat)
+		return i >= 0 && i < readersPerDataCentre
+	}
+	return true
+}
+
+// Listed takes over the platform's instance list.
+func (n *Node) Listed(endpoints []route.Listing) { n.book.Update(endpoints) }
+
+func (n *Node) somePeers(count int) []ident.Instance {
+	if len(n.peers) <= count {
+		return n.peers
+	}
+	chosen := make([]ident.Instance, 0, count)
+	for len(chosen) < count {
+		peer := n.peers[n.config.Random.IntN(len(n.peers))]
+		if !slices.Contains(chosen, peer) {
+			chosen = append(chosen, peer)
+		}
+	}
+	return chosen
+}
+
+// gossip tells one random peer the own revision; before the first
+// configuration it asks several.
+func (n *Node) gossip() {
+	if n.retired {
+		return
+	}
+	count := 1
+	if n.document == nil || !n.confirmed {
+		count = announceFanout
+	}
+	for _, peer := range n.somePeers(count) {
+		n.tellRevision(peer, !n.confirmed)
+	}
+}
+
+func (n *Node) tellRevision(to ident.Instance, ask bool) {
+	n.send(to, message.Envelope{Revision: &message.Revision{Revision: n.Revision(), Digest: n.digest, Ask: ask}})
+}
+
+func (n *Node) handleRevision(from ident.Instance, m message.Revision) {
+	switch {
+	case m.Revision > n.Revision() || m.Revision == n.Revision() && m.Digest > n.digest:
+		if !m.Ask {
+			n.tellRevision(from, true)
+		}
+	case n.document != nil && (m.Revision < n.Revision() || m.Digest < n.digest):
+		n.send(from, message.Envelope{Configuration: &message.Configuration{Document: *n.document}})
+	default:
+		n.confirmed = true
+		if m.Ask {
+			n.tellRevision(from, false)
+		}
+	}
+}
+
+// register announces this process to the seats that have not answered yet.
+func (n *Node) register() {
+	if n.document == nil || n.retired {
+		return
+	}
+	for _, seat := range n.memory.Unregistered() {
+		registration := n.memory.Registration()
+		n.send(seat, message.Envelope{Register: &registration})
+	}
+}
+
+func (n *Node) group(key ident.Key) []ident.Instance { return claim.Group(n.document, key) }
+
+func (n *Node) handleRegister(from ident.Instance, m claim.Register) {
+	if n.document == nil || n.retired {
+		return
+	}
+	if reply, ok := n.memory.HandleRegister(n.now(), m, n.group); ok {
+		n.send(from, message.Envelope{Sync: &reply})
+	}
+}
+
+func (n *Node) handleSync(m claim.Sync) {
+	if n.memory.HandleSync(m) {
+		n.register()
+	}
+}
