--- a/kernel/blame/blame.go
+++ b/kernel/blame/blame.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"anvilcross/kernel/ident"
+	"anvilcross/kernel/value"
 )
 
 // Standing is how a request's content is treated.
@@ -91,6 +92,33 @@
 	return Suspect
 }
 
+// Report is one blamed content as another instance may learn it.
+type Report struct {
+	Digest  ident.Digest `json:"digest"`
+	Crashes []uint64     `json:"crashes"`
+	Alone   bool         `json:"alone"`
+}
+
+// Latest returns the most recently added blame, at most the given number.
+func (t *Table) Latest(most int) []Report {
+	var reports []Report
+	for i := len(t.order) - 1; i >= 0 && len(reports) < most; i-- {
+		if e := t.entries[t.order[i]]; e != nil {
+			reports = append(reports, Report{Digest: t.order[i], Crashes: value.SortedKeys(e.crashes), Alone: e.alone})
+		}
+	}
+	return reports
+}
+
+// Learn takes over another instance's reports.
+func (t *Table) Learn(now time.Time, reports []Report) {
+	for _, r := range reports {
+		for _, crash := range r.Crashes {
+			t.Crash(now, r.Digest, crash, r.Alone)
+		}
+	}
+}
+
 // Len returns the number of blamed contents.
 func (t *Table) Len() int { return len(t.entries) }
 
--- a/kernel/claim/memory.go
+++ b/kernel/claim/memory.go
@@ -64,14 +64,11 @@
 
 // Vote is one seat's reply to a Request.
 type Vote struct {
-	Key     ident.Key      `json:"key"`
-	Attempt uint64         `json:"attempt"`
-	Seat    ident.Instance `json:"seat"`
-	Epoch   ident.Epoch    `json:"epoch"`
-	// Views are the epochs that the seat knows of the group's other seats.
-	Views   map[ident.Instance]ident.Epoch `json:"views"`
-	Verdict Verdict                        `json:"verdict"`
-	Record  *Record                        `json:"record,omitempty"`
+	Key     ident.Key `json:"key"`
+	Attempt uint64    `json:"attempt"`
+	Stamp
+	Verdict Verdict `json:"verdict"`
+	Record  *Record `json:"record,omitempty"`
 }
 
 // MemoryConfig sets up a Memory.
@@ -103,9 +100,13 @@
 
 // Memory is the voting side of one seat.
 type Memory struct {
-	config  MemoryConfig
-	rules   Rules
-	epoch   ident.Epoch
+	config MemoryConfig
+	rules  Rules
+	epoch  ident.Epoch
+	// inherited is set when the last process's memory was taken over whole.
+	inherited bool
+	// start is when the memory begins: of this process, or inherited.
+	start   time.Time
 	views   map[ident.Instance]*view
 	records map[ident.Key]*Record
 	// expiry lists the keys in the order of their grants.
@@ -123,6 +124,7 @@
 	return &Memory{
 		config:  c,
 		epoch:   1,
+		start:   c.Start,
 		views:   map[ident.Instance]*view{},
 		records: map[ident.Key]*Record{},
 	}
@@ -155,17 +157,20 @@
 // back past the start of the process only when every other seat has sent its
 // records, and then as far as the shortest of theirs.
 func (m *Memory) Since() time.Time {
+	if m.inherited {
+		return m.start
+	}
 	oldest := time.Time{}
 	for _, v := range m.views {
 		if !v.synced {
-			return m.config.Start
+			return m.start
 		}
 		if v.since.After(oldest) {
 			oldest = v.since
 		}
 	}
-	if oldest.IsZero() || oldest.After(m.config.Start) {
-		return m.config.Start
+	if oldest.IsZero() || oldest.After(m.start) {
+		return m.start
 	}
 	return oldest
 }
@@ -173,7 +178,7 @@
 // Vote answers a claim or a query. The group is the key's, this seat included.
 func (m *Memory) Vote(now time.Time, r Request, group []ident.Instance) Vote {
 	m.expire(now)
-	v := Vote{Key: r.Key, Attempt: r.Holder.Attempt, Seat: m.config.Seat, Epoch: m.epoch, Views: m.groupViews(group)}
+	v := Vote{Key: r.Key, Attempt: r.Holder.Attempt, Stamp: m.Stamp(group)}
 	known := m.records[r.Key]
 	switch {
 	case known != nil:
@@ -214,10 +219,8 @@
 // evidence: a grant cannot be older. Without it only the resend horizon
 // bounds the age of a grant.
 func (m *Memory) complete(now time.Time, r Request, group []ident.Instance) bool {
-	for _, seat := range group {
-		if seat != m.config.Seat && !m.registered(seat) {
-			return false
-		}
+	if !m.Recovered(group) {
+		return false
 	}
 	since := m.Since()
 	if r.FirstSent.IsZero() {
@@ -301,11 +304,11 @@
 // learn merges a record that another seat sent during recovery.
 func (m *Memory) learn(r *Record) {
 	known := m.records[r.Key]
-	if known == nil {
-		m.store(r)
+	if known != nil && known.Answer != nil {
 		return
 	}
-	if known.Answer != nil {
+	if known == nil || r.Answer != nil {
+		m.store(r)
 		return
 	}
 	merged := *known
--- a/kernel/claim/recovery.go
+++ b/kernel/claim/recovery.go
@@ -30,7 +30,7 @@
 	Since time.Time `json:"since"`
 	// Views are the epochs that the sender knows of all seats.
 	Views map[ident.Instance]ident.Epoch `json:"views,omitempty"`
-	// Records are the keys on which both seats vote, without answers.
+	// Records are the keys on which both seats vote.
 	Records []Record `json:"records,omitempty"`
 }
 
@@ -103,6 +103,8 @@
 // raise moves to an epoch above the known one and forgets who has answered.
 func (m *Memory) raise(known ident.Epoch) {
 	m.epoch = known + 1
+	m.inherited = false
+	m.start = m.config.Start
 	for _, v := range m.views {
 		v.synced = false
 	}
@@ -137,9 +139,34 @@
 		if r == nil || !slices.Contains(group(e.key), seat) {
 			continue
 		}
-		bare := *r
-		bare.Answer = nil
-		records = append(records, bare)
+		records = append(records, *r)
 	}
 	return records
 }
+
+// Records returns all records, in the order of their grants.
+func (m *Memory) Records() []Record {
+	records := make([]Record, 0, len(m.records))
+	for _, e := range m.expiry {
+		if r := m.records[e.key]; r != nil {
+			records = append(records, *r)
+		}
+	}
+	return records
+}
+
+// Inherit takes over what the seat's last process handed over when it
+// stopped. That is all that the process knew, so the memory reaches back as
+// far as that one's did. Memory of an earlier process is of no use: later ones
+// may have voted. It reports whether it was taken.
+func (m *Memory) Inherit(epoch ident.Epoch, since time.Time, records []Record) bool {
+	if epoch != m.epoch-1 {
+		return false
+	}
+	m.inherited = true
+	m.start = since
+	for i := range records {
+		m.learn(&records[i])
+	}
+	return true
+}
--- a/kernel/claim/tally.go
+++ b/kernel/claim/tally.go
@@ -31,7 +31,7 @@
 type Tally struct {
 	Group []ident.Instance
 	// Consistent decides whether two grants may be counted together.
-	Consistent func(a, b *Vote) bool
+	Consistent func(a, b *Stamp) bool
 	votes      map[ident.Instance]Vote
 }
 
@@ -40,13 +40,6 @@
 	return &Tally{Group: group, Consistent: SameEpochs, votes: map[ident.Instance]Vote{}}
 }
 
-// SameEpochs reports whether two seats agree on each other's epoch. A grant
-// from a process that has been replaced fails here, because the other seat
-// registered the successor before that successor could vote.
-func SameEpochs(a, b *Vote) bool {
-	return a.Views[b.Seat] == b.Epoch && b.Views[a.Seat] == a.Epoch
-}
-
 // Add counts a vote. A vote from an older epoch does not replace a newer one.
 func (t *Tally) Add(v Vote) {
 	if !slices.Contains(t.Group, v.Seat) {
@@ -111,7 +104,21 @@
 		if other.Verdict != Granted {
 			continue
 		}
-		if other.Seat == v.Seat || t.Consistent(v, &other) {
+		if other.Seat == v.Seat || t.Consistent(&v.Stamp, &other.Stamp) {
+			n++
+		}
+	}
+	return n
+}
+
+// Complete reports whether every seat has voted.
+func (t *Tally) Complete() bool { return len(t.votes) == len(t.Group) }
+
+// HeldBy counts the seats that say that the given claimer holds the key.
+func (t *Tally) HeldBy(h Holder) int {
+	n := 0
+	for _, v := range t.votes {
+		if v.Verdict == Held && v.Record.Holder == h {
 			n++
 		}
 	}
--- a/kernel/message/message.go
+++ b/kernel/message/message.go
@@ -6,10 +6,12 @@
 import (
 	"time"
 
+	"anvilcross/kernel/blame"
 	"anvilcross/kernel/claim"
 	"anvilcross/kernel/configuration"
 	"anvilcross/kernel/ident"
 	"anvilcross/kernel/outcome"
+	"anvilcross/kernel/remembered"
 )
 
 // Envelope carries exactly one message between two instances.
@@ -18,21 +20,37 @@
 	Incarnation ident.Incarnation `json:"incarnation"`
 	To          ident.Instance    `json:"to"`
 
-	Claim         *claim.Request   `json:"claim,omitempty"`
-	Vote          *claim.Vote      `json:"vote,omitempty"`
-	Release       *Release         `json:"release,omitempty"`
-	Settle        *claim.Record    `json:"settle,omitempty"`
-	Settled       *Settled         `json:"settled,omitempty"`
-	Register      *claim.Register  `json:"register,omitempty"`
-	Sync          *claim.Sync      `json:"sync,omitempty"`
-	Follow        *Follow          `json:"follow,omitempty"`
-	Followed      *Followed        `json:"followed,omitempty"`
-	Forward       *Forward         `json:"forward,omitempty"`
-	Blame         *Blame           `json:"blame,omitempty"`
-	Revision      *Revision        `json:"revision,omitempty"`
-	Configuration *Configuration   `json:"configuration,omitempty"`
-	Successor     *TicketSuccessor `json:"successor,omitempty"`
-	SuccessorKept *SuccessorKept   `json:"successorKept,omitempty"`
+	Claim         *claim.Request       `json:"claim,omitempty"`
+	Vote          *claim.Vote          `json:"vote,omitempty"`
+	Release       *Release             `json:"release,omitempty"`
+	Settle        *claim.Record        `json:"settle,omitempty"`
+	Settled       *Settled             `json:"settled,omitempty"`
+	Prepare       *remembered.Prepare  `json:"prepare,omitempty"`
+	Promise       *remembered.Promise  `json:"promise,omitempty"`
+	Accept        *remembered.Accept   `json:"accept,omitempty"`
+	Accepted      *remembered.Accepted `json:"accepted,omitempty"`
+	Register      *claim.Register      `json:"register,omitempty"`
+	Sync          *Sync                `json:"sync,omitempty"`
+	Follow        *Follow              `json:"follow,omitempty"`
+	Followed      *Followed            `json:"followed,omitempty"`
+	Forward       *Forward             `json:"forward,omitempty"`
+	Blame         *Blame               `json:"blame,omitempty"`
+	Revision      *Revision            `json:"revision,omitempty"`
+	Configuration *Configuration       `json:"configuration,omitempty"`
+	HandOver      *HandOver            `json:"handOver,omitempty"`
+	HandedOver    *HandedOver          `json:"handedOver,omitempty"`
+	Successor     *Successor           `json:"successor,omitempty"`
+}
+
+// Sync carries all that a seat remembers for a recovering one.
+type Sync struct {
+	Claims  claim.Sync            `json:"claims"`
+	Answers []remembered.Register `json:"answers,omitempty"`
+	// Inherited is set when the sender kept the memory that the seat's last
+	// process handed over; it is all in here, and the sender forgets it.
+	Inherited *Memory `json:"inherited,omitempty"`
+	// Blamed are the contents that crashed endpoints lately.
+	Blamed []blame.Report `json:"blamed,omitempty"`
 }
 
 // Release gives a claimed key back.
@@ -94,6 +112,9 @@
 type Forward struct {
 	Submission  Submission        `json:"submission"`
 	Incarnation ident.Incarnation `json:"incarnation"`
+	// Sent is the sender's time. One that arrives long after starts nothing:
+	// its caller was told something else in the meantime.
+	Sent time.Time `json:"sent"`
 }
 
 // Blame tells that an endpoint died while a request ran on it.
@@ -127,21 +148,44 @@
 	Answer outcome.Answer `json:"answer"`
 }
 
-// TicketSuccessor makes the receiver the owner of a stopping process's
-// tickets. The sender never runs a request again. Parts carry the finished
-// requests in portions; the hand-over counts when all have arrived.
-type TicketSuccessor struct {
+// Issuer identifies a process whose tickets are handed over.
+type Issuer struct {
 	Instance    ident.Instance    `json:"instance"`
 	Incarnation ident.Incarnation `json:"incarnation"`
-	Successor   ident.Instance    `json:"successor"`
-	Part        int               `json:"part"`
-	Parts       int               `json:"parts"`
-	Finished    []FinishedRun     `json:"finished,omitempty"`
 }
 
-// SuccessorKept confirms one part of a TicketSuccessor.
-type SuccessorKept struct {
-	Instance    ident.Instance    `json:"instance"`
-	Incarnation ident.Incarnation `json:"incarnation"`
-	Part        int               `json:"part"`
+// HandOver makes the receiver the owner of a stopping process's tickets and
+// the keeper of its seat's memory. The sender never runs a request and never
+// votes again. Parts carry everything in portions; the hand-over counts when
+// all have arrived.
+type HandOver struct {
+	From Issuer `json:"from"`
+	// Issuers are the processes whose tickets the sender owned.
+	Issuers  []Issuer      `json:"issuers"`
+	Part     int           `json:"part"`
+	Parts    int           `json:"parts"`
+	Finished []FinishedRun `json:"finished,omitempty"`
+	Memory   Memory        `json:"memory"`
+}
+
+// Memory is a portion of what a seat remembers.
+type Memory struct {
+	Epoch   ident.Epoch           `json:"epoch"`
+	Since   time.Time             `json:"since"`
+	Claims  []claim.Record        `json:"claims,omitempty"`
+	Answers []remembered.Register `json:"answers,omitempty"`
+}
+
+// HandedOver confirms one part of a HandOver, or refuses the whole when the
+// receiver is stopping itself.
+type HandedOver struct {
+	From    Issuer `json:"from"`
+	Part    int    `json:"part"`
+	Refused bool   `json:"refused,omitempty"`
+}
+
+// Successor tells who owns the tickets of a process that has stopped.
+type Successor struct {
+	Of Issuer         `json:"of"`
+	By ident.Instance `json:"by"`
 }
--- a/kernel/node/failure.go
+++ b/kernel/node/failure.go
@@ -14,6 +14,11 @@
 // one doubles it.
 const retryBase = 10 * time.Millisecond
 
+const (
+	blameSends  = 3
+	blameResend = 200 * time.Millisecond
+)
+
 // CallFailed takes the failure of a call. The detail goes to the log.
 func (n *Node) CallFailed(id ident.CallID, f Failure, detail string) {
 	c := n.findCall(id)
@@ -115,7 +120,16 @@
 	b := message.Blame{Digest: r.digest, Crash: uint64(n.config.Incarnation)<<20 + n.crashes, Alone: c.endpoint.InFlight == 1}
 	n.blame.Crash(n.now(), b.Digest, b.Crash, b.Alone)
 	n.event("endpointCrash", r.key, string(c.endpoint.Name))
+	n.spreadBlame(b, blameSends)
+}
+
+// spreadBlame tells the other instances several times: a crash is rare, and a
+// lost word of it would cost another endpoint.
+func (n *Node) spreadBlame(b message.Blame, times int) {
 	n.broadcast(message.Envelope{Blame: &b})
+	if times > 1 {
+		n.timers.After(blameResend, func() { n.spreadBlame(b, times-1) })
+	}
 }
 
 // acquit clears content that finished alone on an endpoint.
--- a/kernel/node/finish.go
+++ b/kernel/node/finish.go
@@ -24,6 +24,8 @@
 		return
 	}
 	switch {
+	case r.collecting:
+		n.finish(r, outcome.Lost, outcome.ClaimUnconfirmed, "those who would know are out of reach")
 	case r.dispatched:
 		n.finish(r, outcome.Lost, outcome.ReplyLost, "a non-idempotent stage was dispatched before: "+string(reason))
 	case r.phase == working && (r.owned() || r.idempotent):
@@ -49,6 +51,10 @@
 	a.Cost.Add(r.current.Cost)
 	if o == outcome.Whole {
 		a.Text = n.text(r)
+		if r.shared {
+			n.propose(r, a)
+			return
+		}
 	}
 	n.conclude(r, a)
 }
@@ -90,11 +96,12 @@
 		n.forget(r)
 		return
 	}
-	if !r.owned() {
-		n.release(r)
-	}
 	n.finished = append(n.finished, r)
-	if r.owned() {
+	switch {
+	case r.shared:
+	case r.adopted:
+		n.release(r)
+	default:
 		n.settle(r)
 	}
 }
--- a/kernel/node/follow.go
+++ b/kernel/node/follow.go
@@ -19,10 +19,6 @@
 	n.release(r)
 	n.counters.Follows++
 	r.phase = following
-	r.results = nil
-	r.stage = 0
-	r.current = outcome.StageResult{}
-	r.tokens = nil
 	r.follow = followState{target: h.Instance, holder: h, heard: n.now()}
 	n.followTick(r)
 }
@@ -68,7 +64,7 @@
 	if silent {
 		detail = "the instance that took the request is out of reach"
 	}
-	if r.collecting || !n.rules.TakeOver(r.idempotent) || r.shared && silent {
+	if r.collecting || !n.rules.TakeOver(r.idempotent) {
 		n.finish(r, outcome.Lost, outcome.HolderGone, detail)
 		return
 	}
@@ -135,6 +131,7 @@
 	case message.Running:
 		r.follow.heard = n.now()
 	case message.Finished:
+		r.adopted = true
 		n.conclude(r, *m.Answer)
 	case message.Abandoned:
 		n.reclaim(r)
@@ -155,6 +152,7 @@
 		return
 	}
 	n.timers.Stop(r.follow.timer)
+	delete(n.attempts, r.claim.holder.Attempt)
 	r.phase = working
 	pause := n.config.Random.Int64N(int64(claimResend)) + 1
 	r.claim.timer = n.timers.After(time.Duration(pause), func() {
--- a/kernel/node/node.go
+++ b/kernel/node/node.go
@@ -16,6 +16,7 @@
 	"anvilcross/kernel/limit"
 	"anvilcross/kernel/message"
 	"anvilcross/kernel/outcome"
+	"anvilcross/kernel/remembered"
 	"anvilcross/kernel/retry"
 	"anvilcross/kernel/route"
 	"anvilcross/kernel/timer"
@@ -54,12 +55,13 @@
 	MaxInFlight     int
 	MaxClaims       int
 	MaxBlamed       int
+	MaxRemembered   int
 	KeepAnswerBytes int
 }
 
 // DefaultBounds returns the bounds of a small entry instance.
 func DefaultBounds() Bounds {
-	return Bounds{MaxRuns: 50_000, MaxInFlight: 1_000, MaxClaims: 100_000, MaxBlamed: 1_000, KeepAnswerBytes: 32 << 10}
+	return Bounds{MaxRuns: 50_000, MaxInFlight: 1_000, MaxClaims: 100_000, MaxBlamed: 1_000, MaxRemembered: 20_000, KeepAnswerBytes: 32 << 10}
 }
 
 // Config sets up a Node.
@@ -112,19 +114,20 @@
 
 // Node is the kernel of one instance.
 type Node struct {
-	config    Config
-	rules     Rules
-	out       Output
-	timers    *timer.Service
-	policy    *route.Policy
-	document  *configuration.Document
-	digest    string
-	memory    *claim.Memory
-	book      *route.Book
-	blame     *blame.Table
-	retries   *retry.Budget
-	admission *limit.Admission
-	started   time.Time
+	config     Config
+	rules      Rules
+	out        Output
+	timers     *timer.Service
+	policy     *route.Policy
+	document   *configuration.Document
+	digest     string
+	memory     *claim.Memory
+	remembered *remembered.Table
+	book       *route.Book
+	blame      *blame.Table
+	retries    *retry.Budget
+	admission  *limit.Admission
+	started    time.Time
 
 	runs       map[ident.Key]*run
 	collects   map[ident.Key]*run
@@ -142,6 +145,8 @@
 	draining   bool
 	confirmed  bool
 	handOver   *handOver
+	legacies   map[issuer]*legacy
+	heard      map[ident.Instance]time.Time
 	peers      []ident.Instance
 	counters   Counters
 	recentCost costTable
@@ -166,6 +171,8 @@
 		book:      route.NewBook(),
 		started:   c.Timers.Now(),
 		runs:      map[ident.Key]*run{},
+		legacies:  map[issuer]*legacy{},
+		heard:     map[ident.Instance]time.Time{},
 		collects:  map[ident.Key]*run{},
 		attempts:  map[uint64]*run{},
 		abandoned: map[uint64]time.Time{},
@@ -183,6 +190,7 @@
 		MaxRecords:      c.Bounds.MaxClaims,
 		KeepAnswerBytes: c.Bounds.KeepAnswerBytes,
 	})
+	n.remembered = remembered.NewTable(remembered.Config{MaxRegisters: c.Bounds.MaxRemembered})
 	n.timers.Every(registerPeriod, n.register)
 	n.timers.Every(gossipPeriod, n.gossip)
 	n.timers.Every(sweepPeriod, n.sweep)
@@ -233,6 +241,7 @@
 
 // HandlePeer takes a message from another instance.
 func (n *Node) HandlePeer(m message.Envelope) {
+	n.heard[m.From] = n.now()
 	switch {
 	case m.Claim != nil:
 		n.handleClaim(m.From, *m.Claim)
@@ -244,6 +253,14 @@
 		n.handleSettle(m.From, *m.Settle)
 	case m.Settled != nil:
 		n.handleSettled(m.From, *m.Settled)
+	case m.Prepare != nil:
+		n.handlePrepare(m.From, *m.Prepare)
+	case m.Promise != nil:
+		n.handlePromise(*m.Promise)
+	case m.Accept != nil:
+		n.handleAccept(m.From, *m.Accept)
+	case m.Accepted != nil:
+		n.handleAccepted(*m.Accepted)
 	case m.Register != nil:
 		n.handleRegister(m.From, *m.Register)
 	case m.Sync != nil:
@@ -260,9 +277,11 @@
 		n.handleRevision(m.From, *m.Revision)
 	case m.Configuration != nil:
 		n.Configure(&m.Configuration.Document)
+	case m.HandOver != nil:
+		n.handleHandOver(m.From, *m.HandOver)
+	case m.HandedOver != nil:
+		n.handleHandedOver(m.From, *m.HandedOver)
 	case m.Successor != nil:
-		n.handleSuccessor(m.From, *m.Successor)
-	case m.SuccessorKept != nil:
-		n.handleSuccessorKept(*m.SuccessorKept)
+		n.handleSuccessor(*m.Successor)
 	}
 }
--- a/kernel/node/ownership.go
+++ b/kernel/node/ownership.go
@@ -83,7 +83,7 @@
 	case claim.Won:
 		n.win(r)
 	case claim.HeldElsewhere:
-		n.follow(r, record.Holder)
+		n.heldElsewhere(r, record.Holder)
 	case claim.Conflicting:
 		n.finish(r, outcome.Refused, outcome.IDConflict, "the id was used with another pipeline or body")
 	case claim.Unclaimed:
@@ -93,6 +93,42 @@
 	}
 }
 
+// heldElsewhere follows another claimer that has a majority. While neither
+// has one, all votes are awaited; if they are split, the claimer whose seat
+// ranks first goes on and the others yield. A run whose caller already sees
+// its tokens goes on by itself, since two streams may differ.
+func (n *Node) heldElsewhere(r *run, h claim.Holder) {
+	if r.phase != working {
+		return
+	}
+	if h.Instance == n.config.Seat && h.Incarnation == n.config.Incarnation {
+		n.ownOldClaim(r, h)
+		return
+	}
+	if r.idempotent && !r.collecting && r.stage >= r.streamStage && len(r.tokens) > 0 {
+		return
+	}
+	t := r.claim.tally
+	if !r.collecting && t.HeldBy(h) < claim.Majority {
+		waited := n.now().Sub(r.claim.since) >= 2*claimResend
+		if n.config.Seat < h.Instance || !t.Complete() && !waited {
+			return
+		}
+	}
+	n.follow(r, h)
+}
+
+// ownOldClaim frees a key from an attempt that this process gave up, whose
+// release a seat has not seen. An attempt that it does not remember giving up
+// may have run.
+func (n *Node) ownOldClaim(r *run, h claim.Holder) {
+	if _, ok := n.abandoned[h.Attempt]; ok {
+		n.sendRelease(r.key, h, r.claim.group)
+		return
+	}
+	n.finish(r, outcome.Lost, outcome.Unknown, "an earlier sending was handled here and its answer is no longer kept")
+}
+
 func (n *Node) win(r *run) {
 	if r.phase != working || r.collecting {
 		return
@@ -109,6 +145,7 @@
 		return
 	}
 	n.counters.Adopted++
+	r.adopted = true
 	n.conclude(r, *record.Answer)
 }
 
--- a/kernel/node/rules.go
+++ b/kernel/node/rules.go
@@ -23,7 +23,7 @@
 	// TakeOver decides whether a request may run after its holder is gone.
 	TakeOver func(idempotent bool) bool
 	// Consistent decides whether two grants count together.
-	Consistent func(a, b *claim.Vote) bool
+	Consistent func(a, b *claim.Stamp) bool
 	// MatchCall finds the call that an endpoint's reply belongs to.
 	MatchCall func(id ident.CallID, open []ident.CallID) ident.CallID
 	// ResumeAt returns the number of received tokens that a resumed stream
--- a/kernel/node/run.go
+++ b/kernel/node/run.go
@@ -63,14 +63,18 @@
 	followers  []follower
 	phase      phase
 	ownership  ownership
-	// shared is set for the run behind a repeated look-up's answer.
-	shared bool
+	// shared is set for the run behind the one answer of equal look-ups, and
+	// sharing for a run that waits for such an answer.
+	shared  bool
+	sharing bool
 	// collecting is set when the caller only asks for an answer.
 	collecting bool
 	// shed is why the request is turned away once it is known that no
 	// earlier sending of it runs.
 	shed     outcome.Reason
 	admitted bool
+	// adopted is set when the answer was made by another instance.
+	adopted bool
 	// dispatched is set before a non-idempotent stage is sent.
 	dispatched bool
 
@@ -92,6 +96,7 @@
 
 	claim  claimState
 	follow followState
+	lookUp lookUpState
 	answer outcome.Answer
 }
 
--- a/kernel/node/spread.go
+++ b/kernel/node/spread.go
@@ -22,6 +22,9 @@
 	// readersPerDataCentre is the number of instances per data centre that
 	// watch the platform; the others hear of changes from their peers.
 	readersPerDataCentre = 2
+	// blamedInSync is the number of blamed contents that a fresh instance is
+	// told by each of the others.
+	blamedInSync = 64
 )
 
 // Configure offers a document from the platform or a peer. It is taken only
@@ -155,13 +158,28 @@
 	if n.document == nil || n.retired {
 		return
 	}
-	if reply, ok := n.memory.HandleRegister(n.now(), m, n.group); ok {
-		n.send(from, message.Envelope{Sync: &reply})
+	claims, ok := n.memory.HandleRegister(n.now(), m, n.group)
+	if !ok {
+		return
+	}
+	reply := message.Sync{Claims: claims}
+	if claims.Known == 0 {
+		reply.Answers = n.remembered.Shared(func(key ident.Key) bool { return slices.Contains(n.group(key), m.Seat) })
+		reply.Blamed = n.blame.Latest(blamedInSync)
+		reply.Inherited = n.bequeath(m.Seat, m.Epoch)
 	}
+	n.send(from, message.Envelope{Sync: &reply})
 }
 
-func (n *Node) handleSync(m claim.Sync) {
-	if n.memory.HandleSync(m) {
+// handleSync takes the answers over before the claims: with the claims the
+// seat counts as recovered.
+func (n *Node) handleSync(m message.Sync) {
+	n.blame.Learn(n.now(), m.Blamed)
+	n.remembered.Learn(m.Answers)
+	if i := m.Inherited; i != nil && m.Claims.For == n.memory.Registration() && n.memory.Inherit(i.Epoch, i.Since, i.Claims) {
+		n.remembered.Learn(i.Answers)
+	}
+	if n.memory.HandleSync(m.Claims) {
 		n.register()
 	}
 }
--- a/kernel/node/submit.go
+++ b/kernel/node/submit.go
@@ -130,7 +130,7 @@
 
 // advance does the next step of a working run, if nothing holds it back.
 func (n *Node) advance(r *run) {
-	if r.phase != working || r.call != nil {
+	if r.phase != working || r.call != nil || r.collecting {
 		return
 	}
 	if r.shed != "" {
@@ -164,6 +164,7 @@
 		return n.rules.MayDispatch(false)
 	}
 	if r.shared {
+		// The answer is written before it is told; a ballot has to be won.
 		return false
 	}
 	if r.stage == 0 && !r.submission.Resend {
@@ -171,33 +172,3 @@
 	}
 	return r.idempotent && n.now().Sub(r.started) >= claimGrace
 }
-
-// share lets a look-up wait for the one answer that all equal look-ups get.
-func (n *Node) share(r *run) {
-	if r.retrying != nil {
-		return
-	}
-	s := r.submission
-	s.Key.ID = ident.RequestID("same:" + string(s.Pipeline) + ":" + r.digest.String())
-	s.FirstSent = r.submission.FirstSent
-	r.retrying = n.timers.After(0, func() {})
-	notify := func(a outcome.Answer) { n.shareDone(r, a) }
-	if other := n.runs[s.Key]; other != nil {
-		n.rejoin(waiter{notify: notify}, other, s)
-		return
-	}
-	common := n.newRun(s, r.pipeline)
-	common.shared = true
-	n.begin(waiter{notify: notify}, common)
-	n.startClaim(common)
-	n.advance(common)
-}
-
-func (n *Node) shareDone(r *run, a outcome.Answer) {
-	if r.phase == done {
-		return
-	}
-	r.results = a.Stages
-	r.tokens = splitTokens(a.Text)
-	n.finish(r, a.Outcome, a.Reason, a.Detail)
-}
