--- a/kernel/matrix/cell_test.go
+++ b/kernel/matrix/cell_test.go
@@ -31,7 +31,8 @@
 	requests int
 	outcomes map[outcome.Outcome]int
 	problems []string
-	crashes  int
+	// lostElsewhere counts the lost requests that no broken instance had.
+	lostElsewhere int
 }
 
 // target says which pipeline the faults aim at, per deployment.
@@ -89,7 +90,24 @@
 	w.check()
 	c.checkFault(w)
 	requests, by := w.counts()
-	return result{requests: requests, outcomes: by, problems: w.problems, crashes: w.crashes}
+	return result{requests: requests, outcomes: by, problems: w.problems, lostElsewhere: w.lostElsewhere()}
+}
+
+// lostElsewhere counts the requests that were lost although every instance
+// that they were sent to is still alive.
+func (w *world) lostElsewhere() int {
+	count := 0
+	for _, r := range w.requests {
+		lost, broken := false, false
+		for _, a := range r.attempts {
+			lost = lost || a.answer != nil && a.answer.Outcome == outcome.Lost
+			broken = broken || a.process.dead
+		}
+		if lost && !broken {
+			count++
+		}
+	}
+	return count
 }
 
 // arm makes a fault strike when the target reaches a step, once.
--- a/kernel/matrix/matrix_test.go
+++ b/kernel/matrix/matrix_test.go
@@ -57,9 +57,10 @@
 
 // totals sums the results of cells.
 type totals struct {
-	cells, requests, violations, brokenCells int
-	outcomes                                 map[outcome.Outcome]int
-	lines                                    []string
+	cells, requests, violations, brokenCells, lostElsewhere int
+
+	outcomes map[outcome.Outcome]int
+	lines    []string
 }
 
 func runAll(cells []cell, rules node.Rules, naive bool) totals {
@@ -92,6 +93,7 @@
 	t.cells++
 	t.requests += r.requests
 	t.violations += len(r.problems)
+	t.lostElsewhere += r.lostElsewhere
 	if len(r.problems) > 0 {
 		t.brokenCells++
 	}
@@ -145,3 +147,29 @@
 		t.Errorf("%d violations in %d cells", sum.violations, sum.brokenCells)
 	}
 }
+
+// TestCostOfSafety checks what the promises cost: nothing without a fault and
+// in planned stops, and after the crash of an instance only requests that
+// this instance had taken.
+func TestCostOfSafety(t *testing.T) {
+	for _, name := range []string{"none", "plannedStop", "rollingRestart", "killInstance"} {
+		for _, tickets := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s/tickets=%v", name, tickets), func(t *testing.T) {
+				var cells []cell
+				for _, c := range cellsOf([]string{name}) {
+					if c.tickets == tickets {
+						cells = append(cells, c)
+					}
+				}
+				sum := runAll(cells, node.Rules{}, false)
+				t.Logf("%s lostElsewhere=%d", sum.line(), sum.lostElsewhere)
+				if sum.lostElsewhere > 0 {
+					t.Errorf("%d requests were lost that no broken instance had", sum.lostElsewhere)
+				}
+				if name != "killInstance" && sum.outcomes[outcome.Whole] != sum.requests {
+					t.Errorf("%d of %d requests were answered whole", sum.outcomes[outcome.Whole], sum.requests)
+				}
+			})
+		}
+	}
+}
