Carry the control path to the target's size: deltas and quiet peers

Cause: make slopes measures control work up to 500 daemons in the kernel and 100 real processes.

Readers of the platform, which get whole documents, take turns by revision.

Resident memory grew by 0.41 MB for each daemon of the fleet: 63.9 MB at 100. Ruled out: kernel state (0.16 MB at 500, measured). Causes: a queue of 4,096 messages for every peer, allocated at once, and up to 8 connections to each peer in the burst of registrations. Queues grow on demand, two POSTs a peer, 40 registrations at a time, idle peer connections close after 5 s.

Finished requests drop their body and results, which the answer holds.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 MODULES := kernel $(PROGRAMS)
 PACKAGES := $(addsuffix /...,$(addprefix ./,$(MODULES)))
 
-.PHONY: build demo test lint matrix clean
+.PHONY: build demo test lint matrix slopes clean
 
 build:
 	@mkdir -p bin
@@ -25,5 +25,8 @@
 	@go test ./kernel/matrix -count=1 -v -run 'TestMatrix$$|Mutation|Naive' -args -full >run/matrix.txt 2>&1; code=$$?; \
 	grep -v '^=== ' run/matrix.txt; grep '^cells=' run/matrix.txt; exit $$code
 
+slopes: build
+	@scripts/slopes.sh
+
 clean:
 	rm -rf bin run
--- a/anvilcrossd/daemon/daemon.go
+++ b/anvilcrossd/daemon/daemon.go
@@ -80,7 +80,11 @@
 
 const (
 	maxEndpointConnections = 512
-	maxPeerConnections     = 16
+	maxPeerConnections     = 2
+	// keepEndpoint and keepPeer are how long unused connections are kept: an
+	// instance calls the same endpoints all the time, but most peers rarely.
+	keepEndpoint = 30 * time.Second
+	keepPeer     = 5 * time.Second
 	// drainWait is how long a stopping instance goes on accepting requests
 	// while the balancer notices that it is not ready.
 	drainWait = 300 * time.Millisecond
@@ -100,13 +104,13 @@
 
 func newDaemon(s *settings.Settings) *daemon {
 	d := &daemon{settings: s, log: newLogger(s), stop: make(chan struct{})}
-	near := link.NewTransport(link.Config{MaxPerHost: maxEndpointConnections})
-	far := link.NewTransport(link.Config{MaxPerHost: maxEndpointConnections, Delay: s.CrossDelay, Loss: s.CrossLoss})
+	near := link.NewTransport(link.Config{KeepIdle: keepEndpoint, MaxPerHost: maxEndpointConnections})
+	far := link.NewTransport(link.Config{KeepIdle: keepEndpoint, MaxPerHost: maxEndpointConnections, Delay: s.CrossDelay, Loss: s.CrossLoss})
 	d.mesh = peer.NewMesh(peer.Config{
 		Key:        s.PeerKey,
 		DataCentre: s.DataCentre,
-		Near:       link.NewTransport(link.Config{MaxPerHost: maxPeerConnections}),
-		Far:        link.NewTransport(link.Config{MaxPerHost: maxPeerConnections, Delay: s.CrossDelay, Loss: s.CrossLoss}),
+		Near:       link.NewTransport(link.Config{KeepIdle: keepPeer, MaxPerHost: maxPeerConnections}),
+		Far:        link.NewTransport(link.Config{KeepIdle: keepPeer, MaxPerHost: maxPeerConnections, Delay: s.CrossDelay, Loss: s.CrossLoss}),
 		Receive:    func(e message.Envelope) { d.do(func(n *node.Node) { n.HandlePeer(e) }) },
 	})
 	client := endpoint.NewClient(endpoint.Config{DataCentre: s.DataCentre, Near: near, Far: far, Events: endpoint.Events{
@@ -208,7 +212,7 @@
 		return errors.Trace(err)
 	}
 	operators := d.operator.HTTPServer()
-	peers := &http.Server{Handler: d.mesh.Handler(), ReadHeaderTimeout: time.Second}
+	peers := &http.Server{Handler: d.mesh.Handler(), ReadHeaderTimeout: time.Second, IdleTimeout: 2 * keepPeer}
 	failed := make(chan error, 3)
 	for _, l := range []struct {
 		server  *http.Server
--- a/anvilcrossd/link/link.go
+++ b/anvilcrossd/link/link.go
@@ -19,6 +19,8 @@
 	Loss float64
 	// MaxPerHost bounds the connections to one address.
 	MaxPerHost int
+	// KeepIdle is how long an unused connection is kept.
+	KeepIdle time.Duration
 }
 
 // ErrLost is the error of a call that the emulated link lost. Nothing of it
@@ -27,7 +29,8 @@
 
 const (
 	dialTimeout = 500 * time.Millisecond
-	idleTimeout = 30 * time.Second
+	// bufferBytes is the size of a connection's buffers, for each direction.
+	bufferBytes = 2 << 10
 )
 
 // Transport is an HTTP round tripper with an emulated link.
@@ -43,7 +46,9 @@
 		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: c.MaxPerHost,
 		MaxConnsPerHost:     c.MaxPerHost,
-		IdleConnTimeout:     idleTimeout,
+		IdleConnTimeout:     c.KeepIdle,
+		ReadBufferSize:      bufferBytes,
+		WriteBufferSize:     bufferBytes,
 	}}
 }
 
--- a/anvilcrossd/peer/peer.go
+++ b/anvilcrossd/peer/peer.go
@@ -29,7 +29,7 @@
 	maxQueued = 4096
 	// maxPosts is the number of POSTs in flight to one peer, so that the
 	// delay of a link does not limit the rate of messages.
-	maxPosts     = 8
+	maxPosts     = 2
 	maxBodyBytes = 4 << 20
 )
 
@@ -49,13 +49,19 @@
 	HostPort   string
 }
 
+// queue holds what waits for one peer, and the number of POSTs in flight.
+type queue struct {
+	waiting []message.Envelope
+	posts   int
+}
+
 // Mesh sends to and receives from the other instances.
 type Mesh struct {
 	config    Config
 	mutex     sync.Mutex
 	addresses map[ident.Instance]Address
-	queues    map[ident.Instance]chan message.Envelope
-	stop      chan struct{}
+	queues    map[ident.Instance]*queue
+	closed    bool
 	dropped   atomic.Int64
 	sentBytes atomic.Int64
 }
@@ -65,8 +71,7 @@
 	return &Mesh{
 		config:    c,
 		addresses: map[ident.Instance]Address{},
-		queues:    map[ident.Instance]chan message.Envelope{},
-		stop:      make(chan struct{}),
+		queues:    map[ident.Instance]*queue{},
 	}
 }
 
@@ -87,58 +92,49 @@
 func (m *Mesh) SentBytes() int64 { return m.sentBytes.Load() }
 
 // Close stops sending.
-func (m *Mesh) Close() { close(m.stop) }
+func (m *Mesh) Close() {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.closed = true
+}
 
 // Send queues a message. It does not block.
 func (m *Mesh) Send(e message.Envelope) {
 	m.mutex.Lock()
-	queue := m.queues[e.To]
-	if queue == nil {
-		queue = make(chan message.Envelope, maxQueued)
-		m.queues[e.To] = queue
-		go m.drain(e.To, queue)
+	defer m.mutex.Unlock()
+	q := m.queues[e.To]
+	if q == nil {
+		q = &queue{}
+		m.queues[e.To] = q
 	}
-	m.mutex.Unlock()
-	select {
-	case queue <- e:
-	default:
+	if m.closed || len(q.waiting) >= maxQueued {
 		m.dropped.Add(1)
+		return
+	}
+	q.waiting = append(q.waiting, e)
+	if q.posts < maxPosts {
+		q.posts++
+		go m.drain(e.To, q)
 	}
 }
 
-func (m *Mesh) drain(to ident.Instance, queue chan message.Envelope) {
-	posts := make(chan struct{}, maxPosts)
+// drain posts batches until nothing waits, so that an idle peer costs no
+// goroutine and no buffer.
+func (m *Mesh) drain(to ident.Instance, q *queue) {
 	for {
-		batch := m.nextBatch(queue)
-		if batch == nil {
+		m.mutex.Lock()
+		n := min(len(q.waiting), maxBatch)
+		if n == 0 {
+			q.waiting = nil
+			q.posts--
+			m.mutex.Unlock()
 			return
 		}
-		posts <- struct{}{}
-		go func() {
-			m.post(to, batch)
-			<-posts
-		}()
-	}
-}
-
-// nextBatch waits for a message and takes along what else is queued.
-func (m *Mesh) nextBatch(queue chan message.Envelope) []message.Envelope {
-	var batch []message.Envelope
-	select {
-	case <-m.stop:
-		return nil
-	case first := <-queue:
-		batch = append(batch, first)
-	}
-	for len(batch) < maxBatch {
-		select {
-		case next := <-queue:
-			batch = append(batch, next)
-		default:
-			return batch
-		}
+		batch := q.waiting[:n:n]
+		q.waiting = q.waiting[n:]
+		m.mutex.Unlock()
+		m.post(to, batch)
 	}
-	return batch
 }
 
 func (m *Mesh) post(to ident.Instance, batch []message.Envelope) {
--- a/anvilcrossd/platform/platform.go
+++ b/anvilcrossd/platform/platform.go
@@ -125,7 +125,7 @@
 	url := fmt.Sprintf("http://%s/configuration?after=%d&waitMillis=%d", r.config.Address, have, watchWait.Milliseconds())
 	pause := minPause
 	if have > 0 && !r.config.IsReader() {
-		url = fmt.Sprintf("http://%s/configuration", r.config.Address)
+		url = fmt.Sprintf("http://%s/configuration?after=%d", r.config.Address, have)
 		pause = idlePoll
 	}
 	data, err := r.get(ctx, url, configuration.MaxBytes)
--- a/anvilload/command/command.go
+++ b/anvilload/command/command.go
@@ -11,9 +11,11 @@
 
 // verbs is the look-up table of the verbs.
 type verbs struct {
-	Demo  demo  `cmd:"" help:"Send requests through every pipeline and check answers and books."`
-	Chaos chaos `cmd:"" help:"Send load while daemons are killed and frozen, and check the books."`
-	Added added `cmd:"" help:"Measure the latency that the system adds over calling the endpoints directly."`
+	Demo   demo   `cmd:"" help:"Send requests through every pipeline and check answers and books."`
+	Chaos  chaos  `cmd:"" help:"Send load while daemons are killed and frozen, and check the books."`
+	Usage  usage  `cmd:"" help:"Measure what the daemons of a deployment consume."`
+	Slopes slopes `cmd:"" help:"Fit measurements and work them out at the target size."`
+	Added  added  `cmd:"" help:"Measure the latency that the system adds over calling the endpoints directly."`
 }
 
 // Main runs a verb and returns its exit code.
--- a/kernel/claim/memory.go
+++ b/kernel/claim/memory.go
@@ -126,12 +126,15 @@
 	granted time.Time
 }
 
+// firstEpoch is the epoch of a seat that was never replaced.
+const firstEpoch ident.Epoch = 1
+
 // NewMemory returns an empty memory that has to register with the other
 // seats before it can vote.
 func NewMemory(c MemoryConfig) *Memory {
 	return &Memory{
 		config:  c,
-		epoch:   1,
+		epoch:   firstEpoch,
 		start:   c.Start,
 		views:   map[ident.Instance]*view{},
 		records: map[ident.Key]*Record{},
--- a/kernel/claim/recovery.go
+++ b/kernel/claim/recovery.go
@@ -28,7 +28,7 @@
 	Known ident.Epoch `json:"known,omitempty"`
 	// Since is when the sender's memory starts to be complete.
 	Since time.Time `json:"since"`
-	// Views are the epochs that the sender knows of all seats.
+	// Views are the epochs that the sender knows of seats that were replaced.
 	Views map[ident.Instance]ident.Epoch `json:"views,omitempty"`
 	// Records are the keys on which both seats vote.
 	Records []Record `json:"records,omitempty"`
@@ -69,7 +69,7 @@
 	}
 	m.expire(now)
 	reply.Since = m.Since()
-	reply.Views = m.allViews()
+	reply.Views = m.replacedViews()
 	reply.Records = m.shared(r.Seat, group)
 	return reply, true
 }
@@ -138,10 +138,14 @@
 	}
 }
 
-func (m *Memory) allViews() map[ident.Instance]ident.Epoch {
-	views := make(map[ident.Instance]ident.Epoch, len(m.views))
+// replacedViews returns the epochs of the seats that were ever replaced. The
+// others tell their first epoch themselves, and need no room in every Sync.
+func (m *Memory) replacedViews() map[ident.Instance]ident.Epoch {
+	views := map[ident.Instance]ident.Epoch{}
 	for seat, v := range m.views {
-		views[seat] = v.epoch
+		if v.epoch > firstEpoch {
+			views[seat] = v.epoch
+		}
 	}
 	return views
 }
--- a/kernel/configuration/configuration_test.go
+++ b/kernel/configuration/configuration_test.go
@@ -49,6 +49,34 @@
 	})
 }
 
+func TestDelta(t *testing.T) {
+	Convey("A delta makes the new document from the old one", t, func() {
+		after := small()
+		after.Revision = 4
+		after.Workspaces[0].RatePerSecond = 30
+		after.Workspaces = append(after.Workspaces, Workspace{Name: "new", KeyDigest: KeyDigest("n"), Share: 1, RatePerSecond: 5})
+		after.Services = append(after.Services, Service{Name: "extra", Kind: "pool", Workers: 1, Concurrency: 1, DuplicateCheck: NoCheck})
+		d := NewDelta(small(), after)
+		So(d, ShouldNotBeNil)
+		So(d.Apply(small()).Digest(), ShouldEqual, after.Digest())
+		So(d.Pipelines.Changed, ShouldBeEmpty)
+	})
+	Convey("A delta for another document is refused", t, func() {
+		after := small()
+		after.Revision = 4
+		other := small()
+		other.Workspaces[0].Share = 9
+		So(NewDelta(small(), after).Apply(other), ShouldBeNil)
+	})
+	Convey("A document whose lists are in another order has no delta", t, func() {
+		before := small()
+		before.Workspaces = append(before.Workspaces, Workspace{Name: "second", KeyDigest: KeyDigest("n"), Share: 1, RatePerSecond: 5})
+		after := small()
+		after.Workspaces = []Workspace{before.Workspaces[1], before.Workspaces[0]}
+		So(NewDelta(before, after), ShouldBeNil)
+	})
+}
+
 func TestNewer(t *testing.T) {
 	Convey("An older revision never replaces a newer one", t, func() {
 		older := small()
--- a/kernel/matrix/world_test.go
+++ b/kernel/matrix/world_test.go
@@ -60,6 +60,8 @@
 	serial    ident.Incarnation
 	network   network
 	crashes   int
+	sent      int64
+	sentBytes int64
 	// agreeing makes the replicas of the directories answer alike.
 	agreeing bool
 	// filter replaces the receiver of a message, or drops it with nil.
@@ -255,6 +257,8 @@
 	if err != nil {
 		panic(err)
 	}
+	w.sent++
+	w.sentBytes += int64(len(data))
 	copies := 1
 	if w.random.Float64() < w.network.double {
 		copies = 2
--- a/kernel/message/message.go
+++ b/kernel/message/message.go
@@ -133,9 +133,11 @@
 	Ask bool `json:"ask,omitempty"`
 }
 
-// Configuration carries an accepted document.
+// Configuration carries an accepted document, whole or as the difference to
+// the one that the receiver said it has.
 type Configuration struct {
-	Document configuration.Document `json:"document"`
+	Document *configuration.Document `json:"document,omitempty"`
+	Delta    *configuration.Delta    `json:"delta,omitempty"`
 }
 
 // FinishedRun is one answered request in a hand-over.
--- a/kernel/node/finish.go
+++ b/kernel/node/finish.go
@@ -98,6 +98,10 @@
 		return
 	}
 	n.finished = append(n.finished, r)
+	// The answer holds the results; the digest recognises the body.
+	r.submission.Body = ""
+	r.results = nil
+	r.failed = nil
 	switch {
 	case r.shared:
 	case r.adopted:
--- a/kernel/node/node.go
+++ b/kernel/node/node.go
@@ -119,13 +119,15 @@
 
 // Node is the kernel of one instance.
 type Node struct {
-	config     Config
-	rules      Rules
-	out        Output
-	timers     *timer.Service
-	policy     *route.Policy
-	document   *configuration.Document
-	digest     string
+	config   Config
+	rules    Rules
+	out      Output
+	timers   *timer.Service
+	policy   *route.Policy
+	document *configuration.Document
+	digest   string
+	// earlier are the last documents that were in force, newest last.
+	earlier    []*configuration.Document
 	memory     *claim.Memory
 	remembered *remembered.Table
 	book       *route.Book
@@ -296,7 +298,7 @@
 	case m.Revision != nil:
 		n.handleRevision(m.From, *m.Revision)
 	case m.Configuration != nil:
-		n.Configure(&m.Configuration.Document)
+		n.handleConfiguration(*m.Configuration)
 	case m.HandOver != nil:
 		n.handleHandOver(m.From, *m.HandOver)
 	case m.HandedOver != nil:
--- a/kernel/node/spread.go
+++ b/kernel/node/spread.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 	"time"
 
 	"anvilcross/kernel/claim"
@@ -25,6 +26,12 @@
 	// blamedInSync is the number of blamed contents that a fresh instance is
 	// told by each of the others.
 	blamedInSync = 64
+	// keptDocuments is the number of earlier configurations to which
+	// differences can be sent.
+	keptDocuments = 4
+	// registersAtOnce is the number of seats that a fresh instance announces
+	// itself to in one go, so that its start makes no burst of connections.
+	registersAtOnce = 40
 )
 
 // Configure offers a document from the platform or a peer. It is taken only
@@ -37,6 +44,10 @@
 		n.event("badConfiguration", ident.Key{}, problems[0])
 		return
 	}
+	if n.document != nil {
+		n.earlier = append(n.earlier, n.document)
+		n.earlier = n.earlier[max(len(n.earlier)-keptDocuments, 0):]
+	}
 	n.document = d
 	n.digest = d.Digest()
 	seats := d.Seats()
@@ -70,7 +81,8 @@
 
 // IsReader reports whether this instance is one of those in its data centre
 // that watch the platform. It is computed, not elected: all instances rank
-// the seats of the data centre alike.
+// the seats of the data centre alike. The revision is part of the ranking, so
+// that reading whole documents goes round.
 func (n *Node) IsReader() bool {
 	if n.document == nil {
 		return true
@@ -80,8 +92,9 @@
 			continue
 		}
 		ranked := slices.Clone(dc.Seats)
+		turn := "reader/" + strconv.FormatUint(uint64(n.Revision()), 10)
 		slices.SortFunc(ranked, func(a, b ident.Instance) int {
-			return cmp.Compare(ident.Score("reader", string(a)), ident.Score("reader", string(b)))
+			return cmp.Compare(ident.Score(turn, string(a)), ident.Score(turn, string(b)))
 		})
 		i := slices.Index(ranked, n.config.Seat)
 		return i >= 0 && i < readersPerDataCentre
@@ -132,7 +145,7 @@
 			n.tellRevision(from, true)
 		}
 	case n.document != nil && (m.Revision < n.Revision() || m.Digest < n.digest):
-		n.send(from, message.Envelope{Configuration: &message.Configuration{Document: *n.document}})
+		n.sendConfiguration(from, m.Digest)
 	default:
 		n.confirmed = true
 		if m.Ask {
@@ -141,12 +154,46 @@
 	}
 }
 
+// sendConfiguration sends the difference to the receiver's document, if that
+// was in force here lately, or the whole.
+func (n *Node) sendConfiguration(to ident.Instance, has string) {
+	for _, d := range n.earlier {
+		if d.Digest() != has {
+			continue
+		}
+		if delta := configuration.NewDelta(d, n.document); delta != nil {
+			n.send(to, message.Envelope{Configuration: &message.Configuration{Delta: delta}})
+			return
+		}
+	}
+	n.send(to, message.Envelope{Configuration: &message.Configuration{Document: n.document}})
+}
+
+func (n *Node) handleConfiguration(m message.Configuration) {
+	if m.Document != nil {
+		n.Configure(m.Document)
+		return
+	}
+	if m.Delta == nil || n.document == nil || m.Delta.From != n.digest {
+		// A later announcement brings the right difference.
+		return
+	}
+	if d := m.Delta.Apply(n.document); d != nil {
+		n.Configure(d)
+	}
+}
+
 // register announces this process to the seats that have not answered yet.
 func (n *Node) register() {
 	if n.document == nil || n.retired {
 		return
 	}
-	for _, seat := range n.memory.Unregistered() {
+	seats := n.memory.Unregistered()
+	if len(seats) > registersAtOnce {
+		first := n.config.Random.IntN(len(seats) - registersAtOnce + 1)
+		seats = seats[first : first+registersAtOnce]
+	}
+	for _, seat := range seats {
 		registration := n.memory.Registration()
 		n.send(seat, message.Envelope{Register: &registration})
 	}
