Report the burn of service levels, and pin the command line's output

Instances count good and bad events per pipeline, workspace and stage in minute, ten-minute and hour buckets (2.7 KB a series, whatever the traffic); anvilcross burn sums them over all instances, names the alerts and how far back the youngest instance reaches. Regression cases are folders of a command and its expected output.

Found by the cases: accept stopped listing changes at the first that breaks a promise; it lists all and then refuses.

--- a/anvilcross/command/accept.go
+++ b/anvilcross/command/accept.go
@@ -33,13 +33,15 @@
 	if err != nil {
 		return err
 	}
+	breaks := false
 	for _, c := range configuration.Diff(before, after) {
 		if _, err := fmt.Fprintln(out, c); err != nil {
 			return errors.Trace(err)
 		}
-		if c.Breaks && !a.Force {
-			return &exitError{exitMistakes, "a change breaks a promise; accept it with --force if that is meant"}
-		}
+		breaks = breaks || c.Breaks
+	}
+	if breaks && !a.Force {
+		return &exitError{exitMistakes, "a change breaks a promise; accept it with --force if that is meant"}
 	}
 	after.Revision = before.Revision + 1
 	after.Previous = before.Digest()
--- a/anvilcross/command/command.go
+++ b/anvilcross/command/command.go
@@ -16,15 +16,16 @@
 
 // verbs is the look-up table of the verbs.
 type verbs struct {
-	Generate generate `cmd:"" help:"Generate a configuration from the answers."`
-	Check    check    `cmd:"" help:"Check answers or a configuration and list every mistake."`
-	Diff     diff     `cmd:"" help:"Show what a new configuration changes, and its effects."`
-	Accept   accept   `cmd:"" help:"Sign a configuration off as the next revision, ready to be published."`
-	Rollout  rollout  `cmd:"" help:"Wait until a revision is in force on every instance."`
-	Status   status   `cmd:"" help:"Show the instances of a deployment."`
-	Ask      ask      `cmd:"" help:"Send one request and show its stages, time and cost."`
-	Key      key      `cmd:"" help:"Print the digest of a workspace key for the answers."`
-	Local    layOut   `cmd:"" help:"Lay a deployment out on this machine, for trying it."`
+	Generate generate   `cmd:"" help:"Generate a configuration from the answers."`
+	Check    check      `cmd:"" help:"Check answers or a configuration and list every mistake."`
+	Diff     diff       `cmd:"" help:"Show what a new configuration changes, and its effects."`
+	Accept   accept     `cmd:"" help:"Sign a configuration off as the next revision, ready to be published."`
+	Rollout  rollout    `cmd:"" help:"Wait until a revision is in force on every instance."`
+	Status   status     `cmd:"" help:"Show the instances of a deployment."`
+	Burn     burnReport `cmd:"" help:"Report how fast the error budgets burn."`
+	Ask      ask        `cmd:"" help:"Send one request and show its stages, time and cost."`
+	Key      key        `cmd:"" help:"Print the digest of a workspace key for the answers."`
+	Local    layOut     `cmd:"" help:"Lay a deployment out on this machine, for trying it."`
 }
 
 // Exit codes.
--- a/anvilcross/instance/instance.go
+++ b/anvilcross/instance/instance.go
@@ -15,6 +15,7 @@
 
 	"github.com/juju/errors"
 
+	"anvilcross/kernel/burn"
 	"anvilcross/kernel/ident"
 	"anvilcross/kernel/node"
 	"anvilcross/kernel/outcome"
@@ -59,6 +60,18 @@
 	return s, errors.Trace(json.NewDecoder(response.Body).Decode(s))
 }
 
+// Burn asks an instance for its counts of good and bad events.
+func Burn(address string) (*burn.Report, error) {
+	client := &http.Client{Timeout: statusTimeout}
+	response, err := client.Get("http://" + address + "/burn")
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	r := &burn.Report{}
+	return r, errors.Trace(json.NewDecoder(response.Body).Decode(r))
+}
+
 // Request is what a caller submits.
 type Request struct {
 	ID        ident.RequestID `json:"id"`
--- a/anvilcrossd/daemon/daemon.go
+++ b/anvilcrossd/daemon/daemon.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -229,6 +230,7 @@
 	go d.owner.Run(d.stop)
 	go d.operator.Run(d.stop)
 	go d.reader.Run(ctx)
+	go d.releaseStartMemory()
 	d.log.WithField("callers", d.settings.CallerListen).Info("started")
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
@@ -243,6 +245,25 @@
 	return nil
 }
 
+const readyPoll = 500 * time.Millisecond
+
+// releaseStartMemory gives memory back once the instance is ready. The start
+// speaks to every other seat at once, and an idle process would keep what that
+// took until the runtime's next collection, minutes later.
+func (d *daemon) releaseStartMemory() {
+	ready := false
+	for !ready {
+		select {
+		case <-d.stop:
+			return
+		case <-time.After(readyPoll):
+		}
+		d.do(func(n *node.Node) { ready = n.Ready() })
+	}
+	time.Sleep(2 * keepPeer)
+	debug.FreeOSMemory()
+}
+
 // shutDown is the planned stop: not ready, no new connections, everything in
 // flight finished and the tickets handed over. A second signal or the limit
 // ends it early.
--- a/anvilcrossd/operator/operator.go
+++ b/anvilcrossd/operator/operator.go
@@ -10,6 +10,7 @@
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 
+	"anvilcross/kernel/burn"
 	"anvilcross/kernel/ident"
 	"anvilcross/kernel/node"
 	"anvilcross/kernel/outcome"
@@ -125,6 +126,7 @@
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
 	mux.HandleFunc("GET /readyz", s.ready)
 	mux.HandleFunc("GET /status", s.showStatus)
+	mux.HandleFunc("GET /burn", s.showBurn)
 	return &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
 }
 
@@ -138,6 +140,13 @@
 	_, _ = w.Write([]byte("ready\n"))
 }
 
+func (s *Server) showBurn(w http.ResponseWriter, _ *http.Request) {
+	var report burn.Report
+	s.config.Do(func(n *node.Node) { report = n.Burn() })
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(report)
+}
+
 func (s *Server) showStatus(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(s.status())
--- a/kernel/node/counters.go
+++ b/kernel/node/counters.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"anvilcross/kernel/burn"
 	"anvilcross/kernel/ident"
 	"anvilcross/kernel/outcome"
 	"anvilcross/kernel/spend"
@@ -40,6 +41,27 @@
 	}
 }
 
+// countBurn counts a caller's request as good when it was answered whole
+// within its deadline.
+func (n *Node) countBurn(r *run) {
+	if r.collecting || r.shared {
+		return
+	}
+	good := r.answer.Outcome == outcome.Whole && !r.answer.Late
+	n.burn.Count(n.now(), "pipeline/"+string(r.pipeline.Name), good)
+	n.burn.Count(n.now(), "workspace/"+string(r.key.Workspace), good)
+}
+
+// countStageBurn counts a call of a stage.
+func (n *Node) countStageBurn(r *run, good bool) {
+	if r.stage < len(r.pipeline.Stages) {
+		n.burn.Count(n.now(), "stage/"+string(r.pipeline.Name)+"/"+string(r.pipeline.Stages[r.stage].Name), good)
+	}
+}
+
+// Burn returns the counts of good and bad events.
+func (n *Node) Burn() burn.Report { return n.burn.Report(n.now()) }
+
 // StageCost is the accumulated cost of one stage of a pipeline.
 type StageCost struct {
 	Pipeline ident.Pipeline `json:"pipeline"`
--- a/kernel/node/dispatch.go
+++ b/kernel/node/dispatch.go
@@ -253,6 +253,7 @@
 	if c.alone {
 		n.acquit(r.digest)
 	}
+	n.countStageBurn(r, true)
 	n.recordStage(r, c, result, took)
 	n.advance(r)
 }
--- a/kernel/node/failure.go
+++ b/kernel/node/failure.go
@@ -40,6 +40,7 @@
 	n.endCall(c)
 	c.endpoint.Failed(n.now())
 	n.counters.FailedCalls++
+	n.countStageBurn(r, false)
 	n.event("callFailed", r.key, string(c.endpoint.Name)+" "+string(f)+" "+detail)
 	if r.phase != working {
 		return
--- a/kernel/node/finish.go
+++ b/kernel/node/finish.go
@@ -68,6 +68,7 @@
 	n.cancelCall(r)
 	r.phase = done
 	r.answer = a
+	n.countBurn(r)
 	n.stopTimers(r)
 	if r.admitted {
 		n.admission.Done(r.key.Workspace)
--- a/kernel/node/node.go
+++ b/kernel/node/node.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"anvilcross/kernel/blame"
+	"anvilcross/kernel/burn"
 	"anvilcross/kernel/claim"
 	"anvilcross/kernel/configuration"
 	"anvilcross/kernel/ident"
@@ -115,6 +116,9 @@
 	retryShare   = 0.1
 	retryReserve = 20
 	burstSeconds = 2
+	// maxSeries bounds the pipelines, workspaces and stages whose burn is
+	// counted; a series takes 2.7 KB.
+	maxSeries = 1_000
 )
 
 // Node is the kernel of one instance.
@@ -157,6 +161,7 @@
 	heard      map[ident.Instance]time.Time
 	peers      []ident.Instance
 	counters   Counters
+	burn       *burn.Table
 	recentCost costTable
 }
 
@@ -199,6 +204,7 @@
 		KeepAnswerBytes: c.Bounds.KeepAnswerBytes,
 	})
 	n.remembered = remembered.NewTable(remembered.Config{MaxRegisters: c.Bounds.MaxRemembered})
+	n.burn = burn.NewTable(burn.Config{MaxSeries: maxSeries, Start: n.started})
 	n.timers.Every(registerPeriod, n.register)
 	n.timers.Every(gossipPeriod, n.gossip)
 	n.timers.Every(sweepPeriod, n.sweep)
--- a/kernel/node/submit.go
+++ b/kernel/node/submit.go
@@ -44,6 +44,8 @@
 	}
 	r.shed = n.shed(r)
 	if r.shed != "" && r.idempotent {
+		r.answer.Outcome = outcome.Refused
+		n.countBurn(r)
 		n.refuse(w, s.Key.ID, outcome.Refused, r.shed, "")
 		return
 	}
--- a/scripts/slopes.sh
+++ b/scripts/slopes.sh
@@ -16,7 +16,7 @@
   grep -v 'anvilstandin endpoints' "$directory/processes" >"$directory/few" && mv "$directory/few" "$directory/processes"
   trap 'scripts/deployment.sh stop run/slopes' EXIT
   scripts/deployment.sh start "$directory"
-  sleep 12
+  sleep 16
   bin/anvilload usage "$directory" --duration 10s | tee -a run/usage.txt
   scripts/deployment.sh stop "$directory"
   trap - EXIT
