--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 MODULES := kernel $(PROGRAMS)
 PACKAGES := $(addsuffix /...,$(addprefix ./,$(MODULES)))
 
-.PHONY: build demo test lint matrix slopes clean
+.PHONY: build demo test lint matrix compare slopes clean
 
 build:
 	@mkdir -p bin
@@ -25,6 +25,9 @@
 	@go test ./kernel/matrix -count=1 -v -run 'TestMatrix$$|Mutation|Naive' -args -full >run/matrix.txt 2>&1; code=$$?; \
 	grep -v '^=== ' run/matrix.txt; grep '^cells=' run/matrix.txt; exit $$code
 
+compare: build
+	@scripts/compare.sh
+
 slopes: build
 	@scripts/slopes.sh
 
--- a/anvilload/command/command.go
+++ b/anvilload/command/command.go
@@ -15,6 +15,7 @@
 	Chaos  chaos  `cmd:"" help:"Send load while daemons are killed and frozen, and check the books."`
 	Usage  usage  `cmd:"" help:"Measure what the daemons of a deployment consume."`
 	Slopes slopes `cmd:"" help:"Fit measurements and work them out at the target size."`
+	Load   load   `cmd:"" help:"Send open-loop load to one pipeline and measure attainment and cost."`
 	Added  added  `cmd:"" help:"Measure the latency that the system adds over calling the endpoints directly."`
 }
 
