--- a/kernel/node/dispatch.go
+++ b/kernel/node/dispatch.go
@@ -242,7 +242,7 @@
 	r := c.run
 	n.endCall(c)
 	took := n.now().Sub(c.started)
-	c.endpoint.Succeeded(took)
+	c.endpoint.Succeeded(n.now(), took)
 	if result.Load != nil {
 		n.book.Reported(n.now(), c.endpoint.Name, *result.Load)
 	}
--- a/kernel/route/book.go
+++ b/kernel/route/book.go
@@ -51,6 +51,9 @@
 	load         Load
 	loadInFlight int
 	loadAt       time.Time
+	// quietSince is when the endpoint last finished a call, or got the first
+	// of those that it has not finished.
+	quietSince   time.Time
 	failures     int
 	ejections    int
 	ejectedUntil time.Time
@@ -137,6 +140,9 @@
 
 // Started counts a call and remembers its prompt prefix.
 func (e *Endpoint) Started(now time.Time, prefix uint64) {
+	if e.InFlight == 0 {
+		e.quietSince = now
+	}
 	e.InFlight++
 	if prefix == 0 {
 		return
@@ -148,8 +154,9 @@
 }
 
 // Succeeded ends a call and feeds the moving average.
-func (e *Endpoint) Succeeded(took time.Duration) {
+func (e *Endpoint) Succeeded(now time.Time, took time.Duration) {
 	e.InFlight--
+	e.quietSince = now
 	e.failures = 0
 	e.ejections = 0
 	millis := float64(took) / float64(time.Millisecond)
@@ -172,6 +179,15 @@
 	e.ejections++
 }
 
+// QuietMillis is how long calls have been waiting without any being finished.
+// It shows a slow endpoint before its first slow reply does.
+func (e *Endpoint) QuietMillis(now time.Time) float64 {
+	if e.InFlight == 0 {
+		return 0
+	}
+	return float64(now.Sub(e.quietSince)) / float64(time.Millisecond)
+}
+
 // Cancelled ends a call that says nothing about the endpoint.
 func (e *Endpoint) Cancelled() { e.InFlight-- }
 
--- a/kernel/route/least.go
+++ b/kernel/route/least.go
@@ -86,6 +86,7 @@
 	if e.LatencyMillis == 0 {
 		service = c.ExpectedMillis
 	}
+	service = max(service, e.QuietMillis(c.Now))
 	if c.Prefix != 0 && e.HasPrefix(c.Now, c.Prefix, prefixAge) {
 		service *= 1 - prefixGain
 	}
--- a/kernel/route/policy_test.go
+++ b/kernel/route/policy_test.go
@@ -127,7 +127,7 @@
 	}
 	b.clock.After(delay, func() {
 		w.take(b, func(took time.Duration) {
-			e.Succeeded(b.clock.Now().Sub(now))
+			e.Succeeded(b.clock.Now(), b.clock.Now().Sub(now))
 			if b.clock.Now().Sub(now) <= deadline {
 				b.inTime++
 			}
