--- a/anvilstandin/endpoint/endpoint.go
+++ b/anvilstandin/endpoint/endpoint.go
@@ -4,12 +4,14 @@
 package endpoint
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -71,10 +73,11 @@
 	frozen    time.Time
 	running   int
 	waiting   int
-	slots     chan struct{}
+	slots     *slots
 	server    *http.Server
 	prefixes  map[string]bool
 	published load
+	cached    cacheEvents
 }
 
 // load is an endpoint's report. What is published lags by loadLag.
@@ -98,7 +101,7 @@
 
 // NewEndpoint returns an endpoint that does not listen yet.
 func NewEndpoint(s *Service, name, address string) *Endpoint {
-	return &Endpoint{Name: name, Address: address, service: s, slots: make(chan struct{}, s.Concurrency), prefixes: map[string]bool{}}
+	return &Endpoint{Name: name, Address: address, service: s, slots: newSlots(s.Concurrency), prefixes: map[string]bool{}}
 }
 
 // NewService returns a service with empty books.
@@ -128,6 +131,7 @@
 			e.faults.DownMillis = 0
 		}
 		e.prefixes = map[string]bool{}
+		e.cached.add("")
 		e.mutex.Unlock()
 		time.Sleep(down)
 	}
@@ -156,6 +160,7 @@
 	mux.HandleFunc("POST /run", e.guard(e.runPool))
 	mux.HandleFunc("POST /call", e.guard(e.callService))
 	mux.HandleFunc("GET /load", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.report()) })
+	mux.HandleFunc("GET /cacheEvents", e.cached.show)
 	mux.HandleFunc("GET /books", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.service.Books()) })
 	mux.HandleFunc("POST /fault", e.setFaults)
 	return mux
@@ -209,20 +214,18 @@
 func (e *Endpoint) enter(r *http.Request) bool {
 	e.count(0, 1)
 	defer e.count(0, -1)
-	timeout := time.NewTimer(waitLimit)
-	defer timeout.Stop()
-	select {
-	case e.slots <- struct{}{}:
-		e.count(1, 0)
-		return true
-	case <-r.Context().Done():
-	case <-timeout.C:
+	ctx, cancel := context.WithTimeout(r.Context(), waitLimit)
+	defer cancel()
+	priority, _ := strconv.Atoi(r.Header.Get("X-Priority"))
+	if !e.slots.enter(ctx, priority) {
+		return false
 	}
-	return false
+	e.count(1, 0)
+	return true
 }
 
 func (e *Endpoint) leave() {
-	<-e.slots
+	e.slots.leave()
 	e.count(-1, 0)
 }
 
--- a/anvilstandin/endpoint/engine.go
+++ b/anvilstandin/endpoint/engine.go
@@ -103,6 +103,9 @@
 		clear(e.prefixes)
 	}
 	e.prefixes[prefix] = true
+	if !hit {
+		e.cached.add(prefix)
+	}
 	return hit
 }
 
--- a/anvilstandin/platform/platform.go
+++ b/anvilstandin/platform/platform.go
@@ -35,6 +35,8 @@
 	Stale bool `json:"stale"`
 	// Delay slows every read down, in milliseconds.
 	DelayMillis int `json:"delayMillis"`
+	// ListLagMillis is how late a published instance list is shown.
+	ListLagMillis int `json:"listLagMillis"`
 }
 
 // Counts are what the platform has counted.
@@ -56,10 +58,18 @@
 		return err
 	}
 	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.list = data
-	s.listVersion = v.Version
-	s.wake()
+	lag := time.Duration(s.faults.ListLagMillis) * time.Millisecond
+	s.mutex.Unlock()
+	time.AfterFunc(lag, func() {
+		s.mutex.Lock()
+		defer s.mutex.Unlock()
+		if v.Version < s.listVersion {
+			return
+		}
+		s.list = data
+		s.listVersion = v.Version
+		s.wake()
+	})
 	return nil
 }
 
