Answer a caller whose body comes too slowly

Cause: half a body and a wait got no reply at all within 9 s. The read deadline fired after 5 s, but was lifted before the server, which reads the rest of a body before it replies, was done. Ruled out: the deadline not reaching the connection. It stays after an error now, and the connection closes. TestSlowBodyIsRefused shows it (no reply before; refused, "too slowly" after). Also: repeated opening of a deployment in the load tool is one function.

--- a/anvilcrossd/caller/caller.go
+++ b/anvilcrossd/caller/caller.go
@@ -27,11 +27,12 @@
 const (
 	// MaxBodyBytes bounds a submission.
 	MaxBodyBytes = 256 << 10
-	// readTimeout bounds how slowly a caller may send its request.
-	readTimeout = 5 * time.Second
-	maxIDBytes  = 128
+	maxIDBytes   = 128
 )
 
+// defaultReadTimeout bounds how slowly a caller may send its request.
+const defaultReadTimeout = 5 * time.Second
+
 // idPattern is what a caller's own request id may look like.
 var idPattern = regexp.MustCompile(`^[A-Za-z0-9._:-]+$`)
 
@@ -41,6 +42,8 @@
 	Do func(func(*node.Node))
 	// Observe is told of each finished request, for metrics.
 	Observe func(p ident.Pipeline, a *outcome.Answer, took, firstToken time.Duration)
+	// ReadTimeout bounds how slowly a caller may send; five seconds if zero.
+	ReadTimeout time.Duration
 }
 
 // Server is the callers' HTTP interface.
@@ -50,7 +53,12 @@
 }
 
 // NewServer returns a server without connections.
-func NewServer(c Config) *Server { return &Server{config: c, waiters: newWaiters()} }
+func NewServer(c Config) *Server {
+	if c.ReadTimeout == 0 {
+		c.ReadTimeout = defaultReadTimeout
+	}
+	return &Server{config: c, waiters: newWaiters()}
+}
 
 // Reply takes an answer from the kernel.
 func (s *Server) Reply(id ident.WaiterID, a outcome.Answer) { s.waiters.reply(id, a) }
@@ -69,7 +77,7 @@
 	if err := app.Build(); err != nil {
 		return nil, fmt.Errorf("building the callers' interface: %w", err)
 	}
-	return &http.Server{Handler: app, ReadHeaderTimeout: readTimeout}, nil
+	return &http.Server{Handler: app, ReadHeaderTimeout: s.config.ReadTimeout}, nil
 }
 
 // submission is the wire form of a request.
@@ -88,7 +96,7 @@
 		return
 	}
 	var in submission
-	if problem := decode(c, &in); problem != "" {
+	if problem := s.decode(c, &in); problem != "" {
 		refuse(c, iris.StatusBadRequest, outcome.BadRequest, problem)
 		return
 	}
@@ -135,7 +143,7 @@
 		return
 	}
 	var in ticketRequest
-	if problem := decode(c, &in); problem != "" {
+	if problem := s.decode(c, &in); problem != "" {
 		refuse(c, iris.StatusBadRequest, outcome.BadRequest, problem)
 		return
 	}
@@ -183,20 +191,24 @@
 }
 
 // decode reads a JSON body and returns what is wrong with it.
-func decode(c iris.Context, into any) string {
+func (s *Server) decode(c iris.Context, into any) string {
 	// The deadline holds for the body alone: the server's own read time-out
 	// would also end the wait for a long answer.
 	control := http.NewResponseController(c.ResponseWriter().Naive())
-	_ = control.SetReadDeadline(time.Now().Add(readTimeout))
-	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
+	if err := control.SetReadDeadline(time.Now().Add(s.config.ReadTimeout)); err != nil {
+		panic("the connection has no read deadline: " + err.Error())
+	}
 	body, err := io.ReadAll(http.MaxBytesReader(c.ResponseWriter(), c.Request().Body, MaxBodyBytes))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return fmt.Sprintf("the body is larger than %d bytes", MaxBodyBytes)
 	case err != nil:
+		// The deadline stays: the server would wait for the rest otherwise.
+		c.Header("Connection", "close")
 		return "the body was cut off or came too slowly"
 	}
+	_ = control.SetReadDeadline(time.Time{})
 	if err := Decode(body, into); err != nil {
 		return err.Error()
 	}
--- a/anvilcrossd/caller/caller_test.go
+++ b/anvilcrossd/caller/caller_test.go
@@ -1,14 +1,21 @@
 package caller
 
 import (
+	"io"
+	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
 
+	"anvilcross/kernel/configuration"
 	"anvilcross/kernel/ident"
+	"anvilcross/kernel/message"
+	"anvilcross/kernel/node"
 	"anvilcross/kernel/outcome"
+	"anvilcross/kernel/timer"
 )
 
 func TestWaiterGetsEveryTokenInOrder(t *testing.T) {
@@ -71,3 +78,38 @@
 		}
 	})
 }
+
+// TestSlowBodyIsRefused sends half a body and waits: the server must answer by
+// itself. It takes the read time-out, which the test shortens.
+func TestSlowBodyIsRefused(t *testing.T) {
+	timers := timer.NewService(timer.Config{Start: time.Now()})
+	n := node.NewNode(node.Config{Seat: "a-1", DataCentre: "a", Timers: timers, Random: rand.New(rand.NewPCG(1, 1)), Output: node.Output{
+		Peer: func(message.Envelope) {}, Event: func(node.Event) {},
+	}})
+	d := configuration.Document{
+		Deployment: "small", Revision: 1, ResendHorizonMillis: 600_000, ClockSkewMillis: 500,
+		DataCentres: []configuration.DataCentre{{Name: "a", Seats: []ident.Instance{"a-1"}}},
+		Services:    []configuration.Service{{Name: "s", Kind: "pool", Workers: 1, Concurrency: 1, DuplicateCheck: configuration.NoCheck}},
+		Pipelines:   []configuration.Pipeline{{Name: "p", DeadlineMillis: 1000, LateAnswer: configuration.DropLate, Stages: []configuration.Stage{{Name: "one", Service: "s", Idempotent: true, ExpectedMillis: 1}}}},
+		Workspaces:  []configuration.Workspace{{Name: "w", KeyDigest: configuration.KeyDigest("k"), Share: 1, RatePerSecond: 1}},
+	}
+	n.Configure(&d)
+	s := NewServer(Config{Do: func(f func(*node.Node)) { f(n) }, ReadTimeout: 50 * time.Millisecond})
+	server, err := s.HTTPServer()
+	if err != nil {
+		t.Fatal(err)
+	}
+	listening := httptest.NewUnstartedServer(server.Handler)
+	listening.Start()
+	defer listening.Close()
+	connection, err := net.Dial("tcp", listening.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = connection.Close() }()
+	_, _ = connection.Write([]byte("POST /v1/requests HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer k\r\nContent-Length: 100\r\n\r\n{"))
+	reply, _ := io.ReadAll(connection)
+	if !strings.Contains(string(reply), "too slowly") {
+		t.Errorf("the reply is %q", reply)
+	}
+}
--- a/anvilload/command/added.go
+++ b/anvilload/command/added.go
@@ -35,17 +35,14 @@
 
 // Run does the work of the verb.
 func (a *added) Run(out io.Writer) error {
-	target, err := deployment.Open(a.Directory)
+	target, err := deployment.OpenReady(a.Directory)
 	if err != nil {
 		return err
 	}
-	if err := target.WaitReady(readyLimit); err != nil {
+	p, err := target.Pipeline(a.Pipeline)
+	if err != nil {
 		return err
 	}
-	p := target.Document.Pipeline(a.Pipeline)
-	if p == nil {
-		return errors.Errorf("there is no pipeline %q", a.Pipeline)
-	}
 	direct := hdrhistogram.New(1, maxMicros, significant)
 	through := hdrhistogram.New(1, maxMicros, significant)
 	client := &http.Client{Timeout: requestLimit}
--- a/anvilload/command/chaos.go
+++ b/anvilload/command/chaos.go
@@ -50,13 +50,10 @@
 
 // Run does the work of the verb.
 func (c *chaos) Run(out io.Writer) error {
-	target, err := deployment.Open(c.Directory)
+	target, err := deployment.OpenReady(c.Directory)
 	if err != nil {
 		return err
 	}
-	if err := target.WaitReady(readyLimit); err != nil {
-		return err
-	}
 	all := c.send(target)
 	time.Sleep(settleTime)
 	return c.judge(out, target, all)
@@ -64,7 +61,7 @@
 
 // send starts a request at every tick, whether or not earlier ones are done.
 func (c *chaos) send(target *deployment.Deployment) []*sent {
-	client := &http.Client{Timeout: chaosTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: maxConnection}}
+	client := newClient(chaosTimeout)
 	random := rand.New(rand.NewPCG(c.Seed, 1))
 	var group sync.WaitGroup
 	var all []*sent
--- a/anvilload/command/command.go
+++ b/anvilload/command/command.go
@@ -4,7 +4,9 @@
 import (
 	"fmt"
 	"io"
+	"net/http"
 	"os"
+	"time"
 
 	"github.com/alecthomas/kong"
 )
@@ -19,6 +21,14 @@
 	Added  added  `cmd:"" help:"Measure the latency that the system adds over calling the endpoints directly."`
 }
 
+// maxConnections bounds the idle connections that a load keeps per address.
+const maxConnections = 256
+
+// newClient returns a client for many requests at once.
+func newClient(timeout time.Duration) *http.Client {
+	return &http.Client{Timeout: timeout, Transport: &http.Transport{MaxIdleConnsPerHost: maxConnections}}
+}
+
 // Main runs a verb and returns its exit code.
 func Main(args []string) int {
 	var v verbs
--- a/anvilload/command/demo.go
+++ b/anvilload/command/demo.go
@@ -29,11 +29,9 @@
 }
 
 const (
-	readyLimit    = 15 * time.Second
-	requestLimit  = time.Minute
-	maxMillis     = 120_000
-	significant   = 3
-	maxConnection = 256
+	requestLimit = time.Minute
+	maxMillis    = 120_000
+	significant  = 3
 )
 
 // demoRow collects the results of one pipeline.
@@ -57,13 +55,10 @@
 
 // Run does the work of the verb.
 func (d *demo) Run(out io.Writer) error {
-	target, err := deployment.Open(d.Directory)
+	target, err := deployment.OpenReady(d.Directory)
 	if err != nil {
 		return err
 	}
-	if err := target.WaitReady(readyLimit); err != nil {
-		return err
-	}
 	rows := make([]*demoRow, len(target.Document.Pipelines))
 	ids := map[ident.Key]bool{}
 	for i := range target.Document.Pipelines {
@@ -82,7 +77,7 @@
 
 // runPipeline sends a pipeline's requests and returns their keys.
 func (d *demo) runPipeline(target *deployment.Deployment, p *configuration.Pipeline, row *demoRow) []ident.Key {
-	client := &http.Client{Timeout: requestLimit, Transport: &http.Transport{MaxIdleConnsPerHost: maxConnection}}
+	client := newClient(requestLimit)
 	var group sync.WaitGroup
 	slots := make(chan struct{}, d.Parallel)
 	keys := make([]ident.Key, d.Requests)
--- a/anvilload/command/load.go
+++ b/anvilload/command/load.go
@@ -53,17 +53,14 @@
 
 // Run does the work of the verb.
 func (l *load) Run(out io.Writer) error {
-	target, err := deployment.Open(l.Directory)
+	target, err := deployment.OpenReady(l.Directory)
 	if err != nil {
 		return err
 	}
-	if err := target.WaitReady(readyLimit); err != nil {
+	p, err := target.Pipeline(l.Pipeline)
+	if err != nil {
 		return err
 	}
-	p := target.Document.Pipeline(l.Pipeline)
-	if p == nil {
-		return errors.Errorf("there is no pipeline %q", l.Pipeline)
-	}
 	if l.Fault != "" {
 		if err := breakEndpoint(target, p.Stages[len(p.Stages)-1].Service, l.Fault); err != nil {
 			return err
@@ -105,7 +102,7 @@
 
 func (l *load) send(target *deployment.Deployment, deadline time.Duration) *loadSum {
 	sum := &loadSum{millis: hdrhistogram.New(1, maxMillis, significant), sentBy: map[ident.Workspace]int{}, metBy: map[ident.Workspace]int{}}
-	client := &http.Client{Timeout: requestLimit, Transport: &http.Transport{MaxIdleConnsPerHost: maxConnection}}
+	client := newClient(requestLimit)
 	random := rand.New(rand.NewPCG(l.Seed, 1))
 	var group sync.WaitGroup
 	due := time.Now()
--- a/anvilload/command/usage.go
+++ b/anvilload/command/usage.go
@@ -44,13 +44,10 @@
 
 // Run does the work of the verb.
 func (u *usage) Run(out io.Writer) error {
-	target, err := deployment.Open(u.Directory)
+	target, err := deployment.OpenReady(u.Directory)
 	if err != nil {
 		return err
 	}
-	if err := target.WaitReady(readyLimit); err != nil {
-		return err
-	}
 	before, err := u.sample(target)
 	if err != nil {
 		return err
--- a/anvilload/deployment/deployment.go
+++ b/anvilload/deployment/deployment.go
@@ -56,15 +56,35 @@
 	return &Deployment{Document: document, Instances: l.Instances, Endpoints: l.Endpoints, Platform: strings.TrimSpace(string(platform))}, nil
 }
 
+// OpenReady reads a directory and waits until its instances are ready.
+func OpenReady(directory string) (*Deployment, error) {
+	d, err := Open(directory)
+	if err != nil {
+		return nil, err
+	}
+	return d, d.waitReady()
+}
+
+// Pipeline returns a pipeline of the deployment, or an error that names it.
+func (d *Deployment) Pipeline(name ident.Pipeline) (*configuration.Pipeline, error) {
+	if p := d.Document.Pipeline(name); p != nil {
+		return p, nil
+	}
+	return nil, errors.Errorf("there is no pipeline %q", name)
+}
+
+// readyLimit is how long an instance may take to become ready.
+const readyLimit = 15 * time.Second
+
 const readyPoll = 50 * time.Millisecond
 
-// WaitReady waits until every instance is ready.
-func (d *Deployment) WaitReady(limit time.Duration) error {
-	end := time.Now().Add(limit)
+// waitReady waits until every instance is ready.
+func (d *Deployment) waitReady() error {
+	end := time.Now().Add(readyLimit)
 	for _, i := range d.Instances {
 		for !ready(i.OperatorAddress) {
 			if time.Now().After(end) {
-				return errors.Errorf("%s is not ready after %v", i.Seat, limit)
+				return errors.Errorf("%s is not ready after %v", i.Seat, readyLimit)
 			}
 			time.Sleep(readyPoll)
 		}
--- a/kernel/node/ownership.go
+++ b/kernel/node/ownership.go
@@ -163,7 +163,7 @@
 // asking: the seats may recover before the deadline.
 func (n *Node) undecidable(r *run) {
 	if r.collecting && r.phase == working {
-		n.finish(r, outcome.Lost, outcome.ClaimUnconfirmed, "the instances that would know were replaced")
+		n.finish(r, outcome.Lost, outcome.ClaimUnconfirmed, "nothing is remembered of this id, but the memory of those who would know does not reach back over the resend horizon")
 	}
 }
 
