Bound what stopped instances leave behind

They are dropped when every ticket of theirs is older than the resend horizon and is refused for its age anyway.

--- a/anvilcrossd/daemon/daemon.go
+++ b/anvilcrossd/daemon/daemon.go
@@ -242,7 +242,7 @@
 	d.shutDown(callers, signals)
 	close(d.stop)
 	d.mesh.Close()
-	return nil
+	return errors.Trace(d.operator.Close())
 }
 
 const readyPoll = 500 * time.Millisecond
--- a/kernel/node/finish.go
+++ b/kernel/node/finish.go
@@ -136,6 +136,7 @@
 	}
 	n.finished = n.finished[i:]
 	n.sweepPartial()
+	n.sweepLegacies(keep + lateLimit)
 	for _, attempt := range value.SortedKeys(n.abandoned) {
 		if now.Sub(n.abandoned[attempt]) > keep {
 			delete(n.abandoned, attempt)
--- a/kernel/node/handover.go
+++ b/kernel/node/handover.go
@@ -39,6 +39,7 @@
 	memory  message.Memory
 	parts   value.Set[int]
 	whole   bool
+	at      time.Time
 }
 
 // BeginDrain makes the node report that it is not ready, so that the balancer
@@ -221,7 +222,7 @@
 	}
 	l := n.legacies[m.From]
 	if l == nil {
-		l = &legacy{issuers: m.Issuers, memory: message.Memory{Epoch: m.Memory.Epoch, Since: m.Memory.Since}, parts: value.NewSet[int]()}
+		l = &legacy{issuers: m.Issuers, memory: message.Memory{Epoch: m.Memory.Epoch, Since: m.Memory.Since}, parts: value.NewSet[int](), at: n.now()}
 		n.legacies[m.From] = l
 	}
 	if !l.parts.Has(m.Part) {
@@ -246,6 +247,25 @@
 	}
 }
 
+// sweepLegacies forgets what stopped processes left here when no ticket of
+// theirs is valid and no record of theirs is of use any more.
+func (n *Node) sweepLegacies(keep time.Duration) {
+	for from, l := range n.legacies {
+		if n.now().Sub(l.at) <= keep {
+			continue
+		}
+		delete(n.legacies, from)
+		n.tickets.own = slices.DeleteFunc(n.tickets.own, func(by issuer) bool {
+			return by.Incarnation != n.config.Incarnation && slices.Contains(l.issuers, by)
+		})
+	}
+	for by, s := range n.tickets.successors {
+		if n.now().Sub(s.at) > keep {
+			delete(n.tickets.successors, by)
+		}
+	}
+}
+
 // bequeath returns the memory that the last process of a seat left here, once.
 func (n *Node) bequeath(seat ident.Instance, epoch ident.Epoch) *message.Memory {
 	for from, l := range n.legacies {
@@ -260,7 +280,7 @@
 
 func (n *Node) handleSuccessor(m message.Successor) {
 	if m.By != n.config.Seat {
-		n.tickets.successors[m.Of] = m.By
+		n.tickets.successors[m.Of] = successor{instance: m.By, at: n.now()}
 		n.retarget(m.Of)
 	}
 }
@@ -318,7 +338,7 @@
 func (n *Node) retarget(by issuer) {
 	for _, key := range n.followers(by) {
 		f := &n.runs[key].follow
-		f.target = n.tickets.successors[by]
+		f.target = n.tickets.successors[by].instance
 		f.gone = false
 		f.forward.Sent = n.now()
 		f.heard = n.now()
--- a/kernel/node/tickets.go
+++ b/kernel/node/tickets.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"anvilcross/kernel/claim"
 	"anvilcross/kernel/ident"
@@ -23,14 +24,20 @@
 	// own lists the issuers whose tickets this process alone may run, itself
 	// first.
 	own        []issuer
-	successors map[issuer]ident.Instance
+	successors map[issuer]successor
+}
+
+// successor is who owns a stopped process's tickets, and since when.
+type successor struct {
+	instance ident.Instance
+	at       time.Time
 }
 
 func newTicketTable(c Config) ticketTable {
 	return ticketTable{
 		key:        c.TicketKey,
 		own:        []issuer{{Instance: c.Seat, Incarnation: c.Incarnation}},
-		successors: map[issuer]ident.Instance{},
+		successors: map[issuer]successor{},
 	}
 }
 
@@ -97,8 +104,8 @@
 
 // ticketOwner returns the instance that owns an issuer's tickets now.
 func (n *Node) ticketOwner(by issuer) ident.Instance {
-	if successor, ok := n.tickets.successors[by]; ok {
-		return successor
+	if s, ok := n.tickets.successors[by]; ok {
+		return s.instance
 	}
 	return by.Instance
 }
@@ -168,8 +175,8 @@
 // redirect tells a forwarding instance who owns the ticket, or that its owner
 // is gone.
 func (n *Node) redirect(f follower, key ident.Key, by issuer) {
-	if successor, ok := n.tickets.successors[by]; ok {
-		n.send(f.instance, message.Envelope{Successor: &message.Successor{Of: by, By: successor}})
+	if s, ok := n.tickets.successors[by]; ok {
+		n.send(f.instance, message.Envelope{Successor: &message.Successor{Of: by, By: s.instance}})
 		return
 	}
 	if n.retired {
