Never refuse a hand-over that was taken over whole

A stopping instance refuses every hand-over, also the repetition of one that it took over whole and whose confirmation was lost. The sender then names a second owner of its tickets, and a ticket could run twice.

--- a/kernel/node/handover.go
+++ b/kernel/node/handover.go
@@ -213,14 +213,17 @@
 // handleHandOver takes over a stopping instance's tickets and keeps its
 // seat's memory for the seat's next process.
 func (n *Node) handleHandOver(from ident.Instance, m message.HandOver) {
-	if n.draining || n.document == nil {
+	l := n.legacies[m.From]
+	taken := l != nil && l.whole
+	if !taken && (n.draining || n.document == nil) {
+		// What was taken over whole is never refused: the sender would name a
+		// second owner of its tickets.
 		n.send(from, message.Envelope{HandedOver: &message.HandedOver{From: m.From, Refused: true}})
 		return
 	}
 	for _, f := range m.Finished {
 		n.adoptFinished(f)
 	}
-	l := n.legacies[m.From]
 	if l == nil {
 		l = &legacy{issuers: m.Issuers, memory: message.Memory{Epoch: m.Memory.Epoch, Since: m.Memory.Since}, parts: value.NewSet[int](), at: n.now()}
 		n.legacies[m.From] = l
--- /dev/null
+++ b/kernel/node/handover_test.go
@@ -0,0 +1,50 @@
+package node
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"anvilcross/kernel/configuration"
+	"anvilcross/kernel/ident"
+	"anvilcross/kernel/message"
+	"anvilcross/kernel/timer"
+)
+
+// TestTakenOverIsNotRefused repeats a hand-over whose confirmation was lost to
+// an instance that is stopping by now. It owns the tickets already; a refusal
+// would make the sender name a second owner.
+func TestTakenOverIsNotRefused(t *testing.T) {
+	var replies []message.HandedOver
+	n := NewNode(Config{
+		Seat: "a-1", DataCentre: "a", Random: rand.New(rand.NewPCG(1, 1)),
+		Timers: timer.NewService(timer.Config{Start: time.Unix(0, 0)}),
+		Output: Output{Event: func(Event) {}, Peer: func(e message.Envelope) {
+			if e.HandedOver != nil {
+				replies = append(replies, *e.HandedOver)
+			}
+		}},
+	})
+	n.Configure(&configuration.Document{
+		Deployment: "small", Revision: 1, ResendHorizonMillis: 600_000, ClockSkewMillis: 500,
+		DataCentres: []configuration.DataCentre{{Name: "a", Seats: []ident.Instance{"a-1", "a-2", "a-3"}}},
+		Services:    []configuration.Service{{Name: "s", Kind: "pool", Workers: 1, Concurrency: 1, DuplicateCheck: configuration.NoCheck}},
+		Pipelines:   []configuration.Pipeline{{Name: "p", DeadlineMillis: 1000, LateAnswer: configuration.DropLate, Stages: []configuration.Stage{{Name: "one", Service: "s", ExpectedMillis: 1}}}},
+		Workspaces:  []configuration.Workspace{{Name: "w", KeyDigest: configuration.KeyDigest("k"), Share: 1, RatePerSecond: 1}},
+	})
+	handOver := func(from ident.Instance) bool {
+		by := message.Issuer{Instance: from, Incarnation: 7}
+		n.HandlePeer(message.Envelope{From: from, HandOver: &message.HandOver{From: by, Issuers: []message.Issuer{by}, Part: 1, Parts: 1}})
+		return !replies[len(replies)-1].Refused
+	}
+	if !handOver("a-2") {
+		t.Fatal("the first hand-over was refused")
+	}
+	n.BeginDrain()
+	if !handOver("a-2") {
+		t.Error("the repeated hand-over was refused although the tickets are owned here")
+	}
+	if handOver("a-3") {
+		t.Error("a stopping instance took over from another one")
+	}
+}
