--- a/kernel/node/node.go
+++ b/kernel/node/node.go
@@ -131,7 +131,7 @@
 	document *configuration.Document
 	digest   string
 	// earlier are the last documents that were in force, newest last.
-	earlier    []*configuration.Document
+	earlier    []keptDocument
 	memory     *claim.Memory
 	remembered *remembered.Table
 	book       *route.Book
--- a/kernel/node/spread.go
+++ b/kernel/node/spread.go
@@ -45,7 +45,7 @@
 		return
 	}
 	if n.document != nil {
-		n.earlier = append(n.earlier, n.document)
+		n.earlier = append(n.earlier, keptDocument{document: n.document, digest: n.digest})
 		n.earlier = n.earlier[max(len(n.earlier)-keptDocuments, 0):]
 	}
 	n.document = d
@@ -154,14 +154,21 @@
 	}
 }
 
+// keptDocument is an earlier configuration with its digest, which is too dear
+// to be worked out for each message.
+type keptDocument struct {
+	document *configuration.Document
+	digest   string
+}
+
 // sendConfiguration sends the difference to the receiver's document, if that
 // was in force here lately, or the whole.
 func (n *Node) sendConfiguration(to ident.Instance, has string) {
 	for _, d := range n.earlier {
-		if d.Digest() != has {
+		if d.digest != has {
 			continue
 		}
-		if delta := configuration.NewDelta(d, n.document); delta != nil {
+		if delta := configuration.NewDelta(d.document, n.document); delta != nil {
 			n.send(to, message.Envelope{Configuration: &message.Configuration{Delta: delta}})
 			return
 		}
