--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Targets need nothing but Go, make, git and a C compiler.
 PROGRAMS := anvilcrossd anvilcross anvilstandin anvilload
-MODULES := kernel $(PROGRAMS)
+MODULES := kernel platform $(PROGRAMS)
 PACKAGES := $(addsuffix /...,$(addprefix ./,$(MODULES)))
 
 .PHONY: build demo test lint matrix compare slopes clean
--- a/anvilcrossd/daemon/daemon.go
+++ b/anvilcrossd/daemon/daemon.go
@@ -23,6 +23,7 @@
 
 	"anvilcross/anvilcrossd/caller"
 	"anvilcross/anvilcrossd/endpoint"
+	"anvilcross/anvilcrossd/gatewayd"
 	"anvilcross/anvilcrossd/link"
 	"anvilcross/anvilcrossd/operator"
 	"anvilcross/anvilcrossd/owner"
@@ -36,13 +37,61 @@
 	"anvilcross/kernel/timer"
 )
 
-// arguments are the daemon's flags.
+// arguments are the flags that all ways to run the daemon share.
 type arguments struct {
 	Settings string   `required:"" help:"INI file with this instance's settings." type:"existingfile" short:"s"`
 	Set      []string `help:"Override a setting: section.key=value. May be repeated." placeholder:"SECTION.KEY=VALUE" sep:"none"`
 	Check    bool     `help:"Check the settings and exit."`
 }
 
+// commands are the ways to run the daemon.
+type commands struct {
+	Serve   serveCommand   `cmd:"" default:"withargs" help:"Serve the callers' interface of anvilcross itself."`
+	Gateway gatewayCommand `cmd:"" help:"Serve on a users' platform, in front of its services."`
+}
+
+type serveCommand struct{ arguments }
+
+type gatewayCommand struct{ arguments }
+
+// Run serves the callers' interface.
+func (c *serveCommand) Run() error {
+	text, err := os.ReadFile(c.Settings)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	s, err := settings.Parse(text, c.Set)
+	if err != nil || c.Check {
+		return checked(c.Settings, err)
+	}
+	return newDaemon(s).run()
+}
+
+// Run serves on a users' platform.
+func (c *gatewayCommand) Run() error {
+	text, err := os.ReadFile(c.Settings)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	s, err := settings.ParseGateway(text, c.Set)
+	if err != nil || c.Check {
+		return checked(c.Settings, err)
+	}
+	return gatewayd.Run(gatewayd.Config{Settings: s, Path: c.Settings, Overrides: c.Set})
+}
+
+// settingsError is a mistake in the settings; it has an exit code of its own.
+type settingsError struct{ error }
+
+// checked tells the outcome of a check of the settings.
+func checked(path string, err error) error {
+	if err != nil {
+		return settingsError{errors.Annotate(err, path)}
+	}
+	fmt.Println("settings are good")
+	return nil
+}
+
 // Exit codes of the daemon.
 const (
 	exitOK       = 0
@@ -52,28 +101,18 @@
 
 // Main runs the daemon and returns its exit code.
 func Main(args []string) int {
-	var a arguments
-	parser := kong.Must(&a, kong.Name("anvilcrossd"), kong.Description("The anvilcross daemon: serves callers on an entry instance.\n\nExample: anvilcrossd --settings instance.ini --set log.level=debug"))
-	if _, err := parser.Parse(args); err != nil {
-		fmt.Fprintln(os.Stderr, "anvilcrossd:", err)
-		return exitSettings
-	}
-	text, err := os.ReadFile(a.Settings)
+	var c commands
+	parser := kong.Must(&c, kong.Name("anvilcrossd"), kong.Description("The anvilcross daemon: serves callers on an entry instance.\n\nExample: anvilcrossd --settings instance.ini --set log.level=debug"))
+	command, err := parser.Parse(args)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "anvilcrossd:", err)
 		return exitSettings
 	}
-	s, err := settings.Parse(text, a.Set)
-	if err != nil {
-		fmt.Fprintf(os.Stderr, "anvilcrossd: %s: %v\n", a.Settings, err)
-		return exitSettings
-	}
-	if a.Check {
-		fmt.Println("settings are good")
-		return exitOK
-	}
-	if err := newDaemon(s).run(); err != nil {
+	if err := command.Run(); err != nil {
 		fmt.Fprintln(os.Stderr, "anvilcrossd:", err)
+		if _, mistake := err.(settingsError); mistake {
+			return exitSettings
+		}
 		return exitFailed
 	}
 	return exitOK
@@ -95,7 +134,7 @@
 type daemon struct {
 	settings *settings.Settings
 	log      *logrus.Entry
-	owner    *owner.Owner
+	owner    *owner.Owner[node.Node]
 	callers  *caller.Server
 	operator *operator.Server
 	mesh     *peer.Mesh
@@ -124,7 +163,7 @@
 	d.operator = operator.NewServer(operator.Config{Do: d.do, Transport: func() (int64, int64) { return d.mesh.Dropped(), d.mesh.SentBytes() }})
 	d.callers = caller.NewServer(caller.Config{Do: d.do, Observe: d.operator.Observe})
 	timers := timer.NewService(timer.Config{Start: time.Now()})
-	d.owner = owner.NewOwner(owner.Config{Timers: timers, Node: node.NewNode(node.Config{
+	d.owner = owner.NewOwner(owner.Config[node.Node]{Timers: timers, Kernel: node.NewNode(node.Config{
 		Seat:        s.Seat,
 		Incarnation: newIncarnation(),
 		DataCentre:  s.DataCentre,
--- /dev/null
+++ b/anvilcrossd/gatewayd/metrics.go
@@ -0,0 +1,108 @@
+package gatewayd
+
+import (
+	"log"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+
+	"anvilcross/anvilcrossd/eventlog"
+	"anvilcross/kernel/gateway"
+)
+
+// metricsConfig sets up metrics.
+type metricsConfig struct {
+	// Collect sets the gauges; it is called before each report.
+	Collect func(tally.Scope)
+}
+
+// metrics counts ended requests and reports the kernel's totals.
+type metrics struct {
+	config   metricsConfig
+	scope    tally.Scope
+	reporter prometheus.Reporter
+}
+
+// reportPeriod is how often counters go to the reporter.
+const reportPeriod = time.Second
+
+// latencyBuckets are the bounds of the latency histograms.
+var latencyBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 16)
+
+func newMetrics(c metricsConfig) *metrics {
+	reporter := prometheus.NewReporter(prometheus.Options{})
+	scope, _ := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:                 "anvilcross",
+		CachedReporter:         reporter,
+		Separator:              prometheus.DefaultSeparator,
+		SanitizeOptions:        &prometheus.DefaultSanitizerOpts,
+		OmitCardinalityMetrics: true,
+	}, reportPeriod)
+	return &metrics{config: c, scope: scope, reporter: reporter}
+}
+
+// observe counts an ended request.
+func (m *metrics) observe(outcome string, took time.Duration) {
+	scope := m.scope.Tagged(map[string]string{"outcome": outcome})
+	scope.Counter("requests").Inc(1)
+	scope.Histogram("latency", latencyBuckets).RecordDuration(took)
+}
+
+func (m *metrics) handler() http.Handler {
+	next := m.reporter.HTTPHandler()
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		m.config.Collect(m.scope)
+		next.ServeHTTP(w, r)
+	})
+}
+
+// collect sets the gauges from the kernel's totals.
+func (d *daemon) collect(scope tally.Scope) {
+	gauges := map[string]float64{}
+	d.do(func(g *gateway.Gateway) {
+		c, b := g.Counters(), g.BatchStats()
+		gauges["in_flight"] = float64(g.InFlight())
+		gauges["members"] = float64(g.Living())
+		gauges["platform_revision"] = float64(g.AsOf())
+		gauges["arrived"] = float64(c.Arrived)
+		gauges["relayed"] = float64(c.Relayed)
+		gauges["retried"] = float64(c.Retried)
+		gauges["resumed"] = float64(c.Resumed)
+		gauges["refused"] = float64(c.Refused)
+		gauges["timed_out"] = float64(c.TimedOut)
+		gauges["may_have_run"] = float64(c.Unknown)
+		gauges["callers_left"] = float64(c.Left)
+		gauges["pieces_resubmitted"] = float64(c.PiecesResubmitted)
+		gauges["inputs_remade"] = float64(c.InputsRemade)
+		gauges["records_rejected"] = float64(c.RecordsRejected)
+		gauges["stage_calls"] = float64(b.Calls)
+		gauges["stage_pieces"] = float64(b.Pieces)
+		gauges["stage_calls_declined"] = float64(b.Declined)
+		gauges["stage_calls_broken"] = float64(b.Broken)
+		gauges["stage_calls_overdue"] = float64(b.Overdue)
+		gauges["stage_pieces_no_room"] = float64(b.NoRoom)
+		gauges["stage_pieces_input_gone"] = float64(b.InputGone)
+		gauges["stage_pieces_late"] = float64(b.LatePieces)
+		gauges["stage_duplicates"] = float64(b.Duplicates)
+	})
+	gauges["log_lines_dropped"] = float64(d.log.Dropped())
+	gauges["endpoint_connections_opened"] = float64(d.client.Opened())
+	gauges["peer_messages_dropped"] = float64(d.mesh.Dropped())
+	gauges["peer_bytes_sent"] = float64(d.mesh.SentBytes())
+	for name, v := range gauges {
+		scope.Gauge(name).Update(v)
+	}
+}
+
+// errorLog passes what net/http has to say on to the event log.
+type errorLog struct{ log *eventlog.Log }
+
+func newErrorLog(l *eventlog.Log) *log.Logger { return log.New(errorLog{log: l}, "", 0) }
+
+func (e errorLog) Write(p []byte) (int, error) {
+	e.log.Event("connectionError", "reason", strings.TrimSpace(string(p)))
+	return len(p), nil
+}
--- a/anvilcrossd/owner/owner.go
+++ b/anvilcrossd/owner/owner.go
@@ -6,22 +6,21 @@
 	"sync"
 	"time"
 
-	"anvilcross/kernel/node"
 	"anvilcross/kernel/timer"
 )
 
-// Owner holds a node and its timers under one lock.
-type Owner struct {
+// Owner holds a kernel of type T and its timers under one lock.
+type Owner[T any] struct {
 	mutex  sync.Mutex
-	node   *node.Node
+	kernel *T
 	timers *timer.Service
 	wake   chan struct{}
 	due    time.Time
 }
 
 // Config sets up an Owner.
-type Config struct {
-	Node   *node.Node
+type Config[T any] struct {
+	Kernel *T
 	Timers *timer.Service
 }
 
@@ -29,16 +28,16 @@
 const idleWait = time.Second
 
 // NewOwner returns an owner whose clock does not run yet.
-func NewOwner(c Config) *Owner {
-	return &Owner{node: c.Node, timers: c.Timers, wake: make(chan struct{}, 1)}
+func NewOwner[T any](c Config[T]) *Owner[T] {
+	return &Owner[T]{kernel: c.Kernel, timers: c.Timers, wake: make(chan struct{}, 1)}
 }
 
-// Do advances the time and lets the function use the node. The function must
+// Do advances the time and lets the function use the kernel. The function must
 // not block.
-func (o *Owner) Do(f func(n *node.Node)) {
+func (o *Owner[T]) Do(f func(*T)) {
 	o.mutex.Lock()
 	o.timers.Advance(time.Now())
-	f(o.node)
+	f(o.kernel)
 	next, ok := o.timers.Next()
 	earlier := ok && next.Before(o.due)
 	o.mutex.Unlock()
@@ -51,7 +50,7 @@
 }
 
 // Run advances the timers until the stop channel is closed.
-func (o *Owner) Run(stop <-chan struct{}) {
+func (o *Owner[T]) Run(stop <-chan struct{}) {
 	for {
 		wait := o.advance()
 		sleep := time.NewTimer(wait)
@@ -66,7 +65,7 @@
 	}
 }
 
-func (o *Owner) advance() time.Duration {
+func (o *Owner[T]) advance() time.Duration {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	now := time.Now()
--- a/anvilcrossd/peer/peer.go
+++ b/anvilcrossd/peer/peer.go
@@ -5,6 +5,7 @@
 
 import (
 	"bytes"
+	"context"
 	"crypto/hmac"
 	"crypto/sha256"
 	"encoding/hex"
@@ -13,6 +14,9 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
 
 	"anvilcross/anvilcrossd/link"
 	"anvilcross/kernel/ident"
@@ -31,6 +35,8 @@
 	// delay of a link does not limit the rate of messages.
 	maxPosts     = 2
 	maxBodyBytes = 4 << 20
+	// defaultTimeout bounds a POST to a peer over a link of milliseconds.
+	defaultTimeout = 2 * time.Second
 )
 
 // Config sets up a Mesh.
@@ -41,6 +47,10 @@
 	Far        *link.Transport
 	// Receive takes each message that arrives with a valid signature.
 	Receive func(message.Envelope)
+	// Failed is told of messages that could not be delivered; it may be nil.
+	Failed func(to ident.Instance, reason string)
+	// Timeout bounds one POST.
+	Timeout time.Duration
 }
 
 // Address tells where an instance listens for its peers.
@@ -51,6 +61,8 @@
 
 // queue holds what waits for one peer, and the number of POSTs in flight.
 type queue struct {
+	to      ident.Instance
+	address string
 	waiting []message.Envelope
 	posts   int
 }
@@ -61,6 +73,7 @@
 	mutex     sync.Mutex
 	addresses map[ident.Instance]Address
 	queues    map[ident.Instance]*queue
+	byAddress map[string]*queue
 	closed    bool
 	dropped   atomic.Int64
 	sentBytes atomic.Int64
@@ -68,7 +81,11 @@
 
 // NewMesh returns a mesh that knows no address yet.
 func NewMesh(c Config) *Mesh {
+	if c.Timeout == 0 {
+		c.Timeout = defaultTimeout
+	}
 	return &Mesh{
+		byAddress: map[string]*queue{},
 		config:    c,
 		addresses: map[ident.Instance]Address{},
 		queues:    map[ident.Instance]*queue{},
@@ -98,15 +115,33 @@
 	m.closed = true
 }
 
-// Send queues a message. It does not block.
+// Send queues a message to a seat of the instance list. It does not block.
 func (m *Mesh) Send(e message.Envelope) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	q := m.queues[e.To]
 	if q == nil {
-		q = &queue{}
+		q = &queue{to: e.To}
 		m.queues[e.To] = q
 	}
+	m.enqueue(q, e)
+}
+
+// SendTo queues a message to an address, whose instance may not be known yet.
+// It does not block.
+func (m *Mesh) SendTo(address string, e message.Envelope) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	q := m.byAddress[address]
+	if q == nil {
+		q = &queue{address: address}
+		m.byAddress[address] = q
+	}
+	q.to = e.To
+	m.enqueue(q, e)
+}
+
+func (m *Mesh) enqueue(q *queue, e message.Envelope) {
 	if m.closed || len(q.waiting) >= maxQueued {
 		m.dropped.Add(1)
 		return
@@ -114,13 +149,13 @@
 	q.waiting = append(q.waiting, e)
 	if q.posts < maxPosts {
 		q.posts++
-		go m.drain(e.To, q)
+		go m.drain(q)
 	}
 }
 
 // drain posts batches until nothing waits, so that an idle peer costs no
 // goroutine and no buffer.
-func (m *Mesh) drain(to ident.Instance, q *queue) {
+func (m *Mesh) drain(q *queue) {
 	for {
 		m.mutex.Lock()
 		n := min(len(q.waiting), maxBatch)
@@ -133,28 +168,44 @@
 		batch := q.waiting[:n:n]
 		q.waiting = q.waiting[n:]
 		m.mutex.Unlock()
-		m.post(to, batch)
+		if err := m.post(q, batch); err != nil {
+			m.dropped.Add(int64(len(batch)))
+			if m.config.Failed != nil {
+				m.config.Failed(batch[0].To, err.Error())
+			}
+		}
 	}
 }
 
-func (m *Mesh) post(to ident.Instance, batch []message.Envelope) {
+// target returns the address of a queue's peer.
+func (m *Mesh) target(q *queue) (Address, bool) {
 	m.mutex.Lock()
-	address, known := m.addresses[to]
-	m.mutex.Unlock()
+	defer m.mutex.Unlock()
+	if q.address != "" {
+		return Address{DataCentre: m.config.DataCentre, HostPort: q.address}, true
+	}
+	a, known := m.addresses[q.to]
+	return a, known
+}
+
+func (m *Mesh) post(q *queue, batch []message.Envelope) error {
+	address, known := m.target(q)
 	if !known {
-		m.dropped.Add(int64(len(batch)))
-		return
+		return errors.New("no address")
 	}
 	body, err := json.Marshal(batch)
 	if err != nil {
 		panic("peer message cannot be encoded: " + err.Error())
 	}
-	request, err := http.NewRequest(http.MethodPost, "http://"+address.HostPort+path, bytes.NewReader(body))
+	ctx, cancel := context.WithTimeout(context.Background(), m.config.Timeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address.HostPort+path, bytes.NewReader(body))
 	if err != nil {
-		m.dropped.Add(int64(len(batch)))
-		return
+		return errors.Trace(err)
+	}
+	if len(m.config.Key) > 0 {
+		request.Header.Set(headerSignature, m.sign(body))
 	}
-	request.Header.Set(headerSignature, m.sign(body))
 	m.sentBytes.Add(int64(len(body)))
 	transport := m.config.Near
 	if address.DataCentre != m.config.DataCentre {
@@ -162,11 +213,10 @@
 	}
 	response, err := transport.RoundTrip(request)
 	if err != nil {
-		m.dropped.Add(int64(len(batch)))
-		return
+		return errors.Trace(err)
 	}
 	_, _ = io.Copy(io.Discard, response.Body)
-	_ = response.Body.Close()
+	return errors.Trace(response.Body.Close())
 }
 
 func (m *Mesh) sign(body []byte) string {
@@ -188,7 +238,7 @@
 		http.Error(w, "body too large or cut off", http.StatusBadRequest)
 		return
 	}
-	if !hmac.Equal([]byte(m.sign(body)), []byte(r.Header.Get(headerSignature))) {
+	if len(m.config.Key) > 0 && !hmac.Equal([]byte(m.sign(body)), []byte(r.Header.Get(headerSignature))) {
 		http.Error(w, "wrong signature", http.StatusForbidden)
 		return
 	}
--- a/anvilcrossd/settings/settings.go
+++ b/anvilcrossd/settings/settings.go
@@ -49,23 +49,24 @@
 	defaultStopLimit = time.Minute
 )
 
-type rule struct {
+// rule reads one key into settings of type T.
+type rule[T any] struct {
 	section string
 	key     string
-	apply   func(s *Settings, text string) error
+	apply   func(s *T, text string) error
 	// required is set when there is no default.
 	required bool
 }
 
-func textRule(section, key string, required bool, field func(*Settings) *string) rule {
-	return rule{section: section, key: key, required: required, apply: func(s *Settings, text string) error {
+func textRule[T any](section, key string, required bool, field func(*T) *string) rule[T] {
+	return rule[T]{section: section, key: key, required: required, apply: func(s *T, text string) error {
 		*field(s) = text
 		return nil
 	}}
 }
 
-func listenRule(key string, field func(*Settings) *string) rule {
-	return rule{section: "listen", key: key, required: true, apply: func(s *Settings, text string) error {
+func listenRule[T any](key string, field func(*T) *string) rule[T] {
+	return rule[T]{section: "listen", key: key, required: true, apply: func(s *T, text string) error {
 		if _, _, err := net.SplitHostPort(text); err != nil {
 			return fmt.Errorf("%q is not host:port", text)
 		}
@@ -74,8 +75,8 @@
 	}}
 }
 
-func keyRule(key string, field func(*Settings) *[]byte) rule {
-	return rule{section: "keys", key: key, required: true, apply: func(s *Settings, text string) error {
+func keyRule(key string, field func(*Settings) *[]byte) rule[Settings] {
+	return rule[Settings]{section: "keys", key: key, required: true, apply: func(s *Settings, text string) error {
 		b, err := hex.DecodeString(text)
 		if err != nil || len(b) < minKeyBytes {
 			return fmt.Errorf("must be at least %d bytes in hexadecimal", minKeyBytes)
@@ -85,8 +86,8 @@
 	}}
 }
 
-func numberRule(key string, field func(*Settings) *int) rule {
-	return rule{section: "limits", key: key, apply: func(s *Settings, text string) error {
+func numberRule[T any](key string, field func(*T) *int) rule[T] {
+	return rule[T]{section: "limits", key: key, apply: func(s *T, text string) error {
 		n, err := strconv.Atoi(text)
 		if err != nil || n <= 0 {
 			return fmt.Errorf("%q is not a whole number above zero", text)
@@ -96,8 +97,8 @@
 	}}
 }
 
-func durationRule(section, key string, field func(*Settings) *time.Duration) rule {
-	return rule{section: section, key: key, apply: func(s *Settings, text string) error {
+func durationRule[T any](section, key string, field func(*T) *time.Duration) rule[T] {
+	return rule[T]{section: section, key: key, apply: func(s *T, text string) error {
 		d, err := time.ParseDuration(text)
 		if err != nil || d < 0 {
 			return fmt.Errorf("%q is not a duration such as 3.5ms or 1m", text)
@@ -107,8 +108,8 @@
 	}}
 }
 
-func rules() []rule {
-	return []rule{
+func rules() []rule[Settings] {
+	return []rule[Settings]{
 		textRule("instance", "seat", true, func(s *Settings) *string { return (*string)(&s.Seat) }),
 		textRule("instance", "dataCentre", true, func(s *Settings) *string { return (*string)(&s.DataCentre) }),
 		{section: "instance", key: "policy", apply: applyPolicy},
@@ -158,9 +159,18 @@
 // Parse reads settings from INI text. Overrides are section.key=value pairs
 // that replace what the text says. The error lists every mistake.
 func Parse(text []byte, overrides []string) (*Settings, error) {
+	s := &Settings{Policy: "least", LogLevel: "info", StopLimit: defaultStopLimit, Bounds: node.DefaultBounds()}
+	if err := parse(text, overrides, s, rules()); err != nil {
+		return nil, errors.Trace(err)
+	}
+	return s, nil
+}
+
+// parse applies the rules to the settings. The error lists every mistake.
+func parse[T any](text []byte, overrides []string, s *T, known []rule[T]) error {
 	file, err := ini.Load(text)
 	if err != nil {
-		return nil, errors.Annotate(err, "settings are not valid INI")
+		return errors.Annotate(err, "settings are not valid INI")
 	}
 	var mistakes []string
 	for _, o := range overrides {
@@ -168,8 +178,6 @@
 			mistakes = append(mistakes, fmt.Sprintf("override %q is not section.key=value", o))
 		}
 	}
-	s := &Settings{Policy: "least", LogLevel: "info", StopLimit: defaultStopLimit, Bounds: node.DefaultBounds()}
-	known := rules()
 	for _, r := range known {
 		section, _ := file.GetSection(r.section)
 		if section == nil || !section.HasKey(r.key) {
@@ -184,9 +192,9 @@
 	}
 	mistakes = append(mistakes, unknown(file, known)...)
 	if len(mistakes) > 0 {
-		return nil, errors.Errorf("settings have %d mistakes:\n  %s", len(mistakes), strings.Join(mistakes, "\n  "))
+		return errors.Errorf("settings have %d mistakes:\n  %s", len(mistakes), strings.Join(mistakes, "\n  "))
 	}
-	return s, nil
+	return nil
 }
 
 func override(file *ini.File, text string) bool {
@@ -199,7 +207,7 @@
 	return true
 }
 
-func unknown(file *ini.File, known []rule) []string {
+func unknown[T any](file *ini.File, known []rule[T]) []string {
 	names := map[string]bool{}
 	for _, r := range known {
 		names[r.section+"."+r.key] = true
--- /dev/null
+++ b/anvilcrossd/stagecall/stagecall.go
@@ -0,0 +1,148 @@
+// Package stagecall calls stage endpoints: it runs the batches that the
+// gateway forms and frees results.
+package stagecall
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"anvilcross/anvilcrossd/h1"
+	"anvilcross/kernel/batching"
+	"anvilcross/kernel/message"
+	"anvilcross/platform"
+)
+
+const (
+	// freeTimeout bounds the call that frees results: it needs no turn.
+	freeTimeout = time.Second
+	// freePause collects the results that are freed at one endpoint.
+	freePause = 25 * time.Millisecond
+	// maxReply bounds a reply: a handle for each piece.
+	maxReply = 1 << 20
+)
+
+// Config sets up a Caller.
+type Config struct {
+	Client *h1.Client
+	// Replied and Failed report the end of a call.
+	Replied func(batching.CallID, batching.Reply)
+	Failed  func(batching.CallID, batching.Failure, string)
+	Event   func(name string, fields ...any)
+}
+
+// Caller calls stage endpoints.
+type Caller struct {
+	config  Config
+	mutex   sync.Mutex
+	cancels map[batching.CallID]context.CancelFunc
+	freeing map[string][]message.ResultHandle
+}
+
+// NewCaller returns a caller without calls.
+func NewCaller(c Config) *Caller {
+	return &Caller{config: c, cancels: map[batching.CallID]context.CancelFunc{}, freeing: map[string][]message.ResultHandle{}}
+}
+
+// Run starts a call. It does not block.
+func (c *Caller) Run(call batching.Call) {
+	ctx, cancel := context.WithTimeout(context.Background(), call.Limit)
+	c.mutex.Lock()
+	c.cancels[call.ID] = cancel
+	c.mutex.Unlock()
+	go func() {
+		defer func() {
+			cancel()
+			c.mutex.Lock()
+			delete(c.cancels, call.ID)
+			c.mutex.Unlock()
+		}()
+		c.exchange(ctx, call)
+	}()
+}
+
+// Cancel ends a call.
+func (c *Caller) Cancel(id batching.CallID) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if cancel := c.cancels[id]; cancel != nil {
+		cancel()
+	}
+}
+
+func (c *Caller) exchange(ctx context.Context, call batching.Call) {
+	response, err := c.send(ctx, call.Address, platform.StageCall(call))
+	if err != nil {
+		failure := batching.Broken
+		if h1.Unreached(err) {
+			failure = batching.Unreached
+		}
+		c.config.Failed(call.ID, failure, err.Error())
+		return
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxReply))
+	taken, failure := platform.ReadStageHead(response.Response)
+	if !taken {
+		c.config.Failed(call.ID, failure, response.Status)
+		return
+	}
+	if err != nil {
+		c.config.Failed(call.ID, batching.Broken, err.Error())
+		return
+	}
+	reply, err := platform.DecodeStageReply(body)
+	if err != nil {
+		c.config.Failed(call.ID, batching.Broken, err.Error())
+		return
+	}
+	c.config.Replied(call.ID, reply)
+}
+
+func (c *Caller) send(ctx context.Context, address string, call platform.Call) (*h1.Response, error) {
+	response, err := c.config.Client.Do(ctx, h1.Request{
+		Address: address,
+		Method:  call.Method,
+		Target:  call.Path,
+		Host:    address,
+		Header:  call.Header,
+		Body:    call.Body,
+	})
+	return response, errors.Trace(err)
+}
+
+// Free gives results back. Those of one endpoint that come within a short
+// while go in one call.
+func (c *Caller) Free(address string, handles []message.ResultHandle) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	waiting := c.freeing[address]
+	c.freeing[address] = append(waiting, handles...)
+	if len(waiting) == 0 {
+		time.AfterFunc(freePause, func() { c.free(address) })
+	}
+}
+
+func (c *Caller) free(address string) {
+	c.mutex.Lock()
+	handles := c.freeing[address]
+	delete(c.freeing, address)
+	c.mutex.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
+	defer cancel()
+	response, err := c.send(ctx, address, platform.FreeCall(handles))
+	if err != nil {
+		// The endpoint drops the results by itself after its keep time.
+		c.config.Event("freeFailed", "address", address, "results", len(handles), "reason", err)
+		return
+	}
+	_, _ = io.Copy(io.Discard, response.Body)
+	_ = response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		c.config.Event("freeFailed", "address", address, "results", len(handles), "reason", response.Status)
+	}
+}
--- /dev/null
+++ b/kernel/batching/batching.go
@@ -0,0 +1,377 @@
+// Package batching forms the calls to stage endpoints. A stage endpoint works
+// on one call of many pieces at a time and each call has a fixed price, so all
+// instances send the pieces of a service to the one that batches for it. That
+// instance knows when an endpoint is free and how much room it has for
+// results, fills each call by urgency, and makes a piece again when an
+// endpoint fails.
+package batching
+
+import (
+	"slices"
+	"time"
+
+	"anvilcross/kernel/endpoints"
+	"anvilcross/kernel/ident"
+	"anvilcross/kernel/message"
+	"anvilcross/kernel/published"
+	"anvilcross/kernel/timer"
+	"anvilcross/kernel/value"
+)
+
+// CallID identifies one call to a stage endpoint.
+type CallID uint64
+
+// Item is one piece of a call.
+type Item struct {
+	ID message.PieceID
+	// Remaining is the time after which the result is of no use.
+	Remaining time.Duration
+	Key       string
+	Inputs    []message.ResultHandle
+}
+
+// Call asks an endpoint for pieces.
+type Call struct {
+	ID       CallID
+	Endpoint ident.Endpoint
+	Address  string
+	Items    []Item
+	// Limit is how long the call may take at most.
+	Limit time.Duration
+}
+
+// Reply is what a call brought, in the order of its items.
+type Reply struct {
+	Items []ReplyItem
+}
+
+// ReplyItem is what became of one piece at the endpoint.
+type ReplyItem struct {
+	Handle message.ResultHandle
+	Reason Reason
+}
+
+// Reason is why an endpoint did not make a piece.
+type Reason int
+
+// The reasons.
+const (
+	// Made means that there is a result.
+	Made Reason = iota
+	// Late means that the piece's time was over when its turn came.
+	Late
+	// InputGone means that an input does not exist any more.
+	InputGone
+	// NoRoom means that the endpoint has no room for results.
+	NoRoom
+	// Failed means that the endpoint failed at the piece.
+	Failed
+)
+
+// Failure is how a call as a whole failed.
+type Failure int
+
+// The failures.
+const (
+	// Unreached calls were not sent: the endpoint cannot be reached.
+	Unreached Failure = iota
+	// Declined calls were refused by a full endpoint.
+	Declined
+	// Replaced means that another endpoint has the address now.
+	Replaced
+	// Broken calls were sent and brought no reply.
+	Broken
+)
+
+// String returns the failure's name for logs.
+func (f Failure) String() string {
+	return [...]string{"unreached", "declined", "replaced", "broken"}[f]
+}
+
+// Output are the batcher's effects.
+type Output struct {
+	Run     func(Call)
+	Cancel  func(CallID)
+	Free    func(address string, handles []message.ResultHandle)
+	Results func(to ident.Instance, r message.StageResults)
+	Event   func(name string, fields ...any)
+}
+
+// Config sets up a Batcher.
+type Config struct {
+	Timers *timer.Service
+	Book   *endpoints.Book
+	// Batches returns how a service's endpoints batch, or nil.
+	Batches func(ident.Service) *published.Batches
+	Output  Output
+}
+
+const (
+	// lingerTime is how long a call that is under half full waits for more
+	// pieces: a third of the fixed part of a call.
+	lingerTime = 80 * time.Millisecond
+	// declinedPause is how long a full endpoint is left alone: about half of
+	// the fixed part of a call.
+	declinedPause = 120 * time.Millisecond
+	// overdueFactor and overdueSlack tell when a call takes so much longer
+	// than expected that its pieces are made elsewhere too.
+	overdueFactor = 1.6
+	overdueSlack  = 200 * time.Millisecond
+	// callLimitFactor bounds a call by its expected time.
+	callLimitFactor = 8
+	// slowFactor is the ratio of actual to expected time above which an
+	// endpoint only gets small test calls, each testPeriod.
+	slowFactor = 2.5
+	testPeriod = 1500 * time.Millisecond
+	// speedWeight is the weight of a new sample in the speed average.
+	speedWeight = 0.4
+	// maxTries bounds how often one piece is made.
+	maxTries = 6
+	// maxWaiting bounds the pieces that wait for one service.
+	maxWaiting = 20000
+	// handleNetwork is added to an endpoint's keep time before the room of a
+	// result that nobody freed is counted as free.
+	handleNetwork = 300 * time.Millisecond
+)
+
+type pieceState int
+
+const (
+	waiting pieceState = iota
+	running
+	done
+)
+
+// work is one request's stage.
+type work struct {
+	message.StageWork
+	origin   ident.Instance
+	due      time.Time
+	deadline time.Time
+	since    time.Time
+}
+
+type piece struct {
+	work  *work
+	id    message.PieceID
+	state pieceState
+	tries int
+	calls int
+	since time.Time
+	// handle and booked are set for a result that is kept.
+	handle message.ResultHandle
+}
+
+// booking is the room of one result at its maker.
+type booking struct {
+	bytes    int
+	endpoint ident.Endpoint
+	expiry   *timer.Subscription
+	address  string
+}
+
+type call struct {
+	id       CallID
+	service  ident.Service
+	endpoint ident.Endpoint
+	address  string
+	pieces   []*piece
+	started  time.Time
+	expected time.Duration
+	overdue  *timer.Subscription
+}
+
+// maker is what the batcher knows of one stage endpoint.
+type maker struct {
+	calls    int
+	booked   int
+	speed    float64
+	pausedTo time.Time
+	lastCall time.Time
+}
+
+type queue struct {
+	waiting []*piece
+	linger  *timer.Subscription
+}
+
+// Batcher forms the calls of the services that this instance batches for.
+type Batcher struct {
+	config   Config
+	queues   map[ident.Service]*queue
+	pieces   map[message.PieceID]*piece
+	calls    map[CallID]*call
+	makers   map[ident.Endpoint]*maker
+	bookings map[message.ResultHandle]*booking
+	nextCall CallID
+	stats    Stats
+}
+
+// Stats are the batcher's totals.
+type Stats struct {
+	Calls, Pieces, Declined, Broken, Overdue, NoRoom, InputGone, LatePieces, Duplicates int
+}
+
+// NewBatcher returns a batcher with nothing to do.
+func NewBatcher(c Config) *Batcher {
+	return &Batcher{
+		config:   c,
+		queues:   map[ident.Service]*queue{},
+		pieces:   map[message.PieceID]*piece{},
+		calls:    map[CallID]*call{},
+		makers:   map[ident.Endpoint]*maker{},
+		bookings: map[message.ResultHandle]*booking{},
+	}
+}
+
+// Stats returns the totals.
+func (b *Batcher) Stats() Stats { return b.stats }
+
+// Waiting returns the number of pieces that wait for a service.
+func (b *Batcher) Waiting(s ident.Service) int {
+	if q := b.queues[s]; q != nil {
+		return len(q.waiting)
+	}
+	return 0
+}
+
+func (b *Batcher) now() time.Time { return b.config.Timers.Now() }
+
+func (b *Batcher) queue(s ident.Service) *queue {
+	q := b.queues[s]
+	if q == nil {
+		q = &queue{}
+		b.queues[s] = q
+	}
+	return q
+}
+
+func (b *Batcher) maker(e ident.Endpoint) *maker {
+	m := b.makers[e]
+	if m == nil {
+		m = &maker{speed: 1}
+		b.makers[e] = m
+	}
+	return m
+}
+
+// Submit takes pieces on. The same pieces may come again: what is done is
+// answered from what is known.
+func (b *Batcher) Submit(from ident.Instance, s message.StageWork) {
+	now := b.now()
+	w := &work{StageWork: s, origin: from, due: now.Add(s.Due), deadline: now.Add(s.Deadline), since: now}
+	q := b.queue(s.Service)
+	for _, index := range s.Pieces {
+		id := message.PieceID{Request: s.Request, Stage: s.Stage, Piece: index}
+		if p := b.pieces[id]; p != nil {
+			p.work = w
+			if p.state == done {
+				b.report(p, message.PieceDone)
+			}
+			continue
+		}
+		p := &piece{work: w, id: id, since: now}
+		if len(q.waiting) >= maxWaiting {
+			b.report(p, message.PieceFailed)
+			continue
+		}
+		b.pieces[id] = p
+		q.waiting = append(q.waiting, p)
+	}
+	b.Dispatch(s.Service)
+}
+
+// Release withdraws a request's pieces, or gives results back.
+func (b *Batcher) Release(r message.StageRelease) {
+	if r.Withdrawn {
+		b.withdraw(r)
+	}
+	byAddress := map[string][]message.ResultHandle{}
+	for _, h := range r.Handles {
+		address, ok := b.unbook(h)
+		if !ok {
+			address = Address(h)
+		}
+		byAddress[address] = append(byAddress[address], h)
+	}
+	for _, address := range value.SortedKeys(byAddress) {
+		b.config.Output.Free(address, byAddress[address])
+	}
+	for id, p := range b.pieces {
+		if id.Request == r.Request && p.state == done && slices.Contains(r.Handles, p.handle) {
+			delete(b.pieces, id)
+		}
+	}
+	if len(r.Handles) > 0 {
+		b.Dispatch(r.Service)
+	}
+}
+
+func (b *Batcher) withdraw(r message.StageRelease) {
+	q := b.queue(r.Service)
+	q.waiting = slices.DeleteFunc(q.waiting, func(p *piece) bool { return p.id.Request == r.Request })
+	for id, p := range b.pieces {
+		if id.Request != r.Request || p.work.Service != r.Service {
+			continue
+		}
+		delete(b.pieces, id)
+		if p.state == done {
+			b.free(p.handle)
+		}
+	}
+}
+
+// Address returns the maker's address in a handle.
+func Address(h message.ResultHandle) string {
+	for i := 0; i < len(h); i++ {
+		if h[i] == '/' {
+			return string(h[:i])
+		}
+	}
+	return string(h)
+}
+
+func (b *Batcher) unbook(h message.ResultHandle) (string, bool) {
+	k := b.bookings[h]
+	if k == nil {
+		return "", false
+	}
+	delete(b.bookings, h)
+	b.config.Timers.Stop(k.expiry)
+	b.maker(k.endpoint).booked -= k.bytes
+	return k.address, true
+}
+
+func (b *Batcher) free(h message.ResultHandle) {
+	address, ok := b.unbook(h)
+	if !ok {
+		address = Address(h)
+	}
+	b.config.Output.Free(address, []message.ResultHandle{h})
+}
+
+func (b *Batcher) report(p *piece, outcome message.PieceOutcome) {
+	b.config.Output.Results(p.work.origin, message.StageResults{Service: p.work.Service, Results: []message.PieceResult{{ID: p.id, Outcome: outcome, Handle: p.handle}}})
+}
+
+// Dispatch fills calls while there are pieces and free endpoints.
+func (b *Batcher) Dispatch(s ident.Service) {
+	q := b.queue(s)
+	batches := b.config.Batches(s)
+	if batches == nil || len(q.waiting) == 0 {
+		return
+	}
+	b.order(q)
+	for len(q.waiting) > 0 {
+		free, all := b.idle(s, batches)
+		if len(free) == 0 {
+			return
+		}
+		if b.lingers(s, q, batches, len(free), all) {
+			return
+		}
+		if !b.fill(s, q, batches, free) {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/kernel/batching/dispatch.go
@@ -0,0 +1,364 @@
+package batching
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"anvilcross/kernel/endpoints"
+	"anvilcross/kernel/ident"
+	"anvilcross/kernel/message"
+	"anvilcross/kernel/published"
+)
+
+// order sorts the waiting pieces: those whose request can still be on time
+// come first, by the time at which they have to be done; the late ones follow.
+func (b *Batcher) order(q *queue) {
+	now := b.now()
+	q.waiting = slices.DeleteFunc(q.waiting, func(p *piece) bool {
+		if p.work.deadline.After(now) {
+			return false
+		}
+		b.stats.LatePieces++
+		delete(b.pieces, p.id)
+		b.report(p, message.PieceLate)
+		return true
+	})
+	slices.SortStableFunc(q.waiting, func(x, y *piece) int {
+		lateX, lateY := x.work.due.Before(now), y.work.due.Before(now)
+		if lateX != lateY {
+			if lateX {
+				return 1
+			}
+			return -1
+		}
+		if c := x.work.due.Compare(y.work.due); c != 0 {
+			return c
+		}
+		return cmp.Compare(x.id.Piece, y.id.Piece)
+	})
+}
+
+// idle returns the endpoints that can take a call now, and the number of
+// endpoints in use.
+func (b *Batcher) idle(s ident.Service, batches *published.Batches) ([]*endpoints.Endpoint, int) {
+	now := b.now()
+	candidates := b.config.Book.Candidates(now, s, nil)
+	var idle []*endpoints.Endpoint
+	for _, e := range candidates {
+		m := b.maker(e.Name)
+		if m.calls >= batches.Slots || now.Before(m.pausedTo) {
+			continue
+		}
+		if m.speed > slowFactor && now.Sub(m.lastCall) < testPeriod {
+			continue
+		}
+		idle = append(idle, e)
+	}
+	return idle, len(candidates)
+}
+
+// lingers reports whether to wait for a fuller call. Waiting pays when few
+// endpoints are free: a small call would keep one of them busy for the fixed
+// part of a call.
+func (b *Batcher) lingers(s ident.Service, q *queue, batches *published.Batches, idle, all int) bool {
+	if 2*len(q.waiting) >= batches.MaxPieces || 2*idle > all {
+		return false
+	}
+	oldest := q.waiting[0].since
+	for _, p := range q.waiting {
+		if p.since.Before(oldest) {
+			oldest = p.since
+		}
+	}
+	left := lingerTime - b.now().Sub(oldest)
+	if left <= 0 {
+		return false
+	}
+	if q.linger == nil {
+		q.linger = b.config.Timers.After(left, func() {
+			q.linger = nil
+			b.Dispatch(s)
+		})
+	}
+	return true
+}
+
+// fill forms one call. It returns false when nothing fits anywhere.
+func (b *Batcher) fill(s ident.Service, q *queue, batches *published.Batches, idle []*endpoints.Endpoint) bool {
+	e := b.choose(q.waiting, batches, idle)
+	if e == nil {
+		return false
+	}
+	m := b.maker(e.Name)
+	most := batches.MaxPieces
+	if m.speed > slowFactor {
+		most = 1
+	}
+	room := batches.ResultBytes - m.booked
+	var taken []*piece
+	kept := q.waiting[:0]
+	for _, p := range q.waiting {
+		if len(taken) < most && p.work.ResultBytes <= room && !b.betterElsewhere(p, e, batches, idle) {
+			room -= p.work.ResultBytes
+			taken = append(taken, p)
+			continue
+		}
+		kept = append(kept, p)
+	}
+	q.waiting = kept
+	if len(taken) == 0 {
+		return false
+	}
+	b.start(s, batches, e, m, taken)
+	return true
+}
+
+// largeResult is the size above which the data centre of a result matters
+// more than a fuller call.
+const largeResult = 200_000
+
+// choose takes the free endpoint for the most urgent piece that fits
+// somewhere: in the data centre where its result is used if possible, else
+// the one with the most room.
+func (b *Batcher) choose(pieces []*piece, batches *published.Batches, idle []*endpoints.Endpoint) *endpoints.Endpoint {
+	for _, p := range pieces {
+		var best *endpoints.Endpoint
+		bestScore := 0.0
+		for _, e := range idle {
+			m := b.maker(e.Name)
+			room := batches.ResultBytes - m.booked
+			if room < p.work.ResultBytes {
+				continue
+			}
+			score := float64(room)/float64(batches.ResultBytes) + 1/m.speed
+			if e.DataCentre == p.work.Prefer {
+				score += 2
+			}
+			if best == nil || score > bestScore {
+				best, bestScore = e, score
+			}
+		}
+		if best != nil {
+			return best
+		}
+	}
+	return nil
+}
+
+// betterElsewhere reports whether a large piece can go to another free
+// endpoint in the data centre where its result is used.
+func (b *Batcher) betterElsewhere(p *piece, e *endpoints.Endpoint, batches *published.Batches, idle []*endpoints.Endpoint) bool {
+	if p.work.ResultBytes < largeResult || p.work.Prefer == "" || e.DataCentre == p.work.Prefer {
+		return false
+	}
+	for _, o := range idle {
+		if o.DataCentre == p.work.Prefer && batches.ResultBytes-b.maker(o.Name).booked >= p.work.ResultBytes {
+			return true
+		}
+	}
+	return false
+}
+
+func (b *Batcher) start(s ident.Service, batches *published.Batches, e *endpoints.Endpoint, m *maker, pieces []*piece) {
+	now := b.now()
+	b.nextCall++
+	c := &call{id: b.nextCall, service: s, endpoint: e.Name, address: e.Address, pieces: pieces, started: now}
+	c.expected = batches.CallTime + time.Duration(len(pieces))*batches.PieceTime
+	items := make([]Item, len(pieces))
+	for i, p := range pieces {
+		p.state = running
+		p.tries++
+		p.calls++
+		m.booked += p.work.ResultBytes
+		items[i] = Item{ID: p.id, Remaining: p.work.deadline.Sub(now), Key: p.work.Key, Inputs: p.work.Inputs}
+	}
+	m.calls++
+	m.lastCall = now
+	b.calls[c.id] = c
+	b.stats.Calls++
+	b.stats.Pieces += len(pieces)
+	overdue := time.Duration(overdueFactor*float64(c.expected)) + overdueSlack
+	c.overdue = b.config.Timers.After(overdue, func() { b.overdue(c) })
+	b.config.Output.Run(Call{ID: c.id, Endpoint: e.Name, Address: e.Address, Items: items, Limit: callLimitFactor * c.expected})
+}
+
+// overdue makes the pieces of a call that takes too long elsewhere too, and
+// leaves the endpoint alone until it replies.
+func (b *Batcher) overdue(c *call) {
+	b.stats.Overdue++
+	b.config.Output.Event("stageCallOverdue", "service", c.service, "endpoint", c.endpoint, "pieces", len(c.pieces), "expected", c.expected)
+	m := b.maker(c.endpoint)
+	m.speed = max(m.speed, 2*slowFactor)
+	for _, p := range c.pieces {
+		b.requeue(p)
+	}
+	b.Dispatch(c.service)
+}
+
+// requeue lets a piece wait again, unless it is done, withdrawn or failed too
+// often.
+func (b *Batcher) requeue(p *piece) {
+	if b.pieces[p.id] != p || p.state != running {
+		return
+	}
+	if p.tries >= maxTries {
+		delete(b.pieces, p.id)
+		b.report(p, message.PieceFailed)
+		return
+	}
+	p.state = waiting
+	q := b.queue(p.work.Service)
+	q.waiting = append(q.waiting, p)
+}
+
+// end takes a call off the books and returns it, or nil.
+func (b *Batcher) end(id CallID) *call {
+	c := b.calls[id]
+	if c == nil {
+		return nil
+	}
+	delete(b.calls, id)
+	b.config.Timers.Stop(c.overdue)
+	m := b.maker(c.endpoint)
+	m.calls--
+	for _, p := range c.pieces {
+		p.calls--
+		m.booked -= p.work.ResultBytes
+	}
+	return c
+}
+
+// Replied takes in the reply to a call.
+func (b *Batcher) Replied(id CallID, r Reply) {
+	c := b.end(id)
+	if c == nil {
+		return
+	}
+	now := b.now()
+	m := b.maker(c.endpoint)
+	if len(c.pieces) > 0 {
+		m.speed += speedWeight * (float64(now.Sub(c.started))/float64(c.expected) - m.speed)
+	}
+	results := map[ident.Instance]*message.StageResults{}
+	for i, p := range c.pieces {
+		item := ReplyItem{Reason: Failed}
+		if i < len(r.Items) {
+			item = r.Items[i]
+		}
+		b.settle(c, p, item, results)
+	}
+	for _, to := range sortedInstances(results) {
+		b.config.Output.Results(to, *results[to])
+	}
+	b.Dispatch(c.service)
+}
+
+func sortedInstances(m map[ident.Instance]*message.StageResults) []ident.Instance {
+	var names []ident.Instance
+	for name := range m {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+func (b *Batcher) settle(c *call, p *piece, item ReplyItem, results map[ident.Instance]*message.StageResults) {
+	wanted := b.pieces[p.id] == p && p.state != done
+	if item.Reason == Made {
+		b.book(c, p, item.Handle)
+		if !wanted {
+			b.stats.Duplicates++
+			b.free(item.Handle)
+			return
+		}
+		if p.state == waiting {
+			q := b.queue(c.service)
+			q.waiting = slices.DeleteFunc(q.waiting, func(o *piece) bool { return o == p })
+		}
+		p.state = done
+		p.handle = item.Handle
+		add(results, p, message.PieceDone)
+		return
+	}
+	if !wanted || p.state == waiting {
+		return
+	}
+	switch item.Reason {
+	case Late:
+		b.stats.LatePieces++
+		delete(b.pieces, p.id)
+		add(results, p, message.PieceLate)
+	case InputGone:
+		b.stats.InputGone++
+		delete(b.pieces, p.id)
+		add(results, p, message.PieceInputGone)
+	case NoRoom:
+		b.stats.NoRoom++
+		b.maker(c.endpoint).pausedTo = b.now().Add(declinedPause)
+		b.requeue(p)
+	default:
+		b.requeue(p)
+	}
+}
+
+func add(results map[ident.Instance]*message.StageResults, p *piece, outcome message.PieceOutcome) {
+	r := results[p.work.origin]
+	if r == nil {
+		r = &message.StageResults{Service: p.work.Service}
+		results[p.work.origin] = r
+	}
+	r.Results = append(r.Results, message.PieceResult{ID: p.id, Outcome: outcome, Handle: p.handle})
+}
+
+// book counts a result's room at its maker until it is freed or expires.
+func (b *Batcher) book(c *call, p *piece, h message.ResultHandle) {
+	keep := time.Duration(0)
+	if batches := b.config.Batches(c.service); batches != nil {
+		keep = batches.KeepTime
+	}
+	k := &booking{bytes: p.work.ResultBytes, endpoint: c.endpoint, address: c.address}
+	b.maker(c.endpoint).booked += k.bytes
+	b.bookings[h] = k
+	k.expiry = b.config.Timers.After(keep+handleNetwork, func() {
+		b.unbook(h)
+		if b.pieces[p.id] == p && p.handle == h {
+			delete(b.pieces, p.id)
+		}
+		b.Dispatch(c.service)
+	})
+}
+
+// CallFailed takes in that a call brought no reply.
+func (b *Batcher) CallFailed(id CallID, f Failure, detail string) {
+	c := b.end(id)
+	if c == nil {
+		return
+	}
+	now := b.now()
+	m := b.maker(c.endpoint)
+	e := b.config.Book.Lookup(c.endpoint)
+	b.config.Output.Event("stageCallFailed", "service", c.service, "endpoint", c.endpoint, "pieces", len(c.pieces), "failure", f, "detail", detail, "after", now.Sub(c.started))
+	switch f {
+	case Declined:
+		b.stats.Declined++
+		m.pausedTo = now.Add(declinedPause)
+		b.config.Timers.After(declinedPause, func() { b.Dispatch(c.service) })
+	case Unreached, Broken, Replaced:
+		b.stats.Broken++
+		if e != nil {
+			e.Unreachable(now)
+			b.config.Timers.After(endpoints.FirstEjection, func() { b.Dispatch(c.service) })
+		}
+	}
+	for _, p := range c.pieces {
+		if f == Unreached || f == Declined {
+			p.tries--
+		}
+		b.requeue(p)
+	}
+	b.Dispatch(c.service)
+}
+
+// Changed takes in that the listed endpoints of a service have changed.
+func (b *Batcher) Changed(s ident.Service) { b.Dispatch(s) }
--- /dev/null
+++ b/kernel/endpoints/endpoints.go
@@ -0,0 +1,216 @@
+// Package endpoints keeps what an instance knows about the endpoints that the
+// platform lists: which may get new work, which have failed lately, and how
+// busy they are.
+package endpoints
+
+import (
+	"time"
+
+	"anvilcross/kernel/ident"
+	"anvilcross/kernel/value"
+)
+
+const (
+	// FirstEjection is how long an endpoint gets no work after a failure to
+	// reach it; each further one in a row doubles it, up to maxEjection.
+	FirstEjection = 300 * time.Millisecond
+	maxEjection   = 2400 * time.Millisecond
+	// lapseGrace is how long after the platform's return an entry that
+	// lapsed meanwhile is still believed: by then a living one is listed again.
+	lapseGrace = 2 * time.Second
+	// errorWeight is the weight of a new sample in the failure average.
+	errorWeight = 0.1
+)
+
+// Listing is an endpoint as the platform lists it.
+type Listing struct {
+	Name       ident.Endpoint
+	Service    ident.Service
+	DataCentre ident.DataCentre
+	Address    string
+	Slots      int
+	Leaving    bool
+	// Born tells successive processes of one name apart.
+	Born int64
+}
+
+// Load is an endpoint's own report of its work.
+type Load struct {
+	Running int
+	Waiting int
+	Slots   int
+}
+
+// Endpoint is what is known about one back end.
+type Endpoint struct {
+	Listing
+	// Running counts this instance's requests at the endpoint.
+	Running int
+	// Elsewhere counts the requests that other instances have there, by
+	// their last pings.
+	Elsewhere int
+	// Failing is the moving share of failed requests.
+	Failing float64
+	// Millis is the moving average of the time to the answer.
+	Millis float64
+
+	load         Load
+	loadAt       time.Time
+	ejectedUntil time.Time
+	failures     int
+	lapsedAt     time.Time
+}
+
+// Book lists the endpoints by service.
+type Book struct {
+	byName    map[ident.Endpoint]*Endpoint
+	byService map[ident.Service][]*Endpoint
+	byAddress map[string]*Endpoint
+	// troubleUntil is when entries that lapsed during the platform's outage
+	// have to be back; zero while there was none.
+	troubled     bool
+	troubleUntil time.Time
+}
+
+// NewBook returns an empty book.
+func NewBook() *Book { return &Book{byName: map[ident.Endpoint]*Endpoint{}} }
+
+// List adds an endpoint or changes what is listed of it. It returns true when
+// the endpoint is new or another process than before.
+func (b *Book) List(l Listing) bool {
+	e := b.byName[l.Name]
+	fresh := e == nil || e.Address != l.Address || e.Service != l.Service || e.Born != l.Born
+	if fresh {
+		e = &Endpoint{}
+		b.byName[l.Name] = e
+	}
+	e.Listing = l
+	e.lapsedAt = time.Time{}
+	b.index()
+	return fresh
+}
+
+// Drop takes in that an entry is gone. While the platform is in trouble, an
+// endpoint that was not leaving is kept: the entry may only have lapsed.
+func (b *Book) Drop(now time.Time, name ident.Endpoint) {
+	e := b.byName[name]
+	if e == nil {
+		return
+	}
+	if !e.Leaving && b.inTrouble(now) {
+		e.lapsedAt = now
+		return
+	}
+	delete(b.byName, name)
+	b.index()
+}
+
+// PlatformLost takes in that the platform does not answer.
+func (b *Book) PlatformLost() { b.troubled = true }
+
+// PlatformBack takes in that the platform answers again.
+func (b *Book) PlatformBack(now time.Time) {
+	if !b.troubled {
+		return
+	}
+	b.troubled = false
+	b.troubleUntil = now.Add(lapseGrace)
+}
+
+func (b *Book) inTrouble(now time.Time) bool { return b.troubled || now.Before(b.troubleUntil) }
+
+// Sweep drops the entries that lapsed and are not back.
+func (b *Book) Sweep(now time.Time) []ident.Endpoint {
+	if b.inTrouble(now) {
+		return nil
+	}
+	var dropped []ident.Endpoint
+	for _, name := range value.SortedKeys(b.byName) {
+		if e := b.byName[name]; !e.lapsedAt.IsZero() {
+			delete(b.byName, name)
+			dropped = append(dropped, name)
+		}
+	}
+	if len(dropped) > 0 {
+		b.index()
+	}
+	return dropped
+}
+
+func (b *Book) index() {
+	b.byService = map[ident.Service][]*Endpoint{}
+	b.byAddress = map[string]*Endpoint{}
+	for _, name := range value.SortedKeys(b.byName) {
+		e := b.byName[name]
+		b.byService[e.Service] = append(b.byService[e.Service], e)
+		b.byAddress[e.Address] = e
+	}
+}
+
+// Lookup returns the named endpoint, or nil.
+func (b *Book) Lookup(name ident.Endpoint) *Endpoint { return b.byName[name] }
+
+// At returns the endpoint with an address, or nil.
+func (b *Book) At(address string) *Endpoint { return b.byAddress[address] }
+
+// Listed returns all endpoints of a service by name.
+func (b *Book) Listed(s ident.Service) []*Endpoint { return b.byService[s] }
+
+// Count returns the number of known endpoints.
+func (b *Book) Count() int { return len(b.byName) }
+
+// Candidates returns the endpoints of a service that may get new work: not
+// leaving, not excluded, and within reach as far as is known.
+func (b *Book) Candidates(now time.Time, s ident.Service, excluded value.Set[ident.Endpoint]) []*Endpoint {
+	var usable []*Endpoint
+	for _, e := range b.byService[s] {
+		if !e.Leaving && !excluded.Has(e.Name) && !e.Ejected(now) {
+			usable = append(usable, e)
+		}
+	}
+	return usable
+}
+
+// Ejected reports whether the endpoint gets no work after failures.
+func (e *Endpoint) Ejected(now time.Time) bool { return now.Before(e.ejectedUntil) }
+
+// Unreachable takes in that the endpoint could not be reached or broke off.
+func (e *Endpoint) Unreachable(now time.Time) {
+	if e.Ejected(now) {
+		return
+	}
+	e.ejectedUntil = now.Add(min(FirstEjection<<min(e.failures, 8), maxEjection))
+	e.failures++
+}
+
+// Answered takes in a response and what it said of the endpoint's work.
+func (e *Endpoint) Answered(now time.Time, failed bool, took time.Duration, load Load) {
+	e.failures = 0
+	e.ejectedUntil = time.Time{}
+	sample := 0.0
+	if failed {
+		sample = 1
+	}
+	e.Failing += errorWeight * (sample - e.Failing)
+	millis := float64(took) / float64(time.Millisecond)
+	if e.Millis == 0 {
+		e.Millis = millis
+	}
+	e.Millis += errorWeight * (millis - e.Millis)
+	if load.Slots > 0 {
+		e.load, e.loadAt = load, now
+	}
+}
+
+// reportLife is the age at which an endpoint's report says nothing any more.
+const reportLife = time.Second
+
+// Busy estimates the requests at the endpoint: the own ones, those that other
+// instances told of, and the endpoint's report while it is fresh.
+func (e *Endpoint) Busy(now time.Time) int {
+	busy := e.Running + e.Elsewhere
+	if !e.loadAt.IsZero() && now.Sub(e.loadAt) < reportLife {
+		busy = max(busy, e.load.Running+e.load.Waiting)
+	}
+	return busy
+}
--- /dev/null
+++ b/kernel/gateway/attempts.go
@@ -0,0 +1,267 @@
+package gateway
+
+import (
+	"time"
+
+	"anvilcross/kernel/endpoints"
+	"anvilcross/kernel/published"
+)
+
+// Failure is how an attempt at an endpoint failed.
+type Failure int
+
+// The failures.
+const (
+	// Unreached means that nothing was written to the endpoint.
+	Unreached Failure = iota
+	// Declined means that the endpoint said that it did not run the request.
+	Declined
+	// Replaced means that another endpoint has the address now.
+	Replaced
+	// InputsGone means that a stage result does not exist any more; the
+	// request has not run.
+	InputsGone
+	// Broken means that the exchange broke; the request may have run.
+	Broken
+	// Spoiled means that the answer is not usable; the request has run.
+	Spoiled
+)
+
+// String returns the failure's name for logs.
+func (f Failure) String() string {
+	return [...]string{"unreached", "declined", "replaced", "inputsGone", "broken", "spoiled"}[f]
+}
+
+const (
+	// hedgeFactor and hedgeFloor tell when a safe request that got no answer
+	// is sent elsewhere: well beyond the endpoint's usual time.
+	hedgeFactor = 4.0
+	hedgeFloor  = 150 * time.Millisecond
+	// maxUnreached bounds the endpoints that a request tries to reach.
+	maxUnreached = 4
+)
+
+// dispatch sends a request to an endpoint, or ends it if there is none.
+func (g *Gateway) dispatch(r *request) {
+	now := g.now()
+	e := g.choose(r)
+	if e == nil {
+		g.answer(r, g.lossOf(r), busyRetryAfter, "no endpoint can take it")
+		return
+	}
+	r.attempts++
+	r.attempt = &attempt{id: r.attempts, endpoint: e.Name, started: now}
+	r.sends++
+	e.Running++
+	g.armHedge(r, e)
+	g.out.Event("sent", "request", r.arrival.ID, "endpoint", e.Name, "dataCentre", e.DataCentre, "busy", e.Busy(now), "after", now.Sub(r.started), "send", r.sends, "resume", r.resume)
+	g.out.Step(r.handle, Step{Send: &Send{
+		Attempt:    r.attempts,
+		Endpoint:   e.Name,
+		Address:    e.Address,
+		Workspace:  r.workspace(),
+		Left:       r.deadline.Sub(now),
+		Inputs:     r.finalInputs(),
+		Stream:     r.route.Kind == published.Stream,
+		Repeatable: r.route.Repeatable(),
+		Resume:     r.resume,
+		Continued:  r.begun,
+	}})
+}
+
+// armHedge gives up on a repeatable request that stays without an answer, so
+// that another endpoint can serve it in time.
+func (g *Gateway) armHedge(r *request, e *endpoints.Endpoint) {
+	if !r.route.Repeatable() || r.sends >= r.route.MaxAttempts {
+		return
+	}
+	wait := max(hedgeFloor, time.Duration(hedgeFactor*e.Millis*float64(time.Millisecond)))
+	if r.route.Kind == published.Stream {
+		wait = max(wait, r.route.Objective)
+	}
+	a := r.attempt
+	a.hedge = g.timers.After(wait, func() {
+		if r.attempt != a || a.begun {
+			return
+		}
+		e.Unreachable(g.now())
+		g.out.Event("attemptSilent", "request", r.arrival.ID, "endpoint", a.endpoint, "waited", wait)
+		g.fail(r, Broken, "no answer within "+wait.String())
+		g.out.Cancel(r.handle)
+	})
+}
+
+// endAttempt takes the current attempt off the books.
+func (g *Gateway) endAttempt(r *request) {
+	a := r.attempt
+	if a == nil {
+		return
+	}
+	r.attempt = nil
+	g.timers.Stop(a.hedge)
+	if e := g.book.Lookup(a.endpoint); e != nil {
+		e.Running = max(e.Running-1, 0)
+	}
+}
+
+// current returns the request if the attempt is its present one, else nil.
+func (g *Gateway) current(h Handle, id AttemptID) *request {
+	r := g.requests[h]
+	if r == nil || r.attempt == nil || r.attempt.id != id {
+		return nil
+	}
+	return r
+}
+
+// Written takes in that a request's first byte went out to its endpoint.
+func (g *Gateway) Written(h Handle, id AttemptID) {
+	if r := g.current(h, id); r != nil {
+		r.attempt.written = true
+	}
+}
+
+// Headed takes in that an endpoint's usable answer has begun.
+func (g *Gateway) Headed(h Handle, id AttemptID, failed bool, load endpoints.Load) {
+	r := g.current(h, id)
+	if r == nil {
+		return
+	}
+	now := g.now()
+	if e := g.book.Lookup(r.attempt.endpoint); e != nil {
+		e.Answered(now, failed, now.Sub(r.attempt.started), load)
+	}
+	r.attempt.begun = true
+}
+
+// Begun takes in that the first part of a stream went on to the caller: the
+// endpoint has read its inputs.
+func (g *Gateway) Begun(h Handle, id AttemptID) {
+	if r := g.current(h, id); r != nil {
+		r.begun = true
+		g.out.Event("streaming", "request", r.arrival.ID, "after", g.now().Sub(r.started))
+		g.releaseAll(r)
+	}
+}
+
+// Repeats reports whether a request that an endpoint answered with a failure
+// of its own is sent once more, in place of passing that answer on.
+func (g *Gateway) Repeats(h Handle, id AttemptID) bool {
+	r := g.current(h, id)
+	if r == nil || r.route.Kind != published.Safe || r.sends >= r.route.MaxAttempts {
+		return false
+	}
+	r.excluded.Add(r.attempt.endpoint)
+	if g.choose(r) == nil || !g.budget.take(g.now(), r.service, g.Living()) {
+		return false
+	}
+	g.counters.Retried++
+	r.mayRun = true
+	g.out.Event("attemptFailed", "request", r.arrival.ID, "endpoint", r.attempt.endpoint, "failure", "endpointError", "after", g.now().Sub(r.attempt.started))
+	g.endAttempt(r)
+	g.dispatch(r)
+	return true
+}
+
+// Relayed takes in that the whole answer went to the caller.
+func (g *Gateway) Relayed(h Handle, id AttemptID, status int) {
+	r := g.current(h, id)
+	if r == nil {
+		return
+	}
+	g.counters.Relayed++
+	g.out.Event("relayed", "request", r.arrival.ID, "status", status, "after", g.now().Sub(r.started), "sends", r.sends)
+	g.finish(r)
+}
+
+// Failed takes in that an attempt brought no usable answer. Resume is the last
+// event that went on to the caller.
+func (g *Gateway) Failed(h Handle, id AttemptID, f Failure, resume, detail string) {
+	r := g.current(h, id)
+	if r == nil {
+		return
+	}
+	if resume != "" {
+		r.resume = resume
+	}
+	g.fail(r, f, detail)
+}
+
+// fail decides what follows a failed attempt.
+func (g *Gateway) fail(r *request, f Failure, detail string) {
+	now := g.now()
+	a := r.attempt
+	e := g.book.Lookup(a.endpoint)
+	g.out.Event("attemptFailed", "request", r.arrival.ID, "endpoint", a.endpoint, "failure", f, "detail", detail, "after", now.Sub(a.started))
+	g.endAttempt(r)
+	provedNotRun := f != Broken && f != Spoiled
+	if e != nil && (f == Unreached || f == Broken || f == Replaced) {
+		e.Unreachable(now)
+	}
+	r.mayRun = r.mayRun || !provedNotRun
+	if f == InputsGone {
+		r.sends--
+		g.remakeFinal(r)
+		return
+	}
+	if !g.again(r, f) {
+		g.answer(r, g.lossOf(r), busyRetryAfter, "attempt "+f.String())
+		return
+	}
+	g.counters.Retried++
+	r.excluded.Add(a.endpoint)
+	if r.hasReleased() {
+		g.remakeFinal(r)
+		return
+	}
+	g.dispatch(r)
+}
+
+// again reports whether a failed request may be sent to another endpoint.
+func (g *Gateway) again(r *request, f Failure) bool {
+	switch f {
+	case Unreached:
+		r.sends--
+		r.declines++
+		return r.declines <= maxUnreached
+	case Declined, Replaced:
+		r.declines++
+		return r.declines <= maxUnreached && g.budget.take(g.now(), r.service, g.Living())
+	}
+	if !r.route.Repeatable() || r.sends >= r.route.MaxAttempts {
+		return false
+	}
+	if !r.deadline.After(g.now()) {
+		return false
+	}
+	if !g.budget.take(g.now(), r.service, g.Living()) {
+		return false
+	}
+	if r.begun {
+		g.counters.Resumed++
+	}
+	return true
+}
+
+// hasReleased reports whether a result that a model endpoint needs was given
+// back already.
+func (r *request) hasReleased() bool {
+	for i := range r.stages {
+		if s := &r.stages[i]; !s.followed && s.pieces > 0 && s.released {
+			return true
+		}
+	}
+	return false
+}
+
+// remakeFinal makes the results again that the model endpoint needs, and
+// sends the request when they are there.
+func (g *Gateway) remakeFinal(r *request) {
+	var final []int
+	for i := range r.stages {
+		if s := &r.stages[i]; !s.followed && s.pieces > 0 {
+			final = append(final, i)
+		}
+	}
+	g.remake(r, final)
+	g.advance(r)
+}
--- /dev/null
+++ b/kernel/gateway/choose.go
@@ -0,0 +1,142 @@
+package gateway
+
+import (
+	"math"
+	"time"
+
+	"anvilcross/kernel/batching"
+	"anvilcross/kernel/endpoints"
+	"anvilcross/kernel/ident"
+)
+
+// Weights of the choice of an endpoint, in milliseconds of delay that the
+// alternative is taken to be worth.
+const (
+	// perToken is the cost of a prompt token that has to be read: endpoints
+	// read about 100 tokens in a millisecond.
+	perToken = 0.01
+	// perCrossByte is the cost of a result byte that crosses data centres:
+	// 100 ms for a large result of 0.8 MB.
+	perCrossByte = 100.0 / 800_000
+	// perRunning is the cost of each request that runs at a model endpoint:
+	// it slows every token of the others.
+	perRunning = 6.0
+	// crossTrip is the cost of a request that crosses data centres: a round
+	// trip of about 7 ms.
+	crossTrip = 7.0
+	// centreHomeUnread is the share of a shared prompt part that is expected
+	// to be missing at a data centre's own home of the part.
+	centreHomeUnread = 0.4
+	// failingCost is the cost of an endpoint that fails every request.
+	failingCost = 2000.0
+)
+
+// sharedPart returns the deepest part of the prompt that other requests
+// share, with the tokens up to its end. The last part is the request's own.
+func (r *request) sharedPart() (string, int) {
+	tokens := 0
+	id := ""
+	for i, p := range r.arrival.Prompt {
+		if i == len(r.arrival.Prompt)-1 && i > 0 {
+			break
+		}
+		id = p.ID
+		tokens += p.Tokens
+	}
+	return id, tokens
+}
+
+// homes returns the endpoint that is the home of a prompt part, and the homes
+// within each data centre, by rendezvous hashing.
+func homes(part string, candidates []*endpoints.Endpoint) (*endpoints.Endpoint, map[ident.DataCentre]*endpoints.Endpoint) {
+	var home *endpoints.Endpoint
+	var homeScore uint64
+	scores := map[ident.DataCentre]uint64{}
+	centres := map[ident.DataCentre]*endpoints.Endpoint{}
+	for _, e := range candidates {
+		score := ident.Score(part, string(e.Name))
+		if home == nil || score > homeScore {
+			home, homeScore = e, score
+		}
+		if centres[e.DataCentre] == nil || score > scores[e.DataCentre] {
+			centres[e.DataCentre], scores[e.DataCentre] = e, score
+		}
+	}
+	return home, centres
+}
+
+// homeCentre returns the data centre where a request's results are best made.
+func (g *Gateway) homeCentre(r *request) ident.DataCentre {
+	if !r.route.Engine {
+		return ""
+	}
+	part, _ := r.sharedPart()
+	home, _ := homes(part, g.book.Candidates(g.now(), r.service, nil))
+	if home == nil {
+		return ""
+	}
+	return home.DataCentre
+}
+
+// choose returns the endpoint for a request, or nil if none can take it.
+func (g *Gateway) choose(r *request) *endpoints.Endpoint {
+	now := g.now()
+	candidates := g.book.Candidates(now, r.service, r.excluded)
+	if r.route.Engine {
+		return g.chooseEngine(now, r, candidates)
+	}
+	var best *endpoints.Endpoint
+	bestCost := math.Inf(1)
+	for _, e := range candidates {
+		cost := failingCost*e.Failing*e.Failing + e.Millis*float64(e.Busy(now))/float64(max(e.Slots, 1)) + e.Millis/2
+		if e.DataCentre != g.config.Self.DataCentre {
+			cost += crossTrip
+		}
+		if cost < bestCost {
+			best, bestCost = e, cost
+		}
+	}
+	return best
+}
+
+func (g *Gateway) chooseEngine(now time.Time, r *request, candidates []*endpoints.Endpoint) *endpoints.Endpoint {
+	part, tokens := r.sharedPart()
+	home, centres := homes(part, candidates)
+	resultBytes := map[ident.DataCentre]int{}
+	total := 0
+	for i := range r.stages {
+		s := &r.stages[i]
+		if s.followed {
+			continue
+		}
+		for _, h := range s.handles {
+			if e := g.book.At(batching.Address(h)); e != nil {
+				resultBytes[e.DataCentre] += s.stage.ResultBytes
+			}
+			total += s.stage.ResultBytes
+		}
+	}
+	var best *endpoints.Endpoint
+	bestCost := math.Inf(1)
+	for _, e := range candidates {
+		unread := 1.0
+		switch e {
+		case home:
+			unread = 0
+		case centres[e.DataCentre]:
+			unread = centreHomeUnread
+		}
+		cost := unread*float64(tokens)*perToken + float64(total-resultBytes[e.DataCentre])*perCrossByte
+		cost += perRunning*float64(e.Busy(now)) + failingCost*e.Failing*e.Failing
+		if e.Busy(now) >= max(e.Slots, 1) {
+			cost += float64(r.route.Objective / time.Millisecond)
+		}
+		if e.DataCentre != g.config.Self.DataCentre {
+			cost += crossTrip
+		}
+		if cost < bestCost {
+			best, bestCost = e, cost
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/kernel/gateway/gateway.go
@@ -0,0 +1,271 @@
+// Package gateway is the kernel of an entry instance on a users' platform:
+// which requests are taken on, in which order their stages are made, where
+// they are sent, what a failure proves and what the caller is told. It has no
+// socket, goroutine or clock. Events come in through its methods, which its
+// owner serializes; effects go out through the functions in Output; time
+// comes from the timer service.
+package gateway
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"anvilcross/kernel/batching"
+	"anvilcross/kernel/endpoints"
+	"anvilcross/kernel/ident"
+	"anvilcross/kernel/membership"
+	"anvilcross/kernel/message"
+	"anvilcross/kernel/published"
+	"anvilcross/kernel/replica"
+	"anvilcross/kernel/timer"
+	"anvilcross/kernel/value"
+)
+
+// Handle names a caller's request within this instance.
+type Handle uint64
+
+// Output are the gateway's effects.
+type Output struct {
+	// Step tells the edge what to do next with a request.
+	Step func(Handle, Step)
+	// Cancel ends the exchange that a request has with an endpoint.
+	Cancel func(Handle)
+	// Peer sends a message to an instance. Delivery is best effort.
+	Peer func(to membership.Address, m message.Envelope)
+	// Event is one log line.
+	Event func(name string, fields ...any)
+	// Run, CancelRun and Free call stage endpoints.
+	Run       func(batching.Call)
+	CancelRun func(batching.CallID)
+	Free      func(address string, handles []message.ResultHandle)
+}
+
+// Change is what a record of the platform says.
+type Change struct {
+	// Catalog is set for a configuration, Listing for an endpoint.
+	Catalog *published.Catalog
+	Listing *endpoints.Listing
+	// Endpoint names the entry of an endpoint, also when it is removed.
+	Endpoint ident.Endpoint
+}
+
+// Bounds are the deployment's figures that decisions depend on.
+type Bounds struct {
+	// RetryRatio and RetrySlack make up the retry budget of the fleet: in
+	// each RetryWindow a service may get RetryRatio times its requests plus
+	// RetrySlack arrivals beyond the first of each request.
+	RetryRatio  float64
+	RetrySlack  float64
+	RetryWindow time.Duration
+	// ReuseWindow is how long an endpoint's cached prompt parts are expected
+	// to stay.
+	ReuseWindow time.Duration
+}
+
+// Config sets up a Gateway.
+type Config struct {
+	Self   membership.Member
+	Seeds  []string
+	Bounds Bounds
+	Random *rand.Rand
+	Timers *timer.Service
+	// Decode reads a record of the platform. An error names a record that
+	// cannot be used; it changes nothing.
+	Decode func(replica.Record) (Change, error)
+	Output Output
+}
+
+const (
+	// tickPeriod is how often queues and outstanding pieces are looked over.
+	tickPeriod = 100 * time.Millisecond
+	// maxRecords bounds the records in one message to another instance.
+	maxRecords = 200
+)
+
+// Gateway decides for one entry instance.
+type Gateway struct {
+	config  Config
+	timers  *timer.Service
+	random  *rand.Rand
+	out     Output
+	records *replica.Store
+	catalog *published.Catalog
+	book    *endpoints.Book
+	members *membership.Table
+	batcher *batching.Batcher
+	budget  *budget
+
+	requests map[Handle]*request
+	byID     map[ident.RequestID]*request
+	leaving  bool
+	// elsewhere holds the counts of running requests by member.
+	elsewhere map[ident.Instance]map[ident.Endpoint]int
+	counters  Counters
+}
+
+// Counters are the gateway's totals.
+type Counters struct {
+	Arrived, Relayed, Retried, Resumed, Left, TimedOut, Refused, Unknown int
+	PiecesResubmitted, InputsRemade, RecordsRejected                     int
+}
+
+// NewGateway returns a gateway that knows no configuration yet.
+func NewGateway(c Config) *Gateway {
+	g := &Gateway{
+		config:    c,
+		timers:    c.Timers,
+		random:    c.Random,
+		out:       c.Output,
+		records:   replica.NewStore(),
+		book:      endpoints.NewBook(),
+		members:   membership.NewTable(membership.Config{Self: c.Self, Seeds: c.Seeds}),
+		requests:  map[Handle]*request{},
+		byID:      map[ident.RequestID]*request{},
+		elsewhere: map[ident.Instance]map[ident.Endpoint]int{},
+	}
+	g.budget = newBudget(c.Bounds)
+	g.batcher = batching.NewBatcher(batching.Config{
+		Timers:  c.Timers,
+		Book:    g.book,
+		Batches: g.batches,
+		Output: batching.Output{
+			Run:     c.Output.Run,
+			Cancel:  c.Output.CancelRun,
+			Free:    c.Output.Free,
+			Results: g.sendResults,
+			Event:   c.Output.Event,
+		},
+	})
+	g.timers.Every(membership.PingPeriod, g.ping)
+	g.timers.Every(tickPeriod, g.tick)
+	return g
+}
+
+func (g *Gateway) now() time.Time { return g.timers.Now() }
+
+// Ready reports whether the instance should get new connections.
+func (g *Gateway) Ready() bool {
+	return g.catalog != nil && g.book.Count() > 0 && !g.leaving
+}
+
+// Catalog returns the configuration in force, or nil.
+func (g *Gateway) Catalog() *published.Catalog { return g.catalog }
+
+// Counters returns the totals.
+func (g *Gateway) Counters() Counters { return g.counters }
+
+// BatchStats returns the totals of the batcher.
+func (g *Gateway) BatchStats() batching.Stats { return g.batcher.Stats() }
+
+// InFlight returns the number of requests that have no answer yet.
+func (g *Gateway) InFlight() int { return len(g.requests) }
+
+// Living returns the number of instances within reach, the own one included.
+func (g *Gateway) Living() int { return len(g.members.Living(g.now())) }
+
+// AsOf returns the platform's revision up to which all records are known.
+func (g *Gateway) AsOf() replica.Revision { return g.records.AsOf() }
+
+// Leave begins a planned stop: the instance is not ready any more, and others
+// take over what it batches for.
+func (g *Gateway) Leave() {
+	g.leaving = true
+	g.members.Leave()
+	g.ping()
+}
+
+// Reload takes settings over that changed while the process runs.
+func (g *Gateway) Reload(seeds []string, b Bounds) {
+	g.members.SetSeeds(seeds)
+	g.config.Bounds = b
+	g.budget.bounds = b
+}
+
+func (g *Gateway) batches(s ident.Service) *published.Batches {
+	if g.catalog == nil || g.catalog.Services[s] == nil {
+		return nil
+	}
+	return g.catalog.Services[s].Batches
+}
+
+// Batcher gives the edge access to the batcher's events.
+func (g *Gateway) Batcher() *batching.Batcher { return g.batcher }
+
+func (g *Gateway) tick() {
+	now := g.now()
+	for _, name := range g.book.Sweep(now) {
+		g.out.Event("endpointLapsed", "endpoint", name)
+	}
+	if g.catalog == nil {
+		return
+	}
+	for _, s := range value.SortedKeys(g.catalog.Services) {
+		if g.batcher.Waiting(s) > 0 {
+			g.batcher.Dispatch(s)
+		}
+	}
+	g.reviewPieces(now)
+}
+
+// Listed takes in a full listing of the platform's records.
+func (g *Gateway) Listed(records []replica.Record, asOf replica.Revision) {
+	g.learn(g.records.Replace(g.now(), records, asOf), "listing")
+}
+
+// Watched takes in changes of the platform's records.
+func (g *Gateway) Watched(records []replica.Record, asOf replica.Revision) {
+	news := g.records.Apply(g.now(), records, asOf)
+	g.learn(news, "watch")
+	if len(news) > 0 {
+		g.spread(news)
+	}
+}
+
+// PlatformLost takes in that the platform cannot be read.
+func (g *Gateway) PlatformLost() { g.book.PlatformLost() }
+
+// PlatformBack takes in that the platform can be read again.
+func (g *Gateway) PlatformBack() { g.book.PlatformBack(g.now()) }
+
+// learn puts records that are news in force.
+func (g *Gateway) learn(news []replica.Record, source string) {
+	changed := value.NewSet[ident.Service]()
+	for _, r := range news {
+		c, err := g.config.Decode(r)
+		if err != nil {
+			g.counters.RecordsRejected++
+			g.out.Event("recordRejected", "record", r.Key, "revision", r.Revision, "reason", err)
+			if c.Endpoint != "" {
+				g.book.Drop(g.now(), c.Endpoint)
+			}
+			continue
+		}
+		switch {
+		case c.Catalog != nil:
+			g.configure(c.Catalog, r.Revision, source)
+		case c.Listing != nil:
+			fresh := g.book.List(*c.Listing)
+			changed.Add(c.Listing.Service)
+			if fresh || c.Listing.Leaving {
+				g.out.Event("endpointListed", "endpoint", c.Listing.Name, "service", c.Listing.Service, "leaving", c.Listing.Leaving, "revision", r.Revision, "source", source)
+			}
+		case c.Endpoint != "" && r.Removed:
+			if g.book.Lookup(c.Endpoint) != nil {
+				g.out.Event("endpointRemoved", "endpoint", c.Endpoint, "revision", r.Revision, "source", source)
+			}
+			g.book.Drop(g.now(), c.Endpoint)
+		}
+	}
+	for _, s := range changed.Sorted() {
+		g.batcher.Changed(s)
+	}
+}
+
+func (g *Gateway) configure(c *published.Catalog, revision replica.Revision, source string) {
+	if g.catalog != nil && c.Version <= g.catalog.Version {
+		g.out.Event("configurationIgnored", "version", c.Version, "inForce", g.catalog.Version)
+		return
+	}
+	g.catalog = c
+	g.out.Event("configured", "version", c.Version, "revision", revision, "source", source, "routes", len(c.Routes), "workspaces", len(c.Workspaces))
+}
--- /dev/null
+++ b/kernel/gateway/peers.go
@@ -0,0 +1,145 @@
+package gateway
+
+import (
+	"anvilcross/kernel/ident"
+	"anvilcross/kernel/membership"
+	"anvilcross/kernel/message"
+	"anvilcross/kernel/replica"
+	"anvilcross/kernel/value"
+)
+
+// ping tells the other instances what they need to know of this one.
+func (g *Gateway) ping() {
+	now := g.now()
+	p := message.Ping{
+		Member:  g.members.Self(),
+		Ready:   g.Ready(),
+		Leaving: g.leaving,
+		Members: g.members.Sample(now),
+		AsOf:    g.records.AsOf(),
+		Running: g.runningByEndpoint(),
+	}
+	for _, target := range g.members.Targets(now) {
+		g.send(target, message.Envelope{Ping: &p})
+	}
+}
+
+func (g *Gateway) send(to membership.Address, m message.Envelope) {
+	m.From = g.config.Self.Name
+	m.Incarnation = g.config.Self.Incarnation
+	m.To = to.Name
+	g.out.Peer(to, m)
+}
+
+// sendTo sends to a member by name; a message to the own instance is handled
+// at once.
+func (g *Gateway) sendTo(name ident.Instance, m message.Envelope) {
+	if name == g.config.Self.Name {
+		m.From = name
+		g.HandlePeer(m)
+		return
+	}
+	for _, t := range g.members.Targets(g.now()) {
+		if t.Name == name {
+			g.send(t, m)
+			return
+		}
+	}
+}
+
+// spread passes news of the platform on at once, so that instances that
+// cannot reach it learn of changes in time.
+func (g *Gateway) spread(news []replica.Record) {
+	m := message.Records{Records: news, AsOf: 0}
+	for _, name := range g.members.Living(g.now()) {
+		if name != g.config.Self.Name {
+			g.sendTo(name, message.Envelope{Records: &m})
+		}
+	}
+}
+
+// HandlePeer takes a message from another instance.
+func (g *Gateway) HandlePeer(m message.Envelope) {
+	switch {
+	case m.Ping != nil:
+		g.handlePing(*m.Ping)
+	case m.Records != nil:
+		g.learn(g.records.Apply(g.now(), m.Records.Records, m.Records.AsOf), string(m.From))
+	case m.StageWork != nil:
+		g.batcher.Submit(m.From, *m.StageWork)
+	case m.StageResults != nil:
+		g.handleResults(*m.StageResults)
+	case m.StageRelease != nil:
+		g.batcher.Release(*m.StageRelease)
+	}
+}
+
+func (g *Gateway) handlePing(p message.Ping) {
+	now := g.now()
+	if g.members.Heard(now, p.Member, p.Ready, p.Leaving) {
+		g.out.Event("memberReached", "member", p.Member.Name, "dataCentre", p.Member.DataCentre, "incarnation", p.Member.Incarnation)
+	}
+	g.members.Named(now, p.Members)
+	g.elsewhere[p.Member.Name] = p.Running
+	g.countElsewhere()
+	if p.AsOf < g.records.AsOf() {
+		records, complete := g.records.Since(p.AsOf, maxRecords)
+		m := message.Records{Records: records}
+		if complete {
+			m.AsOf = g.records.AsOf()
+		}
+		g.sendTo(p.Member.Name, message.Envelope{Records: &m})
+	}
+}
+
+// PeerFailed takes in that messages to a member could not be delivered.
+func (g *Gateway) PeerFailed(name ident.Instance, reason string) {
+	if g.members.Alive(g.now(), name) {
+		g.out.Event("memberLost", "member", name, "reason", reason)
+	}
+	g.members.Unreachable(name)
+	delete(g.elsewhere, name)
+	g.reviewPieces(g.now())
+}
+
+func (g *Gateway) runningByEndpoint() map[ident.Endpoint]int {
+	running := map[ident.Endpoint]int{}
+	for _, r := range g.requests {
+		if r.attempt != nil {
+			running[r.attempt.endpoint]++
+		}
+	}
+	return running
+}
+
+func (g *Gateway) countElsewhere() {
+	now := g.now()
+	total := map[ident.Endpoint]int{}
+	for name, counts := range g.elsewhere {
+		if !g.members.Alive(now, name) {
+			continue
+		}
+		for e, n := range counts {
+			total[e] += n
+		}
+	}
+	for _, s := range value.SortedKeys(g.services()) {
+		for _, e := range g.book.Listed(s) {
+			e.Elsewhere = total[e.Name]
+		}
+	}
+}
+
+func (g *Gateway) services() map[ident.Service]struct{} {
+	services := map[ident.Service]struct{}{}
+	if g.catalog != nil {
+		for s := range g.catalog.Services {
+			services[s] = struct{}{}
+		}
+	}
+	return services
+}
+
+func (g *Gateway) sendResults(to ident.Instance, r message.StageResults) {
+	g.sendTo(to, message.Envelope{StageResults: &r})
+}
--- /dev/null
+++ b/kernel/gateway/request.go
@@ -0,0 +1,299 @@
+package gateway
+
+import (
+	"time"
+
+	"anvilcross/kernel/ident"
+	"anvilcross/kernel/message"
+	"anvilcross/kernel/published"
+	"anvilcross/kernel/timer"
+	"anvilcross/kernel/value"
+)
+
+// PromptPart is a part of a prompt that other requests may share.
+type PromptPart struct {
+	ID     string
+	Tokens int
+}
+
+// Arrival is a caller's request as it came in, whole.
+type Arrival struct {
+	ID   ident.RequestID
+	Host string
+	Path string
+	// Key is the caller's API key, or empty.
+	Key string
+	// Patience is how long the caller waits for the answer; zero if it did
+	// not say.
+	Patience time.Duration
+	// Pieces is the number of pieces of each stage.
+	Pieces   []int
+	PieceKey string
+	Prompt   []PromptPart
+	// PromptTokens and OutputTokens are the size of a generation.
+	PromptTokens int
+	OutputTokens int
+}
+
+// Answer is what the gateway itself tells a caller.
+type Answer int
+
+// The answers.
+const (
+	// NotRun means that the request has not run and will not.
+	NotRun Answer = iota
+	// UnknownRoute means that no route matches.
+	UnknownRoute
+	// UnknownKey means that no workspace holds the key.
+	UnknownKey
+	// MayHaveRun means that an endpoint got the request and its answer is lost.
+	MayHaveRun
+	// TimedOut means that the route's time is over; the request may have run.
+	TimedOut
+	// BrokenOff ends an answer that had begun, visibly incomplete.
+	BrokenOff
+)
+
+// String returns the answer's name for logs.
+func (a Answer) String() string {
+	return [...]string{"notRun", "unknownRoute", "unknownKey", "mayHaveRun", "timedOut", "brokenOff"}[a]
+}
+
+// Send asks the edge to send a request to an endpoint.
+type Send struct {
+	// Attempt numbers the attempts of a request; reports name it.
+	Attempt   AttemptID
+	Endpoint  ident.Endpoint
+	Address   string
+	Workspace ident.Workspace
+	// Left is how long the endpoint may work.
+	Left time.Duration
+	// Inputs are the stage results that a model endpoint fetches.
+	Inputs []message.ResultHandle
+	// Stream is set when events are passed on as they come; other answers
+	// are collected before they are passed on.
+	Stream bool
+	// Repeatable requests may be lost in the close of a connection.
+	Repeatable bool
+	// Resume is the last event that the caller got from an earlier attempt.
+	Resume string
+	// Continued is set when the answer's head was sent by an earlier attempt.
+	Continued bool
+}
+
+// Step is what the edge does next: send to an endpoint, or answer.
+type Step struct {
+	Send *Send
+	// Answer is used if Send is nil.
+	Answer     Answer
+	RetryAfter time.Duration
+	Reason     string
+}
+
+// AttemptID numbers the attempts of a request, so that a late report of an
+// earlier one is not taken for the current one's.
+type AttemptID int
+
+type attempt struct {
+	id       AttemptID
+	endpoint ident.Endpoint
+	started  time.Time
+	// written is set once the first byte may have reached the endpoint.
+	written bool
+	// begun is set once the endpoint's answer was passed on in part.
+	begun bool
+	hedge *timer.Subscription
+}
+
+type stageState struct {
+	stage     published.Stage
+	pieces    int
+	handles   []message.ResultHandle
+	missing   int
+	submitted bool
+	released  bool
+	// owner is the batcher that has the pieces, with its process.
+	owner       ident.Instance
+	incarnation ident.Incarnation
+	sentAt      time.Time
+	// followed is set if another stage needs the results.
+	followed bool
+}
+
+type request struct {
+	handle   Handle
+	arrival  Arrival
+	route    *published.Route
+	service  ident.Service
+	space    *published.Workspace
+	started  time.Time
+	deadline time.Time
+	timeout  *timer.Subscription
+	stages   []stageState
+	attempt  *attempt
+	attempts AttemptID
+	// sends counts the endpoints that may have run the request.
+	sends    int
+	declines int
+	remakes  int
+	mayRun   bool
+	begun    bool
+	resume   string
+	excluded value.Set[ident.Endpoint]
+	prefer   ident.DataCentre
+	finished bool
+}
+
+const (
+	// firstRetryAfter is what a caller is told that came before the
+	// configuration was known: about the time that it takes to read it.
+	firstRetryAfter = 500 * time.Millisecond
+	// busyRetryAfter is what a caller is told that finds no endpoint: the
+	// time after which an ejected endpoint is tried again.
+	busyRetryAfter = 700 * time.Millisecond
+	// defaultPatience is used for callers that name no deadline.
+	defaultPatience = 60 * time.Second
+	// answerSlack is how much sooner than the route's timeout a request is
+	// ended, so that the answer is there at the timeout.
+	answerSlack = 20 * time.Millisecond
+)
+
+// Arrive takes a request on, or answers it at once. The edge chooses the
+// handle; it must be new.
+func (g *Gateway) Arrive(h Handle, a Arrival) {
+	now := g.now()
+	g.counters.Arrived++
+	r := &request{handle: h, arrival: a, started: now, excluded: value.NewSet[ident.Endpoint]()}
+	g.requests[r.handle] = r
+	if !g.admit(r) {
+		return
+	}
+	g.byID[a.ID] = r
+	patience := a.Patience
+	if patience <= 0 {
+		patience = defaultPatience
+	}
+	patience = min(patience, r.route.Timeout)
+	r.deadline = now.Add(patience)
+	r.timeout = g.timers.After(patience-answerSlack, func() { g.timedOut(r) })
+	g.budget.request(now, r.service)
+	g.out.Event("arrived", "request", a.ID, "route", r.route.Name, "workspace", r.workspace(), "service", r.service, "version", g.catalog.Version, "patience", patience, "pieces", a.Pieces)
+	g.plan(r)
+	g.advance(r)
+}
+
+func (r *request) workspace() ident.Workspace {
+	if r.space == nil {
+		return ""
+	}
+	return r.space.Name
+}
+
+// admit checks route and key.
+func (g *Gateway) admit(r *request) bool {
+	if g.catalog == nil {
+		g.answer(r, NotRun, firstRetryAfter, "no configuration yet")
+		return false
+	}
+	route := g.catalog.Match(r.arrival.Host, r.arrival.Path)
+	if route == nil {
+		g.answer(r, UnknownRoute, 0, "no route")
+		return false
+	}
+	r.route = route
+	if g.catalog.Closed() && !route.Public {
+		r.space = g.catalog.Holder(r.arrival.Key)
+		if r.space == nil {
+			g.answer(r, UnknownKey, 0, "no workspace holds the key")
+			return false
+		}
+	}
+	r.service = g.target(route)
+	return true
+}
+
+// target draws one of a route's services by weight.
+func (g *Gateway) target(r *published.Route) ident.Service {
+	total := 0
+	for _, t := range r.Targets {
+		total += t.Weight
+	}
+	if total <= 0 {
+		return r.Targets[0].Service
+	}
+	n := g.random.IntN(total)
+	for _, t := range r.Targets {
+		if n < t.Weight {
+			return t.Service
+		}
+		n -= t.Weight
+	}
+	return r.Targets[len(r.Targets)-1].Service
+}
+
+// answer ends a request with the gateway's own words.
+func (g *Gateway) answer(r *request, a Answer, retryAfter time.Duration, reason string) {
+	if r.finished {
+		return
+	}
+	if r.begun {
+		a = BrokenOff
+	}
+	switch a {
+	case NotRun:
+		g.counters.Refused++
+	case TimedOut:
+		g.counters.TimedOut++
+	case MayHaveRun:
+		g.counters.Unknown++
+	}
+	g.out.Event("answered", "request", r.arrival.ID, "answer", a, "reason", reason, "after", g.now().Sub(r.started), "sends", r.sends, "retryAfter", retryAfter)
+	g.finish(r)
+	g.out.Step(r.handle, Step{Answer: a, RetryAfter: retryAfter, Reason: reason})
+}
+
+// finish takes a request off the books and gives back what it holds.
+func (g *Gateway) finish(r *request) {
+	if r.finished {
+		return
+	}
+	r.finished = true
+	g.timers.Stop(r.timeout)
+	g.endAttempt(r)
+	g.releaseAll(r)
+	delete(g.requests, r.handle)
+	if g.byID[r.arrival.ID] == r {
+		delete(g.byID, r.arrival.ID)
+	}
+}
+
+// timedOut ends a request whose time is over.
+func (g *Gateway) timedOut(r *request) {
+	if r.finished {
+		return
+	}
+	running := r.attempt != nil
+	if r.mayRun || running && r.attempt.written {
+		g.answer(r, TimedOut, 0, "the route's time is over")
+	} else {
+		g.answer(r, NotRun, busyRetryAfter, "the route's time is over, never sent")
+	}
+	if running {
+		g.out.Cancel(r.handle)
+	}
+}
+
+// Left takes in that the caller closed its connection.
+func (g *Gateway) Left(h Handle) {
+	r := g.requests[h]
+	if r == nil {
+		return
+	}
+	g.counters.Left++
+	g.out.Event("callerLeft", "request", r.arrival.ID, "after", g.now().Sub(r.started), "begun", r.begun)
+	running := r.attempt != nil
+	g.finish(r)
+	if running {
+		g.out.Cancel(h)
+	}
+}
--- /dev/null
+++ b/kernel/gateway/stages.go
@@ -0,0 +1,318 @@
+package gateway
+
+import (
+	"slices"
+	"time"
+
+	"anvilcross/kernel/batching"
+	"anvilcross/kernel/ident"
+	"anvilcross/kernel/message"
+	"anvilcross/kernel/value"
+)
+
+const (
+	// resubmitAfter is how long pieces may be outstanding at a living
+	// batcher before they are sent again: three full calls. What the
+	// batcher has already is not made twice.
+	resubmitAfter = 2 * time.Second
+	// stageEstimate is the time that a later stage takes: a full call and
+	// the wait for a free endpoint.
+	stageEstimate = 450 * time.Millisecond
+	// answerEstimate is the time from a model endpoint's getting the request
+	// to its first event at a moderate load.
+	answerEstimate = 200 * time.Millisecond
+	// maxRemakes bounds how often lost inputs of a request are made again.
+	maxRemakes = 4
+)
+
+// plan sets up the stages that a request has pieces for.
+func (g *Gateway) plan(r *request) {
+	for i, s := range r.route.Stages {
+		pieces := 0
+		if i < len(r.arrival.Pieces) {
+			pieces = r.arrival.Pieces[i]
+		}
+		r.stages = append(r.stages, stageState{stage: s, pieces: pieces, handles: make([]message.ResultHandle, pieces), missing: pieces})
+	}
+	for _, s := range r.stages {
+		for _, after := range s.stage.After {
+			if after >= 0 && after < len(r.stages) && s.pieces > 0 {
+				r.stages[after].followed = true
+			}
+		}
+	}
+	r.prefer = g.homeCentre(r)
+}
+
+// advance does what can be done next: submits stages whose inputs are there,
+// or sends the request when all stages are done.
+func (g *Gateway) advance(r *request) {
+	if r.finished {
+		return
+	}
+	complete := true
+	for i := range r.stages {
+		s := &r.stages[i]
+		if s.missing == 0 || r.consumed(i) {
+			continue
+		}
+		complete = false
+		if !s.submitted && g.inputsThere(r, s) {
+			g.submit(r, i)
+		}
+	}
+	if complete && r.attempt == nil {
+		g.dispatch(r)
+	}
+}
+
+// consumed reports whether all stages that need a stage's results are done.
+func (r *request) consumed(index int) bool {
+	for i := range r.stages {
+		s := &r.stages[i]
+		if s.missing > 0 && slices.Contains(s.stage.After, index) {
+			return false
+		}
+	}
+	return r.stages[index].followed
+}
+
+func (g *Gateway) inputsThere(r *request, s *stageState) bool {
+	for _, after := range s.stage.After {
+		if after >= 0 && after < len(r.stages) && r.stages[after].missing > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func (r *request) inputs(s *stageState) []message.ResultHandle {
+	var inputs []message.ResultHandle
+	for _, after := range s.stage.After {
+		if after >= 0 && after < len(r.stages) {
+			inputs = append(inputs, r.stages[after].handles...)
+		}
+	}
+	return inputs
+}
+
+// finalInputs are the results that the model endpoint fetches.
+func (r *request) finalInputs() []message.ResultHandle {
+	var inputs []message.ResultHandle
+	for i := range r.stages {
+		if !r.stages[i].followed {
+			inputs = append(inputs, r.stages[i].handles...)
+		}
+	}
+	return inputs
+}
+
+// chainAfter returns how many further stages depend on a stage, in a row.
+func (r *request) chainAfter(index int) int {
+	longest := 0
+	for i := range r.stages {
+		if r.stages[i].pieces > 0 && i > index && slices.Contains(r.stages[i].stage.After, index) {
+			longest = max(longest, 1+r.chainAfter(i))
+		}
+	}
+	return longest
+}
+
+// submit sends a stage's missing pieces to the instance that batches for its
+// service.
+func (g *Gateway) submit(r *request, index int) {
+	s := &r.stages[index]
+	now := g.now()
+	s.submitted = true
+	s.sentAt = now
+	s.owner = g.batcherOf(s.stage.Service)
+	s.incarnation = g.members.Incarnation(s.owner)
+	var pieces []int
+	for i, h := range s.handles {
+		if h == "" {
+			pieces = append(pieces, i)
+		}
+	}
+	objective := r.started.Add(r.route.Objective)
+	due := objective.Add(-answerEstimate - time.Duration(r.chainAfter(index))*stageEstimate)
+	w := message.StageWork{
+		Request:     r.arrival.ID,
+		Service:     s.stage.Service,
+		Stage:       index,
+		Pieces:      pieces,
+		ResultBytes: s.stage.ResultBytes,
+		Due:         due.Sub(now),
+		Deadline:    r.deadline.Sub(now),
+		Prefer:      r.prefer,
+	}
+	if len(s.stage.After) == 0 {
+		w.Key = r.arrival.PieceKey
+	} else {
+		w.Inputs = r.inputs(s)
+	}
+	g.sendTo(s.owner, message.Envelope{StageWork: &w})
+}
+
+// handleResults takes in what became of pieces.
+func (g *Gateway) handleResults(m message.StageResults) {
+	touched := map[Handle]*request{}
+	for _, p := range m.Results {
+		r := g.byID[p.ID.Request]
+		if r == nil || p.ID.Stage >= len(r.stages) || p.ID.Piece >= r.stages[p.ID.Stage].pieces {
+			g.giveBack(m.Service, p)
+			continue
+		}
+		s := &r.stages[p.ID.Stage]
+		switch p.Outcome {
+		case message.PieceDone:
+			if s.handles[p.ID.Piece] != "" || s.released {
+				if s.handles[p.ID.Piece] != p.Handle {
+					g.giveBack(m.Service, p)
+				}
+				continue
+			}
+			s.handles[p.ID.Piece] = p.Handle
+			s.missing--
+		case message.PieceInputGone:
+			s.submitted = false
+			g.remakeInputs(r, s)
+		default:
+			g.answer(r, g.lossOf(r), busyRetryAfter, "stage piece "+string(p.Outcome))
+			continue
+		}
+		touched[r.handle] = r
+	}
+	for _, h := range value.SortedKeys(touched) {
+		r := touched[h]
+		g.releaseConsumed(r)
+		g.advance(r)
+	}
+}
+
+// lossOf is what a request is told that cannot be served any more.
+func (g *Gateway) lossOf(r *request) Answer {
+	if r.mayRun {
+		return MayHaveRun
+	}
+	return NotRun
+}
+
+// giveBack frees a result that nobody here needs.
+func (g *Gateway) giveBack(s ident.Service, p message.PieceResult) {
+	if p.Handle == "" {
+		return
+	}
+	g.sendTo(g.batcherOf(s), message.Envelope{StageRelease: &message.StageRelease{Service: s, Request: p.ID.Request, Handles: []message.ResultHandle{p.Handle}}})
+}
+
+// remakeInputs lets the inputs of a stage be made again, as far as they may
+// be lost.
+func (g *Gateway) remakeInputs(r *request, s *stageState) {
+	var lost []int
+	for _, after := range s.stage.After {
+		if after < len(r.stages) {
+			lost = append(lost, after)
+		}
+	}
+	g.remake(r, lost)
+}
+
+// remake lets results of stages be made again: those whose maker is gone or
+// out of reach, or all of them if that explains nothing.
+func (g *Gateway) remake(r *request, indexes []int) {
+	r.remakes++
+	g.counters.InputsRemade++
+	if r.remakes > maxRemakes {
+		g.answer(r, g.lossOf(r), busyRetryAfter, "stage results lost repeatedly")
+		return
+	}
+	now := g.now()
+	found := false
+	for pass := 0; pass < 2 && !found; pass++ {
+		for _, index := range indexes {
+			s := &r.stages[index]
+			for i, h := range s.handles {
+				e := g.book.At(batching.Address(h))
+				if h == "" || pass == 0 && !s.released && e != nil && !e.Ejected(now) {
+					continue
+				}
+				found = true
+				s.handles[i] = ""
+				s.missing++
+				s.submitted = false
+			}
+			s.released = s.released && s.missing == 0
+		}
+	}
+	g.out.Event("resultsLost", "request", r.arrival.ID, "stages", indexes, "remakes", r.remakes)
+	for _, index := range indexes {
+		if s := &r.stages[index]; s.missing > 0 && !g.inputsThere(r, s) {
+			g.remakeInputs(r, s)
+		}
+	}
+}
+
+// releaseConsumed gives back the results that all later stages have used.
+func (g *Gateway) releaseConsumed(r *request) {
+	for i := range r.stages {
+		s := &r.stages[i]
+		if s.followed && s.missing == 0 && !s.released && r.consumed(i) {
+			g.release(r, s, false)
+		}
+	}
+}
+
+// releaseAll gives back and withdraws all that a request has at batchers.
+func (g *Gateway) releaseAll(r *request) {
+	for i := range r.stages {
+		s := &r.stages[i]
+		if s.pieces > 0 && (s.submitted || s.missing < s.pieces) && !s.released {
+			g.release(r, s, s.missing > 0)
+		}
+	}
+}
+
+func (g *Gateway) release(r *request, s *stageState, withdraw bool) {
+	s.released = true
+	m := message.StageRelease{Service: s.stage.Service, Request: r.arrival.ID, Withdrawn: withdraw}
+	for _, h := range s.handles {
+		if h != "" {
+			m.Handles = append(m.Handles, h)
+		}
+	}
+	owner := s.owner
+	if !g.members.Alive(g.now(), owner) {
+		owner = g.batcherOf(s.stage.Service)
+	}
+	g.sendTo(owner, message.Envelope{StageRelease: &m})
+}
+
+// batcherOf returns the instance that batches for a service, as far as this
+// one knows the fleet.
+func (g *Gateway) batcherOf(s ident.Service) ident.Instance {
+	return g.members.Owner(g.now(), "batcher/"+string(s))
+}
+
+// reviewPieces sends outstanding pieces again whose batcher is gone, was
+// replaced, or has been silent for long.
+func (g *Gateway) reviewPieces(now time.Time) {
+	for _, h := range value.SortedKeys(g.requests) {
+		r := g.requests[h]
+		if r == nil {
+			continue
+		}
+		for i := range r.stages {
+			s := &r.stages[i]
+			if !s.submitted || s.missing == 0 || s.released {
+				continue
+			}
+			lost := !g.members.Alive(now, s.owner) && g.batcherOf(s.stage.Service) != s.owner
+			replaced := g.members.Incarnation(s.owner) != s.incarnation
+			if lost || replaced || now.Sub(s.sentAt) > resubmitAfter {
+				g.counters.PiecesResubmitted += s.missing
+				g.out.Event("piecesResubmitted", "request", r.arrival.ID, "stage", i, "pieces", s.missing, "batcher", s.owner, "lost", lost, "replaced", replaced, "age", now.Sub(s.sentAt))
+				g.submit(r, i)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/kernel/message/batching.go
@@ -0,0 +1,98 @@
+package message
+
+import (
+	"time"
+
+	"anvilcross/kernel/blame"
+	"anvilcross/kernel/ident"
+	"anvilcross/kernel/membership"
+	"anvilcross/kernel/replica"
+)
+
+// Ping tells others that the sender lives, whom it knows, and what it knows
+// of the platform and of endpoints.
+type Ping struct {
+	Member  membership.Member   `json:"member"`
+	Ready   bool                `json:"ready,omitempty"`
+	Leaving bool                `json:"leaving,omitempty"`
+	Members []membership.Member `json:"members,omitempty"`
+	// AsOf is the platform's revision up to which the sender knows all.
+	AsOf replica.Revision `json:"asOf"`
+	// Running counts the sender's requests by model endpoint.
+	Running map[ident.Endpoint]int `json:"running,omitempty"`
+	// Blamed are the contents that crashed endpoints lately.
+	Blamed []blame.Report `json:"blamed,omitempty"`
+}
+
+// Records passes published records on.
+type Records struct {
+	Records []replica.Record `json:"records,omitempty"`
+	AsOf    replica.Revision `json:"asOf"`
+}
+
+// ResultHandle names a stage result: the maker's address and a key there.
+type ResultHandle string
+
+// PieceID names one piece of a stage of a request.
+type PieceID struct {
+	Request ident.RequestID `json:"request"`
+	Stage   int             `json:"stage"`
+	Piece   int             `json:"piece"`
+}
+
+// StageWork asks a batcher for pieces of one stage of one request.
+type StageWork struct {
+	Request ident.RequestID `json:"request"`
+	Service ident.Service   `json:"service"`
+	Stage   int             `json:"stage"`
+	Pieces  []int           `json:"pieces"`
+	Key     string          `json:"key,omitempty"`
+	Inputs  []ResultHandle  `json:"inputs,omitempty"`
+	// ResultBytes is the approximate size of one result.
+	ResultBytes int `json:"resultBytes"`
+	// Due is how much time is left, at sending, until the pieces have to be
+	// done for the request to be on time; Deadline until it is of no use.
+	Due      time.Duration `json:"due"`
+	Deadline time.Duration `json:"deadline"`
+	// Worth is the request's worth for each piece that it needs.
+	Worth float64 `json:"worth"`
+	// Prefer is the data centre where the results will be used.
+	Prefer ident.DataCentre `json:"prefer,omitempty"`
+}
+
+// PieceOutcome is what became of a piece.
+type PieceOutcome string
+
+// The outcomes of pieces.
+const (
+	// PieceDone has a result.
+	PieceDone PieceOutcome = "done"
+	// PieceLate was not made since its deadline had passed.
+	PieceLate PieceOutcome = "late"
+	// PieceInputGone lacks an input that does not exist any more.
+	PieceInputGone PieceOutcome = "inputGone"
+	// PieceFailed failed at the endpoint, repeatedly.
+	PieceFailed PieceOutcome = "failed"
+)
+
+// PieceResult tells what became of a piece.
+type PieceResult struct {
+	ID      PieceID      `json:"id"`
+	Outcome PieceOutcome `json:"outcome"`
+	Handle  ResultHandle `json:"handle,omitempty"`
+}
+
+// StageResults answers StageWork, piece by piece.
+type StageResults struct {
+	Service ident.Service `json:"service"`
+	Results []PieceResult `json:"results"`
+}
+
+// StageRelease withdraws pieces that are not needed any more, and gives back
+// results.
+type StageRelease struct {
+	Service   ident.Service   `json:"service"`
+	Request   ident.RequestID `json:"request"`
+	Withdrawn bool            `json:"withdrawn,omitempty"`
+	Handles   []ResultHandle  `json:"handles,omitempty"`
+}
--- a/kernel/message/message.go
+++ b/kernel/message/message.go
@@ -40,6 +40,12 @@
 	HandOver      *HandOver            `json:"handOver,omitempty"`
 	HandedOver    *HandedOver          `json:"handedOver,omitempty"`
 	Successor     *Successor           `json:"successor,omitempty"`
+
+	Ping         *Ping         `json:"ping,omitempty"`
+	Records      *Records      `json:"records,omitempty"`
+	StageWork    *StageWork    `json:"stageWork,omitempty"`
+	StageResults *StageResults `json:"stageResults,omitempty"`
+	StageRelease *StageRelease `json:"stageRelease,omitempty"`
 }
 
 // Sync carries all that a seat remembers for a recovering one.
