Order stage pieces by weight where not all can be on time

Change: Moore and Hodgson's rule over the estimated turns, weights from the operators' priorities; late pieces that build on results keep a target before those expire. A prompt's shared part has one home, since reading it again is priced about 15 times higher than a result that crosses data centres.

--- a/anvilcrossd/entry/entry.go
+++ b/anvilcrossd/entry/entry.go
@@ -301,6 +301,8 @@
 	if err != nil {
 		return c.left()
 	}
-	c.do(func(g *gateway.Gateway) { g.Relayed(c.exchange.handle, send.Attempt, response.StatusCode) })
+	c.do(func(g *gateway.Gateway) {
+		g.Relayed(c.exchange.handle, send.Attempt, gateway.Delivery{Status: response.StatusCode})
+	})
 	return relayed
 }
--- a/anvilcrossd/entry/stream.go
+++ b/anvilcrossd/entry/stream.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -57,7 +58,8 @@
 	events := &eventReader{reader: bufio.NewReader(response.Body)}
 	flusher := http.NewResponseController(c.writer)
 	resume := send.Resume
-	begun := false
+	delivery := gateway.Delivery{Status: response.StatusCode}
+	var last time.Time
 	for {
 		event, err := events.next()
 		if c.caller.Context().Err() != nil {
@@ -82,13 +84,18 @@
 			if events.id != "" {
 				resume = events.id
 			}
-			if !begun {
-				begun = true
+			delivery.Events++
+			now := time.Now()
+			if delivery.Events > 1 {
+				delivery.LongestGap = max(delivery.LongestGap, now.Sub(last))
+			}
+			last = now
+			if delivery.Events == 1 {
 				c.do(func(g *gateway.Gateway) { g.Begun(c.exchange.handle, send.Attempt) })
 			}
 		}
 		if err == io.EOF {
-			c.do(func(g *gateway.Gateway) { g.Relayed(c.exchange.handle, send.Attempt, response.StatusCode) })
+			c.do(func(g *gateway.Gateway) { g.Relayed(c.exchange.handle, send.Attempt, delivery) })
 			return relayed
 		}
 	}
--- a/kernel/batching/batching.go
+++ b/kernel/batching/batching.go
@@ -129,6 +129,9 @@
 	maxTries = 6
 	// maxWaiting bounds the pieces that wait for one service.
 	maxWaiting = 20000
+	// nearSlack is by how much a large result that is used in another data
+	// centre may be delayed to be made there: a fifth of a call.
+	nearSlack = 80 * time.Millisecond
 	// handleNetwork is added to an endpoint's keep time before the room of a
 	// result that nobody freed is counted as free.
 	handleNetwork = 300 * time.Millisecond
@@ -158,6 +161,8 @@
 	tries int
 	calls int
 	since time.Time
+	// rank is the piece's place in the last ordering, as a time.
+	rank time.Duration
 	// handle and booked are set for a result that is kept.
 	handle message.ResultHandle
 }
@@ -361,7 +366,7 @@
 	if batches == nil || len(q.waiting) == 0 {
 		return
 	}
-	b.order(q)
+	b.order(s, q, batches)
 	for len(q.waiting) > 0 {
 		free, all := b.idle(s, batches)
 		if len(free) == 0 {
--- a/kernel/batching/dispatch.go
+++ b/kernel/batching/dispatch.go
@@ -9,36 +9,9 @@
 	"anvilcross/kernel/ident"
 	"anvilcross/kernel/message"
 	"anvilcross/kernel/published"
+	"anvilcross/kernel/value"
 )
 
-// order sorts the waiting pieces: those whose request can still be on time
-// come first, by the time at which they have to be done; the late ones follow.
-func (b *Batcher) order(q *queue) {
-	now := b.now()
-	q.waiting = slices.DeleteFunc(q.waiting, func(p *piece) bool {
-		if p.work.deadline.After(now) {
-			return false
-		}
-		b.stats.LatePieces++
-		delete(b.pieces, p.id)
-		b.report(p, message.PieceLate)
-		return true
-	})
-	slices.SortStableFunc(q.waiting, func(x, y *piece) int {
-		lateX, lateY := x.work.due.Before(now), y.work.due.Before(now)
-		if lateX != lateY {
-			if lateX {
-				return 1
-			}
-			return -1
-		}
-		if c := x.work.due.Compare(y.work.due); c != 0 {
-			return c
-		}
-		return cmp.Compare(x.id.Piece, y.id.Piece)
-	})
-}
-
 // idle returns the endpoints that can take a call now, and the number of
 // endpoints in use.
 func (b *Batcher) idle(s ident.Service, batches *published.Batches) ([]*endpoints.Endpoint, int) {
@@ -96,24 +69,48 @@
 		most = 1
 	}
 	room := batches.ResultBytes - m.booked
-	var taken []*piece
-	kept := q.waiting[:0]
-	for _, p := range q.waiting {
+	taken := value.NewSet[int]()
+	for _, i := range b.nearFirst(q.waiting, e) {
+		p := q.waiting[i]
 		if len(taken) < most && p.work.ResultBytes <= room && !b.betterElsewhere(p, e, batches, idle) {
 			room -= p.work.ResultBytes
-			taken = append(taken, p)
-			continue
+			taken.Add(i)
 		}
-		kept = append(kept, p)
 	}
-	q.waiting = kept
 	if len(taken) == 0 {
 		return false
 	}
-	b.start(s, batches, e, m, taken)
+	var pieces []*piece
+	kept := q.waiting[:0]
+	for i, p := range q.waiting {
+		if taken.Has(i) {
+			pieces = append(pieces, p)
+		} else {
+			kept = append(kept, p)
+		}
+	}
+	q.waiting = kept
+	b.start(s, batches, e, m, pieces)
 	return true
 }
 
+// nearFirst returns the order in which pieces are offered to an endpoint:
+// large results that are used in another data centre come later than their
+// urgency says, by at most nearSlack.
+func (b *Batcher) nearFirst(pieces []*piece, e *endpoints.Endpoint) []int {
+	order := make([]int, len(pieces))
+	rank := make([]time.Duration, len(pieces))
+	for i, p := range pieces {
+		order[i] = i
+		rank[i] = p.rank
+		if p.work.ResultBytes >= largeResult && p.work.Prefer != "" && p.work.Prefer != e.DataCentre {
+			rank[i] += nearSlack
+		}
+	}
+	slices.SortStableFunc(order, func(x, y int) int { return cmp.Compare(rank[x], rank[y]) })
+	return order
+}
+
 // largeResult is the size above which the data centre of a result matters
 // more than a fuller call.
 const largeResult = 200_000
--- a/kernel/gateway/attempts.go
+++ b/kernel/gateway/attempts.go
@@ -137,8 +137,10 @@
 // endpoint has read its inputs.
 func (g *Gateway) Begun(h Handle, id AttemptID) {
 	if r := g.current(h, id); r != nil {
+		if !r.begun {
+			r.firstAfter = g.now().Sub(r.started)
+		}
 		r.begun = true
-		g.out.Event("streaming", "request", r.arrival.ID, "after", g.now().Sub(r.started))
 		g.releaseAll(r)
 	}
 }
@@ -162,14 +164,23 @@
 	return true
 }
 
+// Delivery describes an answer that went to its caller whole.
+type Delivery struct {
+	Status int
+	// Events is the number of a stream's events, and LongestGap the longest
+	// pause between two of them.
+	Events     int
+	LongestGap time.Duration
+}
+
 // Relayed takes in that the whole answer went to the caller.
-func (g *Gateway) Relayed(h Handle, id AttemptID, status int) {
+func (g *Gateway) Relayed(h Handle, id AttemptID, d Delivery) {
 	r := g.current(h, id)
 	if r == nil {
 		return
 	}
 	g.counters.Relayed++
-	g.out.Event("relayed", "request", r.arrival.ID, "status", status, "after", g.now().Sub(r.started), "sends", r.sends)
+	g.out.Event("relayed", "request", r.arrival.ID, "route", r.route.Name, "status", d.Status, "after", g.now().Sub(r.started), "firstAfter", r.firstAfter, "objective", r.route.Objective, "events", d.Events, "longestGap", d.LongestGap, "sends", r.sends)
 	g.finish(r)
 }
 
--- a/kernel/gateway/choose.go
+++ b/kernel/gateway/choose.go
@@ -16,17 +16,18 @@
 	// read about 100 tokens in a millisecond.
 	perToken = 0.01
 	// perCrossByte is the cost of a result byte that crosses data centres:
-	// 100 ms for a large result of 0.8 MB.
-	perCrossByte = 100.0 / 800_000
+	// 4 ms for a large result of 0.8 MB, by the ratio of the deployments'
+	// prices for results that cross and for tokens that are read again.
+	perCrossByte = 4.0 / 800_000
 	// perRunning is the cost of each request that runs at a model endpoint:
 	// it slows every token of the others.
-	perRunning = 6.0
+	perRunning = 4.0
 	// crossTrip is the cost of a request that crosses data centres: a round
 	// trip of about 7 ms.
 	crossTrip = 7.0
 	// centreHomeUnread is the share of a shared prompt part that is expected
 	// to be missing at a data centre's own home of the part.
-	centreHomeUnread = 0.4
+	centreHomeUnread = 0.9
 	// failingCost is the cost of an endpoint that fails every request.
 	failingCost = 2000.0
 )
--- a/kernel/gateway/request.go
+++ b/kernel/gateway/request.go
@@ -138,10 +138,12 @@
 	remakes  int
 	mayRun   bool
 	begun    bool
-	resume   string
-	excluded value.Set[ident.Endpoint]
-	prefer   ident.DataCentre
-	finished bool
+	// firstAfter is the time from the arrival to the first event.
+	firstAfter time.Duration
+	resume     string
+	excluded   value.Set[ident.Endpoint]
+	prefer     ident.DataCentre
+	finished   bool
 }
 
 const (
--- a/kernel/gateway/stages.go
+++ b/kernel/gateway/stages.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -144,6 +145,7 @@
 		Due:         due.Sub(now),
 		Deadline:    r.deadline.Sub(now),
 		Prefer:      r.prefer,
+		Weight:      r.weight(),
 	}
 	if len(s.stage.After) == 0 {
 		w.Key = r.arrival.PieceKey
@@ -153,6 +155,20 @@
 	g.sendTo(s.owner, message.Envelope{StageWork: &w})
 }
 
+// weightBase is the ratio of the weights of two neighbouring priorities: a
+// request goes before three of the next lower priority.
+const weightBase = 3.0
+
+// weight ranks the request against others when not all can be on time. The
+// workspace's priority goes before that of the route.
+func (r *request) weight() float64 {
+	priority := r.route.Priority
+	if r.space != nil && r.space.HasPriority {
+		priority = r.space.Priority
+	}
+	return math.Pow(weightBase, -float64(priority))
+}
+
 // handleResults takes in what became of pieces.
 func (g *Gateway) handleResults(m message.StageResults) {
 	touched := map[Handle]*request{}
--- a/kernel/message/batching.go
+++ b/kernel/message/batching.go
@@ -54,8 +54,8 @@
 	// done for the request to be on time; Deadline until it is of no use.
 	Due      time.Duration `json:"due"`
 	Deadline time.Duration `json:"deadline"`
-	// Worth is the request's worth for each piece that it needs.
-	Worth float64 `json:"worth"`
+	// Weight ranks requests when not all can be on time.
+	Weight float64 `json:"weight"`
 	// Prefer is the data centre where the results will be used.
 	Prefer ident.DataCentre `json:"prefer,omitempty"`
 }
