Ask before the first byte whether a request may still be written

Ruled out: a late report (the log shows the answer before the write). Change: h1 asks MayWrite right before the first byte; a withdrawn attempt is never written. Stage pieces also prefer the data centre of their inputs and readers; prompts' homes are weighted by stage endpoints.

--- a/anvilcrossd/entry/entry.go
+++ b/anvilcrossd/entry/entry.go
@@ -238,7 +238,10 @@
 		Body:    c.body,
 		Fresh:   !send.Repeatable,
 		Accepts: func(r *http.Response) bool { return platform.Belongs(c.caller, r) },
-		Written: func() { c.do(func(g *gateway.Gateway) { g.Written(h, send.Attempt) }) },
+		MayWrite: func() (may bool) {
+			c.do(func(g *gateway.Gateway) { may = g.MayWrite(h, send.Attempt) })
+			return may
+		},
 	})
 	if c.caller.Context().Err() != nil {
 		if err == nil {
--- a/anvilcrossd/h1/h1.go
+++ b/anvilcrossd/h1/h1.go
@@ -79,8 +79,9 @@
 	Fresh bool
 	// Accepts tells whether an answer belongs to this request.
 	Accepts func(*http.Response) bool
-	// Written is called right before the first byte is written.
-	Written func()
+	// MayWrite is asked right before the first byte is written; if it says no,
+	// nothing is written.
+	MayWrite func() bool
 }
 
 type connection struct {
@@ -225,8 +226,8 @@
 
 func (x *exchange) run() (*Response, error) {
 	head := x.head()
-	if x.request.Written != nil {
-		x.request.Written()
+	if x.request.MayWrite != nil && !x.request.MayWrite() {
+		return nil, errors.Annotate(ErrUnreached, "given up before the first byte")
 	}
 	if len(x.request.Body) <= smallBody {
 		head = append(head, x.request.Body...)
--- a/kernel/batching/batching.go
+++ b/kernel/batching/batching.go
@@ -129,9 +129,16 @@
 	maxTries = 6
 	// maxWaiting bounds the pieces that wait for one service.
 	maxWaiting = 20000
-	// nearSlack is by how much a large result that is used in another data
-	// centre may be delayed to be made there: a fifth of a call.
-	nearSlack = 80 * time.Millisecond
+	// largeResult is the traffic between data centres that a piece is moved
+	// to another endpoint for.
+	largeResult = 200_000
+	// nearSlack is by how much a piece may be delayed to spare largeResult
+	// bytes between data centres, up to maxNearSlack: a third of a call.
+	nearSlack    = 40 * time.Millisecond
+	maxNearSlack = 150 * time.Millisecond
+	// crossWeight weighs largeResult bytes between data centres against an
+	// endpoint's whole room, in the choice of a free endpoint.
+	crossWeight = 0.5
 	// handleNetwork is added to an endpoint's keep time before the room of a
 	// result that nobody freed is counted as free.
 	handleNetwork = 300 * time.Millisecond
@@ -152,6 +159,7 @@
 	due      time.Time
 	deadline time.Time
 	since    time.Time
+	inputsBy inputBytes
 }
 
 type piece struct {
@@ -264,7 +272,7 @@
 // answered from what is known.
 func (b *Batcher) Submit(from ident.Instance, s message.StageWork) {
 	now := b.now()
-	w := &work{StageWork: s, origin: from, due: now.Add(s.Due), deadline: now.Add(s.Deadline), since: now}
+	w := &work{StageWork: s, origin: from, due: now.Add(s.Due), deadline: now.Add(s.Deadline), since: now, inputsBy: b.inputsOf(s)}
 	q := b.queue(s.Service)
 	for _, index := range s.Pieces {
 		id := message.PieceID{Request: s.Request, Stage: s.Stage, Piece: index}
--- a/kernel/batching/dispatch.go
+++ b/kernel/batching/dispatch.go
@@ -95,25 +95,53 @@
 }
 
 // nearFirst returns the order in which pieces are offered to an endpoint:
-// large results that are used in another data centre come later than their
-// urgency says, by at most nearSlack.
+// those that would move many bytes between data centres come later than their
+// urgency says, by at most maxNearSlack.
 func (b *Batcher) nearFirst(pieces []*piece, e *endpoints.Endpoint) []int {
 	order := make([]int, len(pieces))
 	rank := make([]time.Duration, len(pieces))
 	for i, p := range pieces {
 		order[i] = i
 		rank[i] = p.rank
-		if p.work.ResultBytes >= largeResult && p.work.Prefer != "" && p.work.Prefer != e.DataCentre {
-			rank[i] += nearSlack
-		}
+		rank[i] += min(time.Duration(b.crossing(p, e.DataCentre))*nearSlack/largeResult, maxNearSlack)
 	}
 	slices.SortStableFunc(order, func(x, y int) int { return cmp.Compare(rank[x], rank[y]) })
 	return order
 }
 
-// largeResult is the size above which the data centre of a result matters
-// more than a fuller call.
-const largeResult = 200_000
+// crossing returns the bytes that move between data centres if a piece is
+// made in the given one: its inputs, and its result to those that fetch it.
+func (b *Batcher) crossing(p *piece, centre ident.DataCentre) int {
+	bytes := p.work.inputsBy.total - p.work.inputsBy.centres[centre]
+	if p.work.Prefer != "" && p.work.Prefer != centre {
+		bytes += p.work.ResultBytes * p.work.Readers
+	}
+	return bytes
+}
+
+func (b *Batcher) crossingOf(pieces []*piece, centre ident.DataCentre) int {
+	total := 0
+	for _, p := range pieces {
+		total += b.crossing(p, centre)
+	}
+	return total
+}
+
+// inputBytes sums up inputs by the data centre of their makers.
+type inputBytes struct {
+	total   int
+	centres map[ident.DataCentre]int
+}
+
+func (b *Batcher) inputsOf(s message.StageWork) inputBytes {
+	in := inputBytes{total: len(s.Inputs) * s.InputBytes, centres: map[ident.DataCentre]int{}}
+	for _, h := range s.Inputs {
+		if e := b.config.Book.At(Address(h)); e != nil {
+			in.centres[e.DataCentre] += s.InputBytes
+		}
+	}
+	return in
+}
 
 // choose takes the free endpoint for the most urgent piece that fits
 // somewhere: in the data centre where its result is used if possible, else
@@ -129,9 +157,7 @@
 				continue
 			}
 			score := float64(room)/float64(batches.ResultBytes) + 1/m.speed
-			if e.DataCentre == p.work.Prefer {
-				score += 2
-			}
+			score -= crossWeight * float64(b.crossing(p, e.DataCentre)) / largeResult
 			if best == nil || score > bestScore {
 				best, bestScore = e, score
 			}
@@ -143,14 +169,16 @@
 	return nil
 }
 
-// betterElsewhere reports whether a large piece can go to another free
-// endpoint in the data centre where its result is used.
+// betterElsewhere reports whether a piece can go to another free endpoint with
+// much less traffic between data centres.
 func (b *Batcher) betterElsewhere(p *piece, e *endpoints.Endpoint, batches *published.Batches, idle []*endpoints.Endpoint) bool {
-	if p.work.ResultBytes < largeResult || p.work.Prefer == "" || e.DataCentre == p.work.Prefer {
+	here := b.crossing(p, e.DataCentre)
+	if here < largeResult {
 		return false
 	}
 	for _, o := range idle {
-		if o.DataCentre == p.work.Prefer && batches.ResultBytes-b.maker(o.Name).booked >= p.work.ResultBytes {
+		fits := batches.ResultBytes-b.maker(o.Name).booked >= p.work.ResultBytes
+		if fits && here-b.crossing(p, o.DataCentre) >= largeResult {
 			return true
 		}
 	}
@@ -170,6 +198,7 @@
 		m.booked += p.work.ResultBytes
 		items[i] = Item{ID: p.id, Remaining: p.work.deadline.Sub(now), Key: p.work.Key, Inputs: p.work.Inputs}
 	}
+	b.config.Output.Event("stageCall", "call", c.id, "service", s, "endpoint", e.Name, "at", e.DataCentre, "pieces", len(pieces), "waiting", len(b.queue(s).waiting), "booked", m.booked, "crossing", b.crossingOf(pieces, e.DataCentre), "oldest", now.Sub(pieces[0].since))
 	m.calls++
 	m.lastCall = now
 	b.calls[c.id] = c
--- a/kernel/gateway/attempts.go
+++ b/kernel/gateway/attempts.go
@@ -113,11 +113,16 @@
 	return r
 }
 
-// Written takes in that a request's first byte went out to its endpoint.
-func (g *Gateway) Written(h Handle, id AttemptID) {
-	if r := g.current(h, id); r != nil {
-		r.attempt.written = true
+// MayWrite is asked by the edge right before the first byte of an attempt
+// goes out. Once it has said yes, the request may have run; if it says no, the
+// gateway may have told the caller meanwhile that the request has not run.
+func (g *Gateway) MayWrite(h Handle, id AttemptID) bool {
+	r := g.current(h, id)
+	if r == nil {
+		return false
 	}
+	r.attempt.written = true
+	return true
 }
 
 // Headed takes in that an endpoint's usable answer has begun.
--- a/kernel/gateway/choose.go
+++ b/kernel/gateway/choose.go
@@ -48,14 +48,17 @@
 }
 
 // homes returns the endpoint that is the home of a prompt part, and the homes
-// within each data centre, by rendezvous hashing.
-func homes(part string, candidates []*endpoints.Endpoint) (*endpoints.Endpoint, map[ident.DataCentre]*endpoints.Endpoint) {
+// within each data centre, by rendezvous hashing with weights.
+func homes(part string, candidates []*endpoints.Endpoint, weights map[ident.DataCentre]float64) (*endpoints.Endpoint, map[ident.DataCentre]*endpoints.Endpoint) {
 	var home *endpoints.Endpoint
-	var homeScore uint64
-	scores := map[ident.DataCentre]uint64{}
+	var homeScore float64
+	scores := map[ident.DataCentre]float64{}
 	centres := map[ident.DataCentre]*endpoints.Endpoint{}
 	for _, e := range candidates {
-		score := ident.Score(part, string(e.Name))
+		// A uniform number to the power of 1/weight wins in proportion to the
+		// weight; the logarithm keeps the order.
+		uniform := (float64(ident.Score(part, string(e.Name))>>11) + 0.5) / (1 << 53)
+		score := math.Log(uniform) / max(weights[e.DataCentre], minHomeWeight)
 		if home == nil || score > homeScore {
 			home, homeScore = e, score
 		}
@@ -66,13 +69,35 @@
 	return home, centres
 }
 
+// minHomeWeight keeps endpoints in data centres without stage endpoints in use.
+const minHomeWeight = 0.1
+
+// centreWeights returns the stage endpoints for each model endpoint, by data
+// centre: prompts find their homes where the results that they need are made.
+func (g *Gateway) centreWeights(r *request, candidates []*endpoints.Endpoint) map[ident.DataCentre]float64 {
+	weights := map[ident.DataCentre]float64{}
+	models := map[ident.DataCentre]float64{}
+	for _, e := range candidates {
+		models[e.DataCentre]++
+	}
+	for _, s := range r.route.Stages {
+		for _, e := range g.book.Listed(s.Service) {
+			if models[e.DataCentre] > 0 {
+				weights[e.DataCentre] += 1 / models[e.DataCentre]
+			}
+		}
+	}
+	return weights
+}
+
 // homeCentre returns the data centre where a request's results are best made.
 func (g *Gateway) homeCentre(r *request) ident.DataCentre {
 	if !r.route.Engine {
 		return ""
 	}
 	part, _ := r.sharedPart()
-	home, _ := homes(part, g.book.Candidates(g.now(), r.service, nil))
+	candidates := g.book.Candidates(g.now(), r.service, nil)
+	home, _ := homes(part, candidates, g.centreWeights(r, candidates))
 	if home == nil {
 		return ""
 	}
@@ -102,7 +127,7 @@
 
 func (g *Gateway) chooseEngine(now time.Time, r *request, candidates []*endpoints.Endpoint) *endpoints.Endpoint {
 	part, tokens := r.sharedPart()
-	home, centres := homes(part, candidates)
+	home, centres := homes(part, candidates, g.centreWeights(r, candidates))
 	resultBytes := map[ident.DataCentre]int{}
 	total := 0
 	for i := range r.stages {
--- a/kernel/gateway/stages.go
+++ b/kernel/gateway/stages.go
@@ -119,6 +119,21 @@
 	return longest
 }
 
+// readers returns how often each result of a stage is fetched: by every piece
+// of the stages that need it, or by the model endpoint.
+func (r *request) readers(index int) int {
+	if !r.stages[index].followed {
+		return 1
+	}
+	readers := 0
+	for i := range r.stages {
+		if slices.Contains(r.stages[i].stage.After, index) {
+			readers += r.stages[i].pieces
+		}
+	}
+	return readers
+}
+
 // submit sends a stage's missing pieces to the instance that batches for its
 // service.
 func (g *Gateway) submit(r *request, index int) {
@@ -142,6 +157,7 @@
 		Stage:       index,
 		Pieces:      pieces,
 		ResultBytes: s.stage.ResultBytes,
+		Readers:     r.readers(index),
 		Due:         due.Sub(now),
 		Deadline:    r.deadline.Sub(now),
 		Prefer:      r.prefer,
@@ -151,6 +167,9 @@
 		w.Key = r.arrival.PieceKey
 	} else {
 		w.Inputs = r.inputs(s)
+		for _, after := range s.stage.After {
+			w.InputBytes = max(w.InputBytes, r.stages[after].stage.ResultBytes)
+		}
 	}
 	g.sendTo(s.owner, message.Envelope{StageWork: &w})
 }
--- a/kernel/message/batching.go
+++ b/kernel/message/batching.go
@@ -50,6 +50,10 @@
 	Inputs  []ResultHandle  `json:"inputs,omitempty"`
 	// ResultBytes is the approximate size of one result.
 	ResultBytes int `json:"resultBytes"`
+	// Readers is how many pieces or endpoints fetch each result, and
+	// InputBytes the size of each input.
+	Readers    int `json:"readers"`
+	InputBytes int `json:"inputBytes,omitempty"`
 	// Due is how much time is left, at sending, until the pieces have to be
 	// done for the request to be on time; Deadline until it is of no use.
 	Due      time.Duration `json:"due"`
