Free stage results once they are fetched where room is short

Results were held through the whole next call, and booked as free 30 ms before they were. Change: the batcher of the next stage tells when a call has fetched its inputs; origins free them then if the maker was short of room. Room counts as free when the endpoint has confirmed it.

--- a/anvilcrossd/gatewayd/gatewayd.go
+++ b/anvilcrossd/gatewayd/gatewayd.go
@@ -124,6 +124,9 @@
 		Failed: func(id batching.CallID, f batching.Failure, detail string) {
 			d.do(func(g *gateway.Gateway) { g.Batcher().CallFailed(id, f, detail) })
 		},
+		Freed: func(handles []message.ResultHandle) {
+			d.do(func(g *gateway.Gateway) { g.Batcher().Freed(handles) })
+		},
 		Event: d.log.Event,
 	})
 	d.entry = entry.NewServer(entry.Config{
--- a/anvilcrossd/stagecall/stagecall.go
+++ b/anvilcrossd/stagecall/stagecall.go
@@ -21,7 +21,7 @@
 	// freeTimeout bounds the call that frees results: it needs no turn.
 	freeTimeout = time.Second
 	// freePause collects the results that are freed at one endpoint.
-	freePause = 25 * time.Millisecond
+	freePause = 10 * time.Millisecond
 	// maxReply bounds a reply: a handle for each piece.
 	maxReply = 1 << 20
 )
@@ -32,7 +32,9 @@
 	// Replied and Failed report the end of a call.
 	Replied func(batching.CallID, batching.Reply)
 	Failed  func(batching.CallID, batching.Failure, string)
-	Event   func(name string, fields ...any)
+	// Freed reports results that their endpoint has given up.
+	Freed func([]message.ResultHandle)
+	Event func(name string, fields ...any)
 }
 
 // Caller calls stage endpoints.
@@ -144,5 +146,7 @@
 	_ = response.Body.Close()
 	if response.StatusCode != http.StatusOK {
 		c.config.Event("freeFailed", "address", address, "results", len(handles), "reason", response.Status)
+		return
 	}
+	c.config.Freed(handles)
 }
--- a/kernel/batching/batching.go
+++ b/kernel/batching/batching.go
@@ -94,6 +94,7 @@
 	Cancel  func(CallID)
 	Free    func(address string, handles []message.ResultHandle)
 	Results func(to ident.Instance, r message.StageResults)
+	Taken   func(to ident.Instance, t message.StageTaken)
 	Event   func(name string, fields ...any)
 }
 
@@ -139,6 +140,12 @@
 	// crossWeight weighs largeResult bytes between data centres against an
 	// endpoint's whole room, in the choice of a free endpoint.
 	crossWeight = 0.5
+	// scarceShare is the part of an endpoint's room above which results are
+	// freed early: what is left then holds less than a full call.
+	scarceShare = 0.5
+	// fetchTime is how long after the start of a call its inputs are expected
+	// to have been fetched: a full call's take about 20 ms on their links.
+	fetchTime = 120 * time.Millisecond
 	// handleNetwork is added to an endpoint's keep time before the room of a
 	// result that nobody freed is counted as free.
 	handleNetwork = 300 * time.Millisecond
@@ -177,6 +184,7 @@
 
 // booking is the room of one result at its maker.
 type booking struct {
+	service  ident.Service
 	bytes    int
 	endpoint ident.Endpoint
 	expiry   *timer.Subscription
@@ -301,11 +309,7 @@
 	}
 	byAddress := map[string][]message.ResultHandle{}
 	for _, h := range r.Handles {
-		address, ok := b.unbook(h)
-		if !ok {
-			address = Address(h)
-		}
-		byAddress[address] = append(byAddress[address], h)
+		byAddress[b.makerAddress(h)] = append(byAddress[b.makerAddress(h)], h)
 	}
 	for _, address := range value.SortedKeys(byAddress) {
 		b.config.Output.Free(address, byAddress[address])
@@ -315,8 +319,18 @@
 			delete(b.pieces, id)
 		}
 	}
-	if len(r.Handles) > 0 {
-		b.Dispatch(r.Service)
+}
+
+// Freed takes in that endpoints have given up results: their room is free.
+func (b *Batcher) Freed(handles []message.ResultHandle) {
+	services := value.NewSet[ident.Service]()
+	for _, h := range handles {
+		if k := b.unbook(h); k != nil {
+			services.Add(k.service)
+		}
+	}
+	for _, s := range services.Sorted() {
+		b.Dispatch(s)
 	}
 }
 
@@ -344,23 +358,28 @@
 	return string(h)
 }
 
-func (b *Batcher) unbook(h message.ResultHandle) (string, bool) {
+// makerAddress returns where a result lies.
+func (b *Batcher) makerAddress(h message.ResultHandle) string {
+	if k := b.bookings[h]; k != nil {
+		return k.address
+	}
+	return Address(h)
+}
+
+// unbook takes a result off the books and returns its booking, or nil.
+func (b *Batcher) unbook(h message.ResultHandle) *booking {
 	k := b.bookings[h]
 	if k == nil {
-		return "", false
+		return nil
 	}
 	delete(b.bookings, h)
 	b.config.Timers.Stop(k.expiry)
 	b.maker(k.endpoint).booked -= k.bytes
-	return k.address, true
+	return k
 }
 
 func (b *Batcher) free(h message.ResultHandle) {
-	address, ok := b.unbook(h)
-	if !ok {
-		address = Address(h)
-	}
-	b.config.Output.Free(address, []message.ResultHandle{h})
+	b.config.Output.Free(b.makerAddress(h), []message.ResultHandle{h})
 }
 
 func (b *Batcher) report(p *piece, outcome message.PieceOutcome) {
--- a/kernel/batching/dispatch.go
+++ b/kernel/batching/dispatch.go
@@ -206,9 +206,27 @@
 	b.stats.Pieces += len(pieces)
 	overdue := time.Duration(overdueFactor*float64(c.expected)) + overdueSlack
 	c.overdue = b.config.Timers.After(overdue, func() { b.overdue(c) })
+	b.config.Timers.After(fetchTime, func() { b.taken(c) })
 	b.config.Output.Run(Call{ID: c.id, Endpoint: e.Name, Address: e.Address, Items: items, Limit: callLimitFactor * c.expected})
 }
 
+// taken tells the origins that a running call has fetched its inputs, so that
+// they can be freed: room for results is the scarcest thing in a burst.
+func (b *Batcher) taken(c *call) {
+	if b.calls[c.id] != c {
+		return
+	}
+	byOrigin := map[ident.Instance][]message.PieceID{}
+	for _, p := range c.pieces {
+		if len(p.work.Inputs) > 0 && b.pieces[p.id] == p {
+			byOrigin[p.work.origin] = append(byOrigin[p.work.origin], p.id)
+		}
+	}
+	for _, to := range value.SortedKeys(byOrigin) {
+		b.config.Output.Taken(to, message.StageTaken{Pieces: byOrigin[to]})
+	}
+}
+
 // overdue makes the pieces of a call that takes too long elsewhere too, and
 // leaves the endpoint alone until it replies.
 func (b *Batcher) overdue(c *call) {
@@ -274,19 +292,18 @@
 		}
 		b.settle(c, p, item, results)
 	}
-	for _, to := range sortedInstances(results) {
+	scarce := b.scarce(c)
+	for _, to := range value.SortedKeys(results) {
+		results[to].Scarce = scarce
 		b.config.Output.Results(to, *results[to])
 	}
 	b.Dispatch(c.service)
 }
 
-func sortedInstances(m map[ident.Instance]*message.StageResults) []ident.Instance {
-	var names []ident.Instance
-	for name := range m {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	return names
+// scarce reports whether the endpoint of a call is short of room for results.
+func (b *Batcher) scarce(c *call) bool {
+	batches := b.config.Batches(c.service)
+	return batches != nil && float64(b.maker(c.endpoint).booked) > scarceShare*float64(batches.ResultBytes)
 }
 
 func (b *Batcher) settle(c *call, p *piece, item ReplyItem, results map[ident.Instance]*message.StageResults) {
@@ -317,11 +334,15 @@
 		add(results, p, message.PieceLate)
 	case InputGone:
 		b.stats.InputGone++
+		if p.calls > 0 {
+			return
+		}
 		delete(b.pieces, p.id)
 		add(results, p, message.PieceInputGone)
 	case NoRoom:
 		b.stats.NoRoom++
 		b.maker(c.endpoint).pausedTo = b.now().Add(declinedPause)
+		p.tries--
 		b.requeue(p)
 	default:
 		b.requeue(p)
@@ -343,7 +364,7 @@
 	if batches := b.config.Batches(c.service); batches != nil {
 		keep = batches.KeepTime
 	}
-	k := &booking{bytes: p.work.ResultBytes, endpoint: c.endpoint, address: c.address}
+	k := &booking{service: c.service, bytes: p.work.ResultBytes, endpoint: c.endpoint, address: c.address}
 	b.maker(c.endpoint).booked += k.bytes
 	b.bookings[h] = k
 	k.expiry = b.config.Timers.After(keep+handleNetwork, func() {
--- a/kernel/gateway/gateway.go
+++ b/kernel/gateway/gateway.go
@@ -129,11 +129,16 @@
 		Book:    g.book,
 		Batches: g.batches,
 		Output: batching.Output{
-			Run:     c.Output.Run,
-			Cancel:  c.Output.CancelRun,
-			Free:    c.Output.Free,
-			Results: g.sendResults,
-			Event:   c.Output.Event,
+			Run:    c.Output.Run,
+			Cancel: c.Output.CancelRun,
+			Free:   c.Output.Free,
+			Results: func(to ident.Instance, r message.StageResults) {
+				g.sendTo(to, message.Envelope{StageResults: &r})
+			},
+			Taken: func(to ident.Instance, t message.StageTaken) {
+				g.sendTo(to, message.Envelope{StageTaken: &t})
+			},
+			Event: c.Output.Event,
 		},
 	})
 	g.timers.Every(membership.PingPeriod, g.ping)
--- a/kernel/gateway/peers.go
+++ b/kernel/gateway/peers.go
@@ -69,6 +69,8 @@
 		g.batcher.Submit(m.From, *m.StageWork)
 	case m.StageResults != nil:
 		g.handleResults(*m.StageResults)
+	case m.StageTaken != nil:
+		g.handleTaken(*m.StageTaken)
 	case m.StageRelease != nil:
 		g.batcher.Release(*m.StageRelease)
 	}
@@ -139,7 +141,3 @@
 	}
 	return services
 }
-
-func (g *Gateway) sendResults(to ident.Instance, r message.StageResults) {
-	g.sendTo(to, message.Envelope{StageResults: &r})
-}
--- a/kernel/gateway/request.go
+++ b/kernel/gateway/request.go
@@ -106,10 +106,14 @@
 }
 
 type stageState struct {
-	stage     published.Stage
-	pieces    int
-	handles   []message.ResultHandle
-	missing   int
+	stage   published.Stage
+	pieces  int
+	handles []message.ResultHandle
+	missing int
+	// taken counts the pieces whose inputs were fetched.
+	taken value.Set[int]
+	// scarce is set if the results take room that is short.
+	scarce    bool
 	submitted bool
 	released  bool
 	// owner is the batcher that has the pieces, with its process.
--- a/kernel/gateway/stages.go
+++ b/kernel/gateway/stages.go
@@ -33,7 +33,7 @@
 		if i < len(r.arrival.Pieces) {
 			pieces = r.arrival.Pieces[i]
 		}
-		r.stages = append(r.stages, stageState{stage: s, pieces: pieces, handles: make([]message.ResultHandle, pieces), missing: pieces})
+		r.stages = append(r.stages, stageState{stage: s, pieces: pieces, handles: make([]message.ResultHandle, pieces), missing: pieces, taken: value.NewSet[int]()})
 	}
 	for _, s := range r.stages {
 		for _, after := range s.stage.After {
@@ -67,20 +67,36 @@
 	}
 }
 
-// consumed reports whether all stages that need a stage's results are done.
+// consumed reports whether all pieces that need a stage's results are done. If
+// room is short it is enough that they have fetched them: a piece that fails
+// after that has its inputs made again.
 func (r *request) consumed(index int) bool {
+	early := r.stages[index].scarce
 	for i := range r.stages {
 		s := &r.stages[i]
-		if s.missing > 0 && slices.Contains(s.stage.After, index) {
+		if s.missing > 0 && !(early && s.fetched()) && slices.Contains(s.stage.After, index) {
 			return false
 		}
 	}
 	return r.stages[index].followed
 }
 
+// fetched reports whether no piece of the stage needs its inputs any more.
+func (s *stageState) fetched() bool {
+	if s.missing == 0 {
+		return true
+	}
+	for i, h := range s.handles {
+		if h == "" && !s.taken.Has(i) {
+			return false
+		}
+	}
+	return true
+}
+
 func (g *Gateway) inputsThere(r *request, s *stageState) bool {
 	for _, after := range s.stage.After {
-		if after >= 0 && after < len(r.stages) && r.stages[after].missing > 0 {
+		if after >= 0 && after < len(r.stages) && (r.stages[after].missing > 0 || r.stages[after].released) {
 			return false
 		}
 	}
@@ -208,8 +224,10 @@
 			}
 			s.handles[p.ID.Piece] = p.Handle
 			s.missing--
+			s.scarce = s.scarce || m.Scarce
 		case message.PieceInputGone:
 			s.submitted = false
+			clear(s.taken)
 			g.remakeInputs(r, s)
 		default:
 			g.answer(r, g.lossOf(r), busyRetryAfter, "stage piece "+string(p.Outcome))
@@ -224,6 +242,22 @@
 	}
 }
 
+// handleTaken frees the inputs of pieces that have fetched them.
+func (g *Gateway) handleTaken(m message.StageTaken) {
+	touched := map[Handle]*request{}
+	for _, id := range m.Pieces {
+		r := g.byID[id.Request]
+		if r == nil || id.Stage >= len(r.stages) || id.Piece >= r.stages[id.Stage].pieces {
+			continue
+		}
+		r.stages[id.Stage].taken.Add(id.Piece)
+		touched[r.handle] = r
+	}
+	for _, h := range value.SortedKeys(touched) {
+		g.releaseConsumed(touched[h])
+	}
+}
+
 // lossOf is what a request is told that cannot be served any more.
 func (g *Gateway) lossOf(r *request) Answer {
 	if r.mayRun {
@@ -345,6 +379,9 @@
 			replaced := g.members.Incarnation(s.owner) != s.incarnation
 			if lost || replaced || now.Sub(s.sentAt) > resubmitAfter {
 				g.counters.PiecesResubmitted += s.missing
+				if lost || replaced {
+					clear(s.taken)
+				}
 				g.out.Event("piecesResubmitted", "request", r.arrival.ID, "stage", i, "pieces", s.missing, "batcher", s.owner, "lost", lost, "replaced", replaced, "age", now.Sub(s.sentAt))
 				g.submit(r, i)
 			}
--- a/kernel/message/batching.go
+++ b/kernel/message/batching.go
@@ -89,9 +89,17 @@
 // StageResults answers StageWork, piece by piece.
 type StageResults struct {
 	Service ident.Service `json:"service"`
+	// Scarce is set while endpoints are short of room for results: they are
+	// best freed as soon as they were fetched.
+	Scarce  bool          `json:"scarce,omitempty"`
 	Results []PieceResult `json:"results"`
 }
 
+// StageTaken tells that pieces are being made and their inputs were fetched.
+type StageTaken struct {
+	Pieces []PieceID `json:"pieces"`
+}
+
 // StageRelease withdraws pieces that are not needed any more, and gives back
 // results.
 type StageRelease struct {
--- a/kernel/message/message.go
+++ b/kernel/message/message.go
@@ -45,6 +45,7 @@
 	Records      *Records      `json:"records,omitempty"`
 	StageWork    *StageWork    `json:"stageWork,omitempty"`
 	StageResults *StageResults `json:"stageResults,omitempty"`
+	StageTaken   *StageTaken   `json:"stageTaken,omitempty"`
 	StageRelease *StageRelease `json:"stageRelease,omitempty"`
 }
 
