Hold chains while their later stages are congested

Change: batchers tell their waits in pings; a chain begins below a limit by weight, a late one only when nothing waits; late pieces that build on results go before those that do not.

--- a/anvilcrossd/gatewayd/gatewayd.go
+++ b/anvilcrossd/gatewayd/gatewayd.go
@@ -127,6 +127,9 @@
 		Freed: func(handles []message.ResultHandle) {
 			d.do(func(g *gateway.Gateway) { g.Batcher().Freed(handles) })
 		},
+		Inspected: func(e ident.Endpoint, free int) {
+			d.do(func(g *gateway.Gateway) { g.Batcher().Inspected(e, free) })
+		},
 		Event: d.log.Event,
 	})
 	d.entry = entry.NewServer(entry.Config{
@@ -158,6 +161,7 @@
 			Run:       d.stages.Run,
 			CancelRun: d.stages.Cancel,
 			Free:      d.stages.Free,
+			Inspect:   d.stages.Inspect,
 		},
 	})})
 	d.follower = d.newFollower()
--- a/anvilcrossd/stagecall/stagecall.go
+++ b/anvilcrossd/stagecall/stagecall.go
@@ -13,6 +13,7 @@
 
 	"anvilcross/anvilcrossd/h1"
 	"anvilcross/kernel/batching"
+	"anvilcross/kernel/ident"
 	"anvilcross/kernel/message"
 	"anvilcross/platform"
 )
@@ -34,7 +35,9 @@
 	Failed  func(batching.CallID, batching.Failure, string)
 	// Freed reports results that their endpoint has given up.
 	Freed func([]message.ResultHandle)
-	Event func(name string, fields ...any)
+	// Inspected reports the room for results at an endpoint.
+	Inspected func(ident.Endpoint, int)
+	Event     func(name string, fields ...any)
 }
 
 // Caller calls stage endpoints.
@@ -150,3 +153,31 @@
 	}
 	c.config.Freed(handles)
 }
+
+// Inspect asks an endpoint how much room for results it has. It does not
+// block.
+func (c *Caller) Inspect(name ident.Endpoint, address string) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
+		defer cancel()
+		free, err := c.room(ctx, address)
+		if err != nil {
+			c.config.Event("inspectionFailed", "endpoint", name, "reason", err)
+			return
+		}
+		c.config.Inspected(name, free)
+	}()
+}
+
+func (c *Caller) room(ctx context.Context, address string) (int, error) {
+	response, err := c.send(ctx, address, platform.RoomCall())
+	if err != nil {
+		return 0, errors.Trace(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxReply))
+	if err != nil {
+		return 0, errors.Trace(err)
+	}
+	return platform.DecodeRoom(body)
+}
--- a/kernel/batching/batching.go
+++ b/kernel/batching/batching.go
@@ -90,9 +90,11 @@
 
 // Output are the batcher's effects.
 type Output struct {
-	Run     func(Call)
-	Cancel  func(CallID)
-	Free    func(address string, handles []message.ResultHandle)
+	Run    func(Call)
+	Cancel func(CallID)
+	Free   func(address string, handles []message.ResultHandle)
+	// Inspect asks an endpoint for the room that it has.
+	Inspect func(ident.Endpoint, string)
 	Results func(to ident.Instance, r message.StageResults)
 	Taken   func(to ident.Instance, t message.StageTaken)
 	Event   func(name string, fields ...any)
@@ -104,6 +106,9 @@
 	Book   *endpoints.Book
 	// Batches returns how a service's endpoints batch, or nil.
 	Batches func(ident.Service) *published.Batches
+	// Backlog returns the wait at a service that another instance batches
+	// for.
+	Backlog func(ident.Service) time.Duration
 	Output  Output
 }
 
@@ -140,6 +145,20 @@
 	// crossWeight weighs largeResult bytes between data centres against an
 	// endpoint's whole room, in the choice of a free endpoint.
 	crossWeight = 0.5
+	// inspectPause is how often an endpoint without room is asked how much it
+	// has: its reports are some 100 ms old.
+	inspectPause = 300 * time.Millisecond
+	// rateSlots and rateSlot are the window over which the pieces started are
+	// counted.
+	rateSlots = 10
+	rateSlot  = 150 * time.Millisecond
+	// maxDownstream is the wait at a later stage above which no request of
+	// the least weight starts its chain; full weight adds moreDownstream.
+	maxDownstream  = 350 * time.Millisecond
+	moreDownstream = 450 * time.Millisecond
+	// lateDownstream is that wait for requests that are late anyway: they
+	// start when nobody else is delayed by it.
+	lateDownstream = 100 * time.Millisecond
 	// scarceShare is the part of an endpoint's room above which results are
 	// freed early: what is left then holds less than a full call.
 	scarceShare = 0.5
@@ -178,6 +197,8 @@
 	since time.Time
 	// rank is the piece's place in the last ordering, as a time.
 	rank time.Duration
+	// late is set when the request cannot be on time any more.
+	late bool
 	// handle and booked are set for a result that is kept.
 	handle message.ResultHandle
 }
@@ -209,11 +230,28 @@
 	speed    float64
 	pausedTo time.Time
 	lastCall time.Time
+	// foreign is room that is taken by results that are not on the books:
+	// those that another batcher had made.
+	foreign      int
+	foreignUntil time.Time
+	inspected    time.Time
+}
+
+// room returns the room for results that is free, as far as is known.
+func (m *maker) room(now time.Time, batches *published.Batches) int {
+	room := batches.ResultBytes - m.booked
+	if now.Before(m.foreignUntil) {
+		room -= m.foreign
+	}
+	return room
 }
 
 type queue struct {
 	waiting []*piece
 	linger  *timer.Subscription
+	// started counts pieces by slot of time, for the rate.
+	started [rateSlots]int
+	slot    int64
 }
 
 // Batcher forms the calls of the services that this instance batches for.
--- a/kernel/batching/dispatch.go
+++ b/kernel/batching/dispatch.go
@@ -68,10 +68,13 @@
 	if m.speed > slowFactor {
 		most = 1
 	}
-	room := batches.ResultBytes - m.booked
+	room := m.room(b.now(), batches)
 	taken := value.NewSet[int]()
 	for _, i := range b.nearFirst(q.waiting, e) {
 		p := q.waiting[i]
+		if p.rank >= heldRank {
+			continue
+		}
 		if len(taken) < most && p.work.ResultBytes <= room && !b.betterElsewhere(p, e, batches, idle) {
 			room -= p.work.ResultBytes
 			taken.Add(i)
@@ -148,11 +151,14 @@
 // the one with the most room.
 func (b *Batcher) choose(pieces []*piece, batches *published.Batches, idle []*endpoints.Endpoint) *endpoints.Endpoint {
 	for _, p := range pieces {
+		if p.rank >= heldRank {
+			return nil
+		}
 		var best *endpoints.Endpoint
 		bestScore := 0.0
 		for _, e := range idle {
 			m := b.maker(e.Name)
-			room := batches.ResultBytes - m.booked
+			room := m.room(b.now(), batches)
 			if room < p.work.ResultBytes {
 				continue
 			}
@@ -177,7 +183,7 @@
 		return false
 	}
 	for _, o := range idle {
-		fits := batches.ResultBytes-b.maker(o.Name).booked >= p.work.ResultBytes
+		fits := b.maker(o.Name).room(b.now(), batches) >= p.work.ResultBytes
 		if fits && here-b.crossing(p, o.DataCentre) >= largeResult {
 			return true
 		}
@@ -202,6 +208,7 @@
 	m.calls++
 	m.lastCall = now
 	b.calls[c.id] = c
+	b.count(b.queue(s), len(pieces))
 	b.stats.Calls++
 	b.stats.Pieces += len(pieces)
 	overdue := time.Duration(overdueFactor*float64(c.expected)) + overdueSlack
@@ -210,6 +217,39 @@
 	b.config.Output.Run(Call{ID: c.id, Endpoint: e.Name, Address: e.Address, Items: items, Limit: callLimitFactor * c.expected})
 }
 
+// inspect asks an endpoint that has less room than the books say, and gives it
+// no work until it has answered or a pause is over.
+func (b *Batcher) inspect(c *call) {
+	now := b.now()
+	m := b.maker(c.endpoint)
+	m.pausedTo = now.Add(declinedPause)
+	if now.Sub(m.inspected) < inspectPause {
+		return
+	}
+	m.inspected = now
+	b.config.Output.Inspect(c.endpoint, c.address)
+}
+
+// Inspected takes in the room that an endpoint has at most, by its report.
+func (b *Batcher) Inspected(name ident.Endpoint, free int) {
+	e := b.config.Book.Lookup(name)
+	if e == nil {
+		return
+	}
+	batches := b.config.Batches(e.Service)
+	if batches == nil {
+		return
+	}
+	m := b.maker(name)
+	foreign := max(batches.ResultBytes-free-m.booked, 0)
+	b.config.Output.Event("roomInspected", "endpoint", name, "free", free, "booked", m.booked, "foreign", foreign)
+	if foreign > 0 {
+		m.foreign = foreign
+		m.foreignUntil = b.now().Add(inspectPause)
+	}
+	b.Dispatch(e.Service)
+}
+
 // taken tells the origins that a running call has fetched its inputs, so that
 // they can be freed: room for results is the scarcest thing in a burst.
 func (b *Batcher) taken(c *call) {
@@ -341,7 +381,7 @@
 		add(results, p, message.PieceInputGone)
 	case NoRoom:
 		b.stats.NoRoom++
-		b.maker(c.endpoint).pausedTo = b.now().Add(declinedPause)
+		b.inspect(c)
 		p.tries--
 		b.requeue(p)
 	default:
--- a/kernel/batching/order.go
+++ b/kernel/batching/order.go
@@ -17,11 +17,72 @@
 	startedLife = 2500 * time.Millisecond
 	// lateWeight is the weight of a late request against one that can be on
 	// time.
-	lateWeight = 0.3
+	lateWeight = 0.15
 	// lateRank puts late pieces behind all that can be on time.
 	lateRank = time.Hour
+	// heldRank marks pieces that are not made now.
+	heldRank = 2 * time.Hour
 )
 
+// held reports whether a piece would begin a chain whose later stages are
+// congested: its result would only take room there and expire.
+func (b *Batcher) held(p *piece) bool {
+	limit := maxDownstream + time.Duration(p.work.Weight*float64(moreDownstream))
+	if p.late {
+		limit = lateDownstream
+	}
+	for _, s := range p.work.Chain {
+		if b.config.Backlog(s) > limit {
+			return true
+		}
+	}
+	return false
+}
+
+// Backlog estimates how long a new piece waits for its turn at a service that
+// this instance batches for.
+func (b *Batcher) Backlog(s ident.Service) time.Duration {
+	q, batches := b.queue(s), b.config.Batches(s)
+	if batches == nil || len(q.waiting) == 0 {
+		return 0
+	}
+	eligible := 0
+	for _, p := range q.waiting {
+		if p.rank < heldRank {
+			eligible++
+		}
+	}
+	wait := b.turns(s, batches).finish(eligible+1) - batches.CallTime
+	if rate := b.rate(q); rate > 0 {
+		wait = max(wait, time.Duration(float64(eligible)/rate*float64(time.Second)))
+	}
+	return max(wait, 0)
+}
+
+// count adds started pieces to the rate.
+func (b *Batcher) count(q *queue, pieces int) {
+	q.advance(b.now())
+	q.started[q.slot%rateSlots] += pieces
+}
+
+func (q *queue) advance(now time.Time) {
+	slot := now.UnixNano() / int64(rateSlot)
+	for q.slot = max(q.slot, slot-rateSlots); q.slot < slot; {
+		q.slot++
+		q.started[q.slot%rateSlots] = 0
+	}
+}
+
+// rate returns the pieces started in a second, lately.
+func (b *Batcher) rate(q *queue) float64 {
+	q.advance(b.now())
+	total := 0
+	for _, n := range q.started {
+		total += n
+	}
+	return float64(total) / (time.Duration(rateSlots) * rateSlot).Seconds()
+}
+
 // order sorts the waiting pieces so that as much weight as possible is done
 // in time: by due time, but where that would make a piece late, the pieces of
 // the least weight before it are put last (Moore and Hodgson's rule).
@@ -31,7 +92,12 @@
 	turns := b.turns(s, batches)
 	var timely, late []*piece
 	for _, p := range q.waiting {
-		if due, ok := p.target(now, batches); ok {
+		due, ok := p.target(now, batches)
+		if b.held(p) {
+			p.rank = heldRank
+			continue
+		}
+		if ok {
 			p.rank = due.Sub(now)
 			timely = append(timely, p)
 			continue
@@ -48,6 +114,12 @@
 		}
 	}
 	slices.SortStableFunc(late, func(x, y *piece) int {
+		if x.begun() != y.begun() {
+			if x.begun() {
+				return -1
+			}
+			return 1
+		}
 		if c := cmp.Compare(y.work.Weight, x.work.Weight); c != 0 {
 			return c
 		}
@@ -76,18 +148,22 @@
 // if that cannot be, before the results that it builds on expire. A late piece
 // that builds on nothing has no target.
 func (p *piece) target(now time.Time, batches *published.Batches) (time.Time, bool) {
-	if soonest := now.Add(batches.CallTime); p.work.due.After(soonest) {
+	p.late = !p.work.due.After(now.Add(batches.CallTime))
+	if !p.late {
 		return p.work.due, true
 	}
-	if len(p.work.Inputs) > 0 {
+	if p.begun() {
 		return p.work.since.Add(startedLife), true
 	}
 	return time.Time{}, false
 }
 
+// begun reports whether the piece builds on results of earlier stages.
+func (p *piece) begun() bool { return len(p.work.Inputs) > 0 }
+
 // weight is the piece's weight as long as it has a target.
 func (p *piece) weight() float64 {
-	if p.rank < 0 || !p.work.due.After(p.work.since) {
+	if p.late {
 		return p.work.Weight * lateWeight
 	}
 	return p.work.Weight
--- a/kernel/gateway/gateway.go
+++ b/kernel/gateway/gateway.go
@@ -38,6 +38,7 @@
 	Run       func(batching.Call)
 	CancelRun func(batching.CallID)
 	Free      func(address string, handles []message.ResultHandle)
+	Inspect   func(ident.Endpoint, string)
 }
 
 // Change is what a record of the platform says.
@@ -100,7 +101,9 @@
 	leaving  bool
 	// elsewhere holds the counts of running requests by member.
 	elsewhere map[ident.Instance]map[ident.Endpoint]int
-	counters  Counters
+	// backlogs holds the waits at services by the last word of their batchers.
+	backlogs map[ident.Service]backlog
+	counters Counters
 }
 
 // Counters are the gateway's totals.
@@ -122,16 +125,19 @@
 		requests:  map[Handle]*request{},
 		byID:      map[ident.RequestID]*request{},
 		elsewhere: map[ident.Instance]map[ident.Endpoint]int{},
+		backlogs:  map[ident.Service]backlog{},
 	}
 	g.budget = newBudget(c.Bounds)
 	g.batcher = batching.NewBatcher(batching.Config{
 		Timers:  c.Timers,
 		Book:    g.book,
 		Batches: g.batches,
+		Backlog: g.backlog,
 		Output: batching.Output{
-			Run:    c.Output.Run,
-			Cancel: c.Output.CancelRun,
-			Free:   c.Output.Free,
+			Run:     c.Output.Run,
+			Cancel:  c.Output.CancelRun,
+			Free:    c.Output.Free,
+			Inspect: c.Output.Inspect,
 			Results: func(to ident.Instance, r message.StageResults) {
 				g.sendTo(to, message.Envelope{StageResults: &r})
 			},
--- a/kernel/gateway/stages.go
+++ b/kernel/gateway/stages.go
@@ -135,6 +135,19 @@
 	return longest
 }
 
+// chainServices returns the services that depend on a stage's results.
+func (r *request) chainServices(index int) []ident.Service {
+	var services []ident.Service
+	for i := range r.stages {
+		s := &r.stages[i]
+		if s.pieces > 0 && i > index && slices.Contains(s.stage.After, index) {
+			services = append(services, s.stage.Service)
+			services = append(services, r.chainServices(i)...)
+		}
+	}
+	return services
+}
+
 // readers returns how often each result of a stage is fetched: by every piece
 // of the stages that need it, or by the model endpoint.
 func (r *request) readers(index int) int {
@@ -181,6 +194,7 @@
 	}
 	if len(s.stage.After) == 0 {
 		w.Key = r.arrival.PieceKey
+		w.Chain = r.chainServices(index)
 	} else {
 		w.Inputs = r.inputs(s)
 		for _, after := range s.stage.After {
--- a/kernel/gateway/world_test.go
+++ b/kernel/gateway/world_test.go
@@ -53,6 +53,7 @@
 			Peer:      func(to membership.Address, m message.Envelope) { w.peers = append(w.peers, sentMessage{to, m}) },
 			Event:     func(name string, _ ...any) { w.events = append(w.events, name) },
 			Run:       func(c batching.Call) { w.calls = append(w.calls, c) },
+			Inspect:   func(ident.Endpoint, string) {},
 			CancelRun: func(batching.CallID) {},
 			Free:      func(_ string, h []message.ResultHandle) { w.freed = append(w.freed, h...) },
 		},
--- a/kernel/message/batching.go
+++ b/kernel/message/batching.go
@@ -20,6 +20,8 @@
 	AsOf replica.Revision `json:"asOf"`
 	// Running counts the sender's requests by model endpoint.
 	Running map[ident.Endpoint]int `json:"running,omitempty"`
+	// Backlogs are the waits at the services that the sender batches for.
+	Backlogs map[ident.Service]time.Duration `json:"backlogs,omitempty"`
 	// Blamed are the contents that crashed endpoints lately.
 	Blamed []blame.Report `json:"blamed,omitempty"`
 }
@@ -54,6 +56,8 @@
 	// InputBytes the size of each input.
 	Readers    int `json:"readers"`
 	InputBytes int `json:"inputBytes,omitempty"`
+	// Chain lists the services that later stages of the request need.
+	Chain []ident.Service `json:"chain,omitempty"`
 	// Due is how much time is left, at sending, until the pieces have to be
 	// done for the request to be on time; Deadline until it is of no use.
 	Due      time.Duration `json:"due"`
