Handle a message to the own instance as an event of its own

Change: self-addressed messages pass through the timer service. A planned stop answers what waits two seconds before the limit with 'not run', and takes no more streams 2.2 s after it began.

--- a/anvilcrossd/gatewayd/gatewayd.go
+++ b/anvilcrossd/gatewayd/gatewayd.go
@@ -52,6 +52,9 @@
 	noticeTime = 2500 * time.Millisecond
 	// stopMargin is how long before the platform's limit a stop is complete.
 	stopMargin = 700 * time.Millisecond
+	// concludeMargin is how long before the platform's limit the requests are
+	// answered that still wait for their turn.
+	concludeMargin = 2 * time.Second
 	// settingsPeriod is how often the settings file is looked at.
 	settingsPeriod = 2 * time.Second
 	// memoryShare is the part of the allowed memory at which the runtime
@@ -285,6 +288,10 @@
 	case <-time.After(min(noticeTime, d.settings.StopLimit/2)):
 	case <-signals:
 	}
+	conclude := time.AfterFunc(time.Until(begun.Add(d.settings.StopLimit-concludeMargin)), func() {
+		d.do(func(g *gateway.Gateway) { g.Conclude() })
+	})
+	defer conclude.Stop()
 	if err := callers.Shutdown(ctx); err != nil {
 		inFlight := 0
 		d.do(func(g *gateway.Gateway) { inFlight = g.InFlight() })
--- a/kernel/batching/batching.go
+++ b/kernel/batching/batching.go
@@ -379,10 +379,8 @@
 		if id.Request != r.Request || p.work.Service != r.Service {
 			continue
 		}
+		// A result that was reported is given back by its origin.
 		delete(b.pieces, id)
-		if p.state == done {
-			b.free(p.handle)
-		}
 	}
 }
 
--- a/kernel/gateway/gateway.go
+++ b/kernel/gateway/gateway.go
@@ -99,6 +99,7 @@
 	requests map[Handle]*request
 	byID     map[ident.RequestID]*request
 	leaving  bool
+	leftAt   time.Time
 	// elsewhere holds the counts of running requests by member.
 	elsewhere map[ident.Instance]map[ident.Endpoint]int
 	// backlogs holds the waits at services by the last word of their batchers.
@@ -181,10 +182,24 @@
 // take over what it batches for.
 func (g *Gateway) Leave() {
 	g.leaving = true
+	g.leftAt = g.now()
 	g.members.Leave()
 	g.ping()
 }
 
+// Conclude ends a planned stop's requests that have not been sent to an
+// endpoint: there is no time left for them here, but elsewhere.
+func (g *Gateway) Conclude() {
+	for _, h := range value.SortedKeys(g.requests) {
+		r := g.requests[h]
+		if r.mayRun || r.begun || r.attempt != nil && r.attempt.written {
+			continue
+		}
+		g.answer(r, NotRun, leavingRetryAfter, "the instance is stopping")
+		g.out.Cancel(h)
+	}
+}
+
 // Reload takes settings over that changed while the process runs.
 func (g *Gateway) Reload(seeds []string, b Bounds) {
 	g.members.SetSeeds(seeds)
--- a/kernel/gateway/peers.go
+++ b/kernel/gateway/peers.go
@@ -34,12 +34,12 @@
 	g.out.Peer(to, m)
 }
 
-// sendTo sends to a member by name; a message to the own instance is handled
-// at once.
+// sendTo sends to a member by name. A message to the own instance is handled
+// as an event of its own, so that no part is called while it works.
 func (g *Gateway) sendTo(name ident.Instance, m message.Envelope) {
 	if name == g.config.Self.Name {
 		m.From = name
-		g.HandlePeer(m)
+		g.timers.After(0, func() { g.HandlePeer(m) })
 		return
 	}
 	for _, t := range g.members.Targets(g.now()) {
--- a/kernel/gateway/request.go
+++ b/kernel/gateway/request.go
@@ -157,6 +157,13 @@
 	// busyRetryAfter is what a caller is told that finds no endpoint: the
 	// time after which an ejected endpoint is tried again.
 	busyRetryAfter = 700 * time.Millisecond
+	// leaveServing is how long a stopping instance takes long requests on: the
+	// balancer may send some for two seconds, and they have to end before the
+	// stop does.
+	leaveServing = 2200 * time.Millisecond
+	// leavingRetryAfter is what a caller is told whom another instance can
+	// serve at once.
+	leavingRetryAfter = 50 * time.Millisecond
 	// defaultPatience is used for callers that name no deadline.
 	defaultPatience = 60 * time.Second
 	// answerSlack is how much sooner than the route's timeout a request is
@@ -214,6 +221,10 @@
 			return false
 		}
 	}
+	if g.leaving && route.Kind == published.Stream && g.now().Sub(g.leftAt) > leaveServing {
+		g.answer(r, NotRun, leavingRetryAfter, "the instance is stopping")
+		return false
+	}
 	r.service = g.target(route)
 	return true
 }
--- /dev/null
+++ b/kernel/gateway/stage_test.go
@@ -0,0 +1,98 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+)
+
+// Seen on pelletier-jars scale-1 --seed 1061399667863: a process that woke up
+// late dropped expired pieces of its own requests, which withdrew others from
+// the queue that was being walked.
+func TestWakingLateWithExpiredPieces(t *testing.T) {
+	w := configured(t)
+	for range 3 {
+		w.arrive("/draft/", func(a *Arrival) { a.Pieces = []int{4}; a.Patience = time.Second })
+	}
+	w.pass(200 * time.Millisecond)
+	busy := len(w.calls)
+	var handles []Handle
+	for range 20 {
+		handles = append(handles, w.arrive("/draft/", func(a *Arrival) { a.Pieces = []int{8}; a.Patience = time.Second }))
+	}
+	w.timers.Advance(w.timers.Now().Add(3 * time.Second))
+	w.pass(time.Second)
+	if busy == 0 {
+		t.Fatal("no stage call was made")
+	}
+	for _, h := range handles {
+		w.wantAnswer(h, NotRun)
+	}
+}
+
+func TestStagesRunInOrderAndResultsAreFreed(t *testing.T) {
+	w := configured(t)
+	h := w.arrive("/verse/", func(a *Arrival) { a.Pieces = []int{1, 4} })
+	w.pass(200 * time.Millisecond)
+	w.finishCalls(1)
+	w.pass(200 * time.Millisecond)
+	w.finishCalls(1)
+	w.pass(time.Millisecond)
+	s := w.wantSend(h)
+	if len(s.Inputs) != 4 {
+		t.Fatalf("the model endpoint gets %d inputs, want the 4 of the last stage", len(s.Inputs))
+	}
+	w.mayWrite(h, s)
+	w.gateway.Begun(h, s.Attempt)
+	w.pass(time.Millisecond)
+	if len(w.freed) != 5 {
+		t.Fatalf("%d results freed, want all 5", len(w.freed))
+	}
+}
+
+func TestCallerThatLeavesWithdrawsItsPieces(t *testing.T) {
+	w := configured(t)
+	h := w.arrive("/draft/", func(a *Arrival) { a.Pieces = []int{4} })
+	w.pass(200 * time.Millisecond)
+	w.gateway.Left(h)
+	w.pass(time.Millisecond)
+	w.finishCalls(1)
+	w.pass(time.Millisecond)
+	if len(w.freed) != 4 {
+		t.Fatalf("%d results freed, want the 4 that nobody needs", len(w.freed))
+	}
+	w.wantSteps(h, 0)
+}
+
+// Seen on pelletier-jars mix --seed 870572553863: a stopping process cut a
+// request off that still waited for its stages.
+func TestPlannedStop(t *testing.T) {
+	t.Run("a caller that waits is told in time", func(t *testing.T) {
+		w := configured(t)
+		h := w.arrive("/verse/", func(a *Arrival) { a.Pieces = []int{1, 4} })
+		w.gateway.Leave()
+		w.pass(time.Second)
+		w.gateway.Conclude()
+		w.wantAnswer(h, NotRun)
+	})
+	t.Run("a request that runs goes on", func(t *testing.T) {
+		w := configured(t)
+		h := w.arrive("/verse/", nil)
+		s := w.wantSend(h)
+		w.mayWrite(h, s)
+		w.gateway.Leave()
+		w.gateway.Conclude()
+		w.wantSteps(h, 1)
+	})
+	t.Run("a long request that comes late is refused at once", func(t *testing.T) {
+		w := configured(t)
+		w.gateway.Leave()
+		w.pass(3 * time.Second)
+		w.wantAnswer(w.arrive("/verse/", nil), NotRun)
+	})
+	t.Run("a short request is still served", func(t *testing.T) {
+		w := configured(t)
+		w.gateway.Leave()
+		w.pass(3 * time.Second)
+		w.wantSend(w.arrive("/order/", nil))
+	})
+}
--- a/kernel/gateway/world_test.go
+++ b/kernel/gateway/world_test.go
@@ -170,6 +170,20 @@
 	w.gateway.Batcher().Replied(c.ID, r)
 }
 
+// finishCalls replies to the stage calls that are open; there must be as many
+// as given.
+func (w *world) finishCalls(want int) {
+	w.t.Helper()
+	calls := w.calls
+	w.calls = nil
+	if len(calls) != want {
+		w.t.Fatalf("%d stage calls are open, want %d", len(calls), want)
+	}
+	for _, c := range calls {
+		w.reply(c)
+	}
+}
+
 func (w *world) last(h Handle) Step {
 	w.t.Helper()
 	if len(w.steps[h]) == 0 {
