Keep the batcher of a service while it lives

Change: an instance tells for how long it has batched for a service; the living one with the longest tenure keeps it. A leaving or replaced batcher finishes its calls, gives back what waits, and tells its bookings. Pieces at a batcher that is leaving but within reach are not sent again.

--- a/anvilcrossd/gatewayd/metrics.go
+++ b/anvilcrossd/gatewayd/metrics.go
@@ -76,6 +76,7 @@
 		gauges["may_have_run"] = float64(c.Unknown)
 		gauges["callers_left"] = float64(c.Left)
 		gauges["pieces_resubmitted"] = float64(c.PiecesResubmitted)
+		gauges["pieces_moved"] = float64(c.PiecesMoved)
 		gauges["inputs_remade"] = float64(c.InputsRemade)
 		gauges["records_rejected"] = float64(c.RecordsRejected)
 		gauges["stage_calls"] = float64(b.Calls)
--- a/kernel/gateway/gateway.go
+++ b/kernel/gateway/gateway.go
@@ -102,15 +102,18 @@
 	leftAt   time.Time
 	// elsewhere holds the counts of running requests by member.
 	elsewhere map[ident.Instance]map[ident.Endpoint]int
-	// backlogs holds the waits at services by the last word of their batchers.
-	backlogs map[ident.Service]backlog
-	counters Counters
+	// claims are the services that this instance batches for, and words what
+	// other members said of theirs.
+	claims    map[ident.Service]time.Time
+	words     map[ident.Instance]map[ident.Service]batcherWord
+	startedAt time.Time
+	counters  Counters
 }
 
 // Counters are the gateway's totals.
 type Counters struct {
 	Arrived, Relayed, Retried, Resumed, Left, TimedOut, Refused, Unknown int
-	PiecesResubmitted, InputsRemade, RecordsRejected                     int
+	PiecesResubmitted, PiecesMoved, InputsRemade, RecordsRejected        int
 }
 
 // NewGateway returns a gateway that knows no configuration yet.
@@ -126,7 +129,9 @@
 		requests:  map[Handle]*request{},
 		byID:      map[ident.RequestID]*request{},
 		elsewhere: map[ident.Instance]map[ident.Endpoint]int{},
-		backlogs:  map[ident.Service]backlog{},
+		claims:    map[ident.Service]time.Time{},
+		words:     map[ident.Instance]map[ident.Service]batcherWord{},
+		startedAt: c.Timers.Now(),
 	}
 	g.budget = newBudget(c.Bounds)
 	g.batcher = batching.NewBatcher(batching.Config{
@@ -185,6 +190,7 @@
 	g.leftAt = g.now()
 	g.members.Leave()
 	g.ping()
+	g.reviewBatching(g.now())
 }
 
 // Conclude ends a planned stop's requests that have not been sent to an
@@ -207,13 +213,6 @@
 	g.budget.bounds = b
 }
 
-func (g *Gateway) batches(s ident.Service) *published.Batches {
-	if g.catalog == nil || g.catalog.Services[s] == nil {
-		return nil
-	}
-	return g.catalog.Services[s].Batches
-}
-
 // Batcher gives the edge access to the batcher's events.
 func (g *Gateway) Batcher() *batching.Batcher { return g.batcher }
 
@@ -230,6 +229,7 @@
 			g.batcher.Dispatch(s)
 		}
 	}
+	g.reviewBatching(now)
 	g.reviewPieces(now)
 }
 
--- a/kernel/gateway/peers.go
+++ b/kernel/gateway/peers.go
@@ -1,8 +1,6 @@
 package gateway
 
 import (
-	"time"
-
 	"anvilcross/kernel/ident"
 	"anvilcross/kernel/membership"
 	"anvilcross/kernel/message"
@@ -14,13 +12,13 @@
 func (g *Gateway) ping() {
 	now := g.now()
 	p := message.Ping{
-		Member:   g.members.Self(),
-		Ready:    g.Ready(),
-		Leaving:  g.leaving,
-		Members:  g.members.Sample(now),
-		AsOf:     g.records.AsOf(),
-		Running:  g.runningByEndpoint(),
-		Backlogs: g.ownBacklogs(),
+		Member:  g.members.Self(),
+		Ready:   g.Ready(),
+		Leaving: g.leaving,
+		Members: g.members.Sample(now),
+		AsOf:    g.records.AsOf(),
+		Running: g.runningByEndpoint(),
+		Batches: g.ownBatching(now),
 	}
 	for _, target := range g.members.Targets(now) {
 		g.send(target, message.Envelope{Ping: &p})
@@ -72,6 +70,8 @@
 		g.batcher.Submit(m.From, *m.StageWork)
 	case m.StageResults != nil:
 		g.handleResults(*m.StageResults)
+	case m.StageBookings != nil:
+		g.batcher.Inherit(m.StageBookings.Booked, bookingsLife)
 	case m.StageTaken != nil:
 		g.handleTaken(*m.StageTaken)
 	case m.StageRelease != nil:
@@ -87,9 +87,7 @@
 	g.members.Named(now, p.Members)
 	g.elsewhere[p.Member.Name] = p.Running
 	g.countElsewhere()
-	for s, wait := range p.Backlogs {
-		g.backlogs[s] = backlog{wait: wait, at: now}
-	}
+	g.heardBatching(now, p.Member.Name, p.Batches)
 	if p.AsOf < g.records.AsOf() {
 		records, complete := g.records.Since(p.AsOf, maxRecords)
 		m := message.Records{Records: records}
@@ -110,37 +108,6 @@
 	g.reviewPieces(g.now())
 }
 
-// backlog is the wait at a service, as its batcher told.
-type backlog struct {
-	wait time.Duration
-	at   time.Time
-}
-
-// backlogLife is how long a batcher's word is believed: three pings.
-const backlogLife = 3 * membership.PingPeriod
-
-// ownBacklogs returns the waits at the services that this instance batches for.
-func (g *Gateway) ownBacklogs() map[ident.Service]time.Duration {
-	waits := map[ident.Service]time.Duration{}
-	for s := range g.services() {
-		if g.batches(s) != nil && g.batcherOf(s) == g.config.Self.Name {
-			waits[s] = g.batcher.Backlog(s)
-		}
-	}
-	return waits
-}
-
-// backlog returns the wait at a service, or zero if nobody has told it lately.
-func (g *Gateway) backlog(s ident.Service) time.Duration {
-	if g.batcherOf(s) == g.config.Self.Name {
-		return g.batcher.Backlog(s)
-	}
-	if b, ok := g.backlogs[s]; ok && g.now().Sub(b.at) <= backlogLife {
-		return b.wait
-	}
-	return 0
-}
-
 func (g *Gateway) runningByEndpoint() map[ident.Endpoint]int {
 	running := map[ident.Endpoint]int{}
 	for _, r := range g.requests {
--- a/kernel/gateway/stages.go
+++ b/kernel/gateway/stages.go
@@ -243,6 +243,9 @@
 			s.submitted = false
 			clear(s.taken)
 			g.remakeInputs(r, s)
+		case message.PieceMoved:
+			s.submitted = false
+			g.counters.PiecesMoved++
 		default:
 			g.answer(r, g.lossOf(r), busyRetryAfter, "stage piece "+string(p.Outcome))
 			continue
@@ -370,12 +373,6 @@
 	g.sendTo(owner, message.Envelope{StageRelease: &m})
 }
 
-// batcherOf returns the instance that batches for a service, as far as this
-// one knows the fleet.
-func (g *Gateway) batcherOf(s ident.Service) ident.Instance {
-	return g.members.Owner(g.now(), "batcher/"+string(s))
-}
-
 // reviewPieces sends outstanding pieces again whose batcher is gone, was
 // replaced, or has been silent for long.
 func (g *Gateway) reviewPieces(now time.Time) {
@@ -389,7 +386,7 @@
 			if !s.submitted || s.missing == 0 || s.released {
 				continue
 			}
-			lost := !g.members.Alive(now, s.owner) && g.batcherOf(s.stage.Service) != s.owner
+			lost := !g.members.Reachable(now, s.owner)
 			replaced := g.members.Incarnation(s.owner) != s.incarnation
 			if lost || replaced || now.Sub(s.sentAt) > resubmitAfter {
 				g.counters.PiecesResubmitted += s.missing
--- a/kernel/membership/membership.go
+++ b/kernel/membership/membership.go
@@ -109,15 +109,25 @@
 	}
 }
 
-// Alive reports whether a member is within reach and not leaving.
-func (t *Table) Alive(now time.Time, name ident.Instance) bool {
+// Reachable reports whether a member is within reach.
+func (t *Table) Reachable(now time.Time, name ident.Instance) bool {
 	if name == t.config.Self.Name {
 		return true
 	}
 	k := t.members[name]
-	return k != nil && !k.leaving && now.Sub(k.heard) <= aliveFor
+	return k != nil && now.Sub(k.heard) <= aliveFor
+}
+
+// Alive reports whether a member is within reach and not leaving.
+func (t *Table) Alive(now time.Time, name ident.Instance) bool {
+	k := t.members[name]
+	return t.Reachable(now, name) && (k == nil || !k.leaving)
 }
 
+// Known returns the number of members that are not forgotten, within reach or
+// not, the own one included.
+func (t *Table) Known() int { return len(t.members) + 1 }
+
 // Incarnation returns the process of a member that was last heard.
 func (t *Table) Incarnation(name ident.Instance) ident.Incarnation {
 	if name == t.config.Self.Name {
--- a/kernel/message/batching.go
+++ b/kernel/message/batching.go
@@ -20,12 +20,20 @@
 	AsOf replica.Revision `json:"asOf"`
 	// Running counts the sender's requests by model endpoint.
 	Running map[ident.Endpoint]int `json:"running,omitempty"`
-	// Backlogs are the waits at the services that the sender batches for.
-	Backlogs map[ident.Service]time.Duration `json:"backlogs,omitempty"`
+	// Batches tells of the services that the sender batches for.
+	Batches map[ident.Service]Batching `json:"batches,omitempty"`
 	// Blamed are the contents that crashed endpoints lately.
 	Blamed []blame.Report `json:"blamed,omitempty"`
 }
 
+// Batching is what an instance tells of a service that it batches for.
+type Batching struct {
+	// Wait is the time that a new piece waits for its turn.
+	Wait time.Duration `json:"wait"`
+	// Tenure is for how long the sender has batched for the service.
+	Tenure time.Duration `json:"tenure"`
+}
+
 // Records passes published records on.
 type Records struct {
 	Records []replica.Record `json:"records,omitempty"`
@@ -79,6 +87,8 @@
 	PieceLate PieceOutcome = "late"
 	// PieceInputGone lacks an input that does not exist any more.
 	PieceInputGone PieceOutcome = "inputGone"
+	// PieceMoved has to be sent to the service's new batcher.
+	PieceMoved PieceOutcome = "moved"
 	// PieceFailed failed at the endpoint, repeatedly.
 	PieceFailed PieceOutcome = "failed"
 )
@@ -99,6 +109,13 @@
 	Results []PieceResult `json:"results"`
 }
 
+// StageBookings tells the new batcher of a service how much room at its
+// endpoints is taken by results that the sender had made.
+type StageBookings struct {
+	Service ident.Service          `json:"service"`
+	Booked  map[ident.Endpoint]int `json:"booked"`
+}
+
 // StageTaken tells that pieces are being made and their inputs were fetched.
 type StageTaken struct {
 	Pieces []PieceID `json:"pieces"`
--- a/kernel/message/message.go
+++ b/kernel/message/message.go
@@ -41,12 +41,13 @@
 	HandedOver    *HandedOver          `json:"handedOver,omitempty"`
 	Successor     *Successor           `json:"successor,omitempty"`
 
-	Ping         *Ping         `json:"ping,omitempty"`
-	Records      *Records      `json:"records,omitempty"`
-	StageWork    *StageWork    `json:"stageWork,omitempty"`
-	StageResults *StageResults `json:"stageResults,omitempty"`
-	StageTaken   *StageTaken   `json:"stageTaken,omitempty"`
-	StageRelease *StageRelease `json:"stageRelease,omitempty"`
+	Ping          *Ping          `json:"ping,omitempty"`
+	Records       *Records       `json:"records,omitempty"`
+	StageWork     *StageWork     `json:"stageWork,omitempty"`
+	StageResults  *StageResults  `json:"stageResults,omitempty"`
+	StageTaken    *StageTaken    `json:"stageTaken,omitempty"`
+	StageBookings *StageBookings `json:"stageBookings,omitempty"`
+	StageRelease  *StageRelease  `json:"stageRelease,omitempty"`
 }
 
 // Sync carries all that a seat remembers for a recovering one.
