Refuse at once what cannot be done in a useful time

Change: the batcher answers a late piece that begins a chain when its turn is more than 1.2 s off or a later stage is congested; the caller gets the time at which there will be room. Callers that come back keep their first objective. Stages that take longer than the caller waits are refused at the door. Kernel tests by load pattern in kernel/batching/load_test.go.

--- a/anvilcrossd/gatewayd/metrics.go
+++ b/anvilcrossd/gatewayd/metrics.go
@@ -87,6 +87,7 @@
 		gauges["stage_pieces_no_room"] = float64(b.NoRoom)
 		gauges["stage_pieces_input_gone"] = float64(b.InputGone)
 		gauges["stage_pieces_late"] = float64(b.LatePieces)
+		gauges["stage_pieces_refused"] = float64(b.Refused)
 		gauges["stage_duplicates"] = float64(b.Duplicates)
 	})
 	gauges["log_lines_dropped"] = float64(d.log.Dropped())
--- a/kernel/batching/batching.go
+++ b/kernel/batching/batching.go
@@ -268,7 +268,7 @@
 
 // Stats are the batcher's totals.
 type Stats struct {
-	Calls, Pieces, Declined, Broken, Overdue, NoRoom, InputGone, LatePieces, Duplicates int
+	Calls, Pieces, Declined, Broken, Overdue, NoRoom, InputGone, LatePieces, Refused, Duplicates int
 }
 
 // NewBatcher returns a batcher with nothing to do.
--- /dev/null
+++ b/kernel/batching/load_test.go
@@ -0,0 +1,337 @@
+package batching
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"anvilcross/kernel/endpoints"
+	"anvilcross/kernel/ident"
+	"anvilcross/kernel/message"
+	"anvilcross/kernel/published"
+	"anvilcross/kernel/timer"
+)
+
+// shop is a batcher before stage endpoints under virtual time, without
+// network: each call takes its stated time, results are freed a while after.
+type shop struct {
+	t       *testing.T
+	timers  *timer.Service
+	batcher *Batcher
+	book    *endpoints.Book
+	batches published.Batches
+	// hold is how long a result is kept before it is freed.
+	hold time.Duration
+	// backlog is the wait at later stages.
+	backlog time.Duration
+	calls   []Call
+	busy    map[ident.Endpoint]int
+	most    map[ident.Endpoint]int
+	room    map[ident.Endpoint]int
+	overful int
+	done    map[message.PieceID]time.Time
+	refused map[ident.RequestID]time.Time
+	late    int
+}
+
+var shopStart = time.Unix(1_700_000_000, 0)
+
+func newShop(t *testing.T, count int) *shop {
+	t.Helper()
+	s := &shop{
+		t:       t,
+		timers:  timer.NewService(timer.Config{Start: shopStart}),
+		book:    endpoints.NewBook(),
+		batches: published.Batches{Slots: 1, MaxPieces: 20, CallTime: 240 * time.Millisecond, PieceTime: 10 * time.Millisecond, ResultBytes: 20_000_000, KeepTime: 4 * time.Second},
+		hold:    300 * time.Millisecond,
+		busy:    map[ident.Endpoint]int{},
+		most:    map[ident.Endpoint]int{},
+		room:    map[ident.Endpoint]int{},
+		done:    map[message.PieceID]time.Time{},
+		refused: map[ident.RequestID]time.Time{},
+	}
+	for n := range count {
+		name := ident.Endpoint(fmt.Sprintf("maker-%d", n))
+		s.book.List(endpoints.Listing{Name: name, Service: "registry", DataCentre: "east", Address: string(name), Slots: 1})
+	}
+	s.batcher = NewBatcher(Config{
+		Timers:  s.timers,
+		Book:    s.book,
+		Batches: func(ident.Service) *published.Batches { return &s.batches },
+		Backlog: func(ident.Service) time.Duration { return s.backlog },
+		Output: Output{
+			Run:     s.run,
+			Cancel:  func(CallID) {},
+			Free:    func(string, []message.ResultHandle) {},
+			Inspect: func(ident.Endpoint, string) {},
+			Results: s.results,
+			Taken:   func(ident.Instance, message.StageTaken) {},
+			Event:   func(string, ...any) {},
+		},
+	})
+	s.timers.Every(50*time.Millisecond, func() { s.batcher.Dispatch("registry") })
+	return s
+}
+
+func (s *shop) run(c Call) {
+	s.calls = append(s.calls, c)
+	s.busy[c.Endpoint]++
+	s.most[c.Endpoint] = max(s.most[c.Endpoint], s.busy[c.Endpoint])
+	s.timers.After(s.batches.CallTime+time.Duration(len(c.Items))*s.batches.PieceTime, func() {
+		s.busy[c.Endpoint]--
+		var r Reply
+		for i := range c.Items {
+			h := message.ResultHandle(fmt.Sprintf("%s/%d-%d", c.Address, c.ID, i))
+			r.Items = append(r.Items, ReplyItem{Handle: h})
+			s.timers.After(s.hold, func() { s.batcher.Freed([]message.ResultHandle{h}) })
+		}
+		s.batcher.Replied(c.ID, r)
+	})
+}
+
+func (s *shop) results(_ ident.Instance, r message.StageResults) {
+	for _, p := range r.Results {
+		switch p.Outcome {
+		case message.PieceDone:
+			s.done[p.ID] = s.timers.Now()
+		case message.PieceRefused:
+			s.refused[p.ID.Request] = s.timers.Now()
+		case message.PieceLate:
+			s.late++
+		}
+	}
+}
+
+func (s *shop) pass(d time.Duration) {
+	end := s.timers.Now().Add(d)
+	for {
+		next, ok := s.timers.Next()
+		if !ok || next.After(end) {
+			break
+		}
+		s.timers.Advance(next)
+	}
+	s.timers.Advance(end)
+}
+
+// kind is one kind of request of a load.
+type kind struct {
+	name      string
+	perSecond float64
+	pieces    int
+	weight    float64
+	due       time.Duration
+	deadline  time.Duration
+	bytes     int
+	chain     []ident.Service
+}
+
+// play offers a load for a time, evenly spaced, and returns the share of each
+// kind's requests that were done when due.
+func (s *shop) play(length time.Duration, kinds ...kind) map[string]float64 {
+	type sent struct {
+		kind kind
+		id   ident.RequestID
+		due  time.Time
+	}
+	var all []sent
+	begin := s.timers.Now()
+	for _, k := range kinds {
+		count := int(k.perSecond * length.Seconds())
+		for n := range count {
+			at := time.Duration(float64(n) / k.perSecond * float64(time.Second))
+			id := ident.RequestID(fmt.Sprintf("%s-%d-%d", k.name, begin.UnixMilli(), n))
+			all = append(all, sent{kind: k, id: id, due: begin.Add(at + k.due)})
+			s.timers.After(at, func() { s.submit(id, k) })
+		}
+	}
+	s.pass(length + 15*time.Second)
+	onTime, total := map[string]float64{}, map[string]float64{}
+	for _, r := range all {
+		total[r.kind.name]++
+		whole := true
+		for i := range r.kind.pieces {
+			at, made := s.done[message.PieceID{Request: r.id, Piece: i}]
+			whole = whole && made && !at.After(r.due)
+		}
+		if whole {
+			onTime[r.kind.name]++
+		}
+	}
+	for name := range total {
+		onTime[name] /= total[name]
+	}
+	return onTime
+}
+
+func (s *shop) submit(id ident.RequestID, k kind) {
+	pieces := make([]int, k.pieces)
+	for i := range pieces {
+		pieces[i] = i
+	}
+	s.batcher.Submit("one", message.StageWork{Request: id, Service: "registry", Pieces: pieces, Key: "key", ResultBytes: k.bytes, Readers: 1, Due: k.due, Deadline: k.deadline, Weight: k.weight, Chain: k.chain})
+}
+
+func urgent(rate float64) kind {
+	return kind{name: "urgent", perSecond: rate, pieces: 2, weight: 1, due: 1200 * time.Millisecond, deadline: 12 * time.Second, bytes: 8_000}
+}
+
+func modest(rate float64) kind {
+	return kind{name: "modest", perSecond: rate, pieces: 3, weight: 1.0 / 9, due: 1600 * time.Millisecond, deadline: 4 * time.Second, bytes: 8_000}
+}
+
+func (s *shop) wantAtLeast(what string, got, want float64) {
+	s.t.Helper()
+	if got < want {
+		s.t.Fatalf("%s: got %.3f, want at least %.3f", what, got, want)
+	}
+}
+
+// The five endpoints make about 227 pieces a second in full calls.
+
+func TestCalmLoadIsOnTime(t *testing.T) {
+	s := newShop(t, 5)
+	share := s.play(10*time.Second, urgent(20), modest(20))
+	s.wantAtLeast("urgent", share["urgent"], 0.99)
+	s.wantAtLeast("modest", share["modest"], 0.99)
+}
+
+// A burst of 2.5 times the load of one kind (burst): what cannot be on time
+// is taken from the kind of the least weight.
+func TestBurstCostsTheLeastWeight(t *testing.T) {
+	s := newShop(t, 5)
+	share := s.play(6*time.Second, urgent(75), modest(50))
+	s.wantAtLeast("urgent", share["urgent"], 0.95)
+	s.wantAtLeast("modest", share["modest"], 0.25)
+	// Half of the capacity that is left after the urgent kind.
+}
+
+// After a burst (burst), requests that come then are on time at once: nothing
+// that is late already delays them.
+func TestAfterABurstNothingLateDelaysOthers(t *testing.T) {
+	s := newShop(t, 5)
+	s.play(6*time.Second, urgent(150), modest(60))
+	share := s.play(5*time.Second, urgent(20), modest(20))
+	s.wantAtLeast("urgent", share["urgent"], 0.99)
+	s.wantAtLeast("modest", share["modest"], 0.99)
+}
+
+// In a lasting overload (burst, srv_crash), a request that cannot be on time is
+// told so within an eighth of a typical objective of two seconds, or soon after
+// it has become late.
+func TestOverloadRefusesEarly(t *testing.T) {
+	s := newShop(t, 2)
+	s.play(8*time.Second, urgent(100))
+	if len(s.refused) == 0 {
+		t.Fatal("nothing was refused")
+	}
+	if s.late > 0 {
+		t.Fatalf("%d pieces were held until their deadline", s.late)
+	}
+}
+
+// Large results fill the room of endpoints (burst of drafts): no endpoint is
+// asked for more than its room holds.
+func TestRoomIsNeverOverbooked(t *testing.T) {
+	s := newShop(t, 2)
+	s.batches.ResultBytes = 5_000_000
+	s.hold = 700 * time.Millisecond
+	big := kind{name: "big", perSecond: 20, pieces: 3, weight: 1, due: 2 * time.Second, deadline: 10 * time.Second, bytes: 800_000}
+	booked := map[ident.Endpoint]int{}
+	s.batcher.config.Output.Run = func(c Call) {
+		booked[c.Endpoint] = s.batcher.maker(c.Endpoint).booked
+		if booked[c.Endpoint] > s.batches.ResultBytes {
+			s.overful++
+		}
+		s.run(c)
+	}
+	s.play(5*time.Second, big)
+	if s.overful > 0 {
+		t.Fatalf("%d calls overbooked their endpoint", s.overful)
+	}
+}
+
+// While a later stage is congested, no chain begins that would only wait there.
+func TestCongestedLaterStageHoldsChains(t *testing.T) {
+	s := newShop(t, 5)
+	s.backlog = 2 * time.Second
+	s.submit("chained", kind{pieces: 1, weight: 1, due: 3 * time.Second, deadline: 10 * time.Second, chain: []ident.Service{"planning"}})
+	s.pass(time.Second)
+	if len(s.calls) > 0 {
+		t.Fatal("a chain began although its next stage is congested")
+	}
+	s.backlog = 0
+	s.pass(time.Second)
+	if len(s.calls) != 1 {
+		t.Fatalf("%d calls after the congestion, want 1", len(s.calls))
+	}
+}
+
+// One endpoint works five times slower (srv_slow): its pieces are made
+// elsewhere in time, and it gets only small test calls.
+func TestSlowEndpointDoesNotDelay(t *testing.T) {
+	s := newShop(t, 5)
+	s.batcher.config.Output.Run = func(c Call) {
+		if c.Endpoint != "maker-0" {
+			s.run(c)
+			return
+		}
+		s.timers.After(5*(s.batches.CallTime+time.Duration(len(c.Items))*s.batches.PieceTime), func() {
+			var r Reply
+			for i := range c.Items {
+				r.Items = append(r.Items, ReplyItem{Handle: message.ResultHandle(fmt.Sprintf("%s/%d-%d", c.Address, c.ID, i))})
+			}
+			s.batcher.Replied(c.ID, r)
+		})
+	}
+	share := s.play(10*time.Second, urgent(20), modest(15))
+	s.wantAtLeast("urgent", share["urgent"], 0.9)
+	s.wantAtLeast("modest", share["modest"], 0.9)
+}
+
+// An endpoint that cannot be reached (srv_crash dark) costs a call, not a
+// request.
+func TestUnreachableEndpointCostsNoRequest(t *testing.T) {
+	s := newShop(t, 5)
+	s.batcher.config.Output.Run = func(c Call) {
+		if c.Endpoint == "maker-0" {
+			s.timers.After(350*time.Millisecond, func() { s.batcher.CallFailed(c.ID, Unreached, "time-out") })
+			return
+		}
+		s.run(c)
+	}
+	share := s.play(10*time.Second, urgent(20), modest(20))
+	s.wantAtLeast("urgent", share["urgent"], 0.97)
+	s.wantAtLeast("modest", share["modest"], 0.97)
+}
+
+func TestNoEndpointGetsTwoCallsAtOnce(t *testing.T) {
+	s := newShop(t, 3)
+	s.play(5*time.Second, urgent(60), modest(60))
+	for name, most := range s.most {
+		if most > 1 {
+			t.Fatalf("%s had %d calls at once", name, most)
+		}
+	}
+}
+
+func TestHandOverMovesWhatWaits(t *testing.T) {
+	s := newShop(t, 1)
+	moved := 0
+	s.batcher.config.Output.Results = func(_ ident.Instance, r message.StageResults) {
+		for _, p := range r.Results {
+			if p.Outcome == message.PieceMoved {
+				moved++
+			}
+		}
+	}
+	for n := range 10 {
+		s.submit(ident.RequestID(fmt.Sprint(n)), urgent(1))
+	}
+	s.pass(100 * time.Millisecond)
+	waiting := s.batcher.Waiting("registry")
+	s.batcher.HandOver("registry")
+	if moved == 0 || moved != waiting {
+		t.Fatalf("%d pieces moved, %d waited", moved, waiting)
+	}
+}
--- a/kernel/batching/order.go
+++ b/kernel/batching/order.go
@@ -9,6 +9,7 @@
 	"anvilcross/kernel/ident"
 	"anvilcross/kernel/message"
 	"anvilcross/kernel/published"
+	"anvilcross/kernel/value"
 )
 
 const (
@@ -20,6 +21,12 @@
 	lateWeight = 0.15
 	// lateRank puts late pieces behind all that can be on time.
 	lateRank = time.Hour
+	// maxLateWait is how long a late request may wait for its first turn:
+	// beyond it, refusing it costs its caller less than the wait.
+	maxLateWait = 1200 * time.Millisecond
+	// heldRetryAfter is when callers may come back whose requests would be
+	// held up at a later stage: the time of two full calls.
+	heldRetryAfter = time.Second
 	// heldRank marks pieces that are not made now.
 	heldRank = 2 * time.Hour
 )
@@ -52,7 +59,8 @@
 			eligible++
 		}
 	}
-	wait := b.turns(s, batches).finish(eligible+1) - batches.CallTime
+	t := b.turns(s, batches)
+	wait := t.finish(eligible+1) - batches.CallTime
 	if rate := b.rate(q); rate > 0 {
 		wait = max(wait, time.Duration(float64(eligible)/rate*float64(time.Second)))
 	}
@@ -128,9 +136,53 @@
 	for i, p := range late {
 		p.rank = lateRank + time.Duration(i)*time.Millisecond
 	}
+	b.refuse(s, q, late, len(kept), turns)
 	slices.SortStableFunc(q.waiting, func(x, y *piece) int { return cmp.Compare(x.rank, y.rank) })
 }
 
+// refuse turns away the late pieces that begin a chain and whose turn will not
+// come in a useful time: told at once, their callers can come back when there
+// is room.
+func (b *Batcher) refuse(s ident.Service, q *queue, late []*piece, timely int, t turns) {
+	now := b.now()
+	refused := value.NewSet[ident.RequestID]()
+	var retryAfter time.Duration
+	for i, p := range late {
+		wait := t.finish(timely + i + 1)
+		chain := time.Duration(len(p.work.Chain)) * t.full
+		if p.begun() || wait <= maxLateWait && wait+chain < p.work.deadline.Sub(now) {
+			continue
+		}
+		refused.Add(p.work.Request)
+		retryAfter = max(retryAfter, wait)
+	}
+	for _, p := range q.waiting {
+		if p.late && p.rank >= heldRank && !p.begun() {
+			refused.Add(p.work.Request)
+			retryAfter = max(retryAfter, heldRetryAfter)
+		}
+	}
+	if len(refused) == 0 {
+		return
+	}
+	results := map[ident.Instance]*message.StageResults{}
+	q.waiting = slices.DeleteFunc(q.waiting, func(p *piece) bool {
+		if !refused.Has(p.work.Request) || p.begun() {
+			return false
+		}
+		b.stats.Refused++
+		delete(b.pieces, p.id)
+		add(results, p, message.PieceRefused)
+		list := results[p.work.origin].Results
+		list[len(list)-1].RetryAfter = retryAfter
+		return true
+	})
+	for _, to := range value.SortedKeys(results) {
+		b.config.Output.Results(to, *results[to])
+	}
+	b.config.Output.Event("piecesRefused", "service", s, "requests", len(refused), "timely", timely, "late", len(late), "retryAfter", retryAfter)
+}
+
 // dropExpired answers the pieces that are of no use any more.
 func (b *Batcher) dropExpired(q *queue, now time.Time) {
 	q.waiting = slices.DeleteFunc(q.waiting, func(p *piece) bool {
--- a/kernel/gateway/gateway.go
+++ b/kernel/gateway/gateway.go
@@ -97,6 +97,8 @@
 	budget  *budget
 
 	requests map[Handle]*request
+	// patience is the longest that callers of a route have shown.
+	patience map[published.RouteName]time.Duration
 	byID     map[ident.RequestID]*request
 	leaving  bool
 	leftAt   time.Time
@@ -127,6 +129,7 @@
 		book:      endpoints.NewBook(),
 		members:   membership.NewTable(membership.Config{Self: c.Self, Seeds: c.Seeds}),
 		requests:  map[Handle]*request{},
+		patience:  map[published.RouteName]time.Duration{},
 		byID:      map[ident.RequestID]*request{},
 		elsewhere: map[ident.Instance]map[ident.Endpoint]int{},
 		claims:    map[ident.Service]time.Time{},
--- a/kernel/gateway/request.go
+++ b/kernel/gateway/request.go
@@ -132,10 +132,12 @@
 	space    *published.Workspace
 	started  time.Time
 	deadline time.Time
-	timeout  *timer.Subscription
-	stages   []stageState
-	attempt  *attempt
-	attempts AttemptID
+	// objective is when the request is late.
+	objective time.Time
+	timeout   *timer.Subscription
+	stages    []stageState
+	attempt   *attempt
+	attempts  AttemptID
 	// sends counts the endpoints that may have run the request.
 	sends    int
 	declines int
@@ -157,6 +159,9 @@
 	// busyRetryAfter is what a caller is told that finds no endpoint: the
 	// time after which an ejected endpoint is tried again.
 	busyRetryAfter = 700 * time.Millisecond
+	// firstPatience is the least patience of a first attempt, against the
+	// longest on its route: callers' deadlines differ by a fifth.
+	firstPatience = 0.8
 	// leaveServing is how long a stopping instance takes long requests on: the
 	// balancer may send some for two seconds, and they have to end before the
 	// stop does.
@@ -188,13 +193,29 @@
 	}
 	patience = min(patience, r.route.Timeout)
 	r.deadline = now.Add(patience)
+	r.objective = now.Add(r.route.Objective - g.waited(r.route, a.Patience))
 	r.timeout = g.timers.After(patience-answerSlack, func() { g.timedOut(r) })
 	g.budget.request(now, r.service)
 	g.out.Event("arrived", "request", a.ID, "route", r.route.Name, "workspace", r.workspace(), "service", r.service, "version", g.catalog.Version, "patience", patience, "pieces", a.Pieces)
 	g.plan(r)
+	if need := g.shortestChain(r); need > patience {
+		g.answer(r, NotRun, 0, "the stages take longer than the caller waits")
+		return
+	}
 	g.advance(r)
 }
 
+// waited estimates for how long a caller has waited before this attempt, from
+// the longest patience that callers of the route have shown.
+func (g *Gateway) waited(r *published.Route, patience time.Duration) time.Duration {
+	if patience <= 0 {
+		return 0
+	}
+	longest := max(g.patience[r.Name], patience)
+	g.patience[r.Name] = longest
+	return max(time.Duration(firstPatience*float64(longest))-patience, 0)
+}
+
 func (r *request) workspace() ident.Workspace {
 	if r.space == nil {
 		return ""
--- a/kernel/gateway/stages.go
+++ b/kernel/gateway/stages.go
@@ -22,6 +22,9 @@
 	// answerEstimate is the time from a model endpoint's getting the request
 	// to its first event at a moderate load.
 	answerEstimate = 200 * time.Millisecond
+	// minRetryAfter is the shortest time after which a refused caller may come
+	// back: a call of a stage.
+	minRetryAfter = 300 * time.Millisecond
 	// maxRemakes bounds how often lost inputs of a request are made again.
 	maxRemakes = 4
 )
@@ -178,8 +181,7 @@
 			pieces = append(pieces, i)
 		}
 	}
-	objective := r.started.Add(r.route.Objective)
-	due := objective.Add(-answerEstimate - time.Duration(r.chainAfter(index))*stageEstimate)
+	due := r.objective.Add(-answerEstimate - time.Duration(r.chainAfter(index))*stageEstimate)
 	w := message.StageWork{
 		Request:     r.arrival.ID,
 		Service:     s.stage.Service,
@@ -240,9 +242,15 @@
 			s.missing--
 			s.scarce = s.scarce || m.Scarce
 		case message.PieceInputGone:
+			if !s.submitted {
+				continue
+			}
 			s.submitted = false
 			clear(s.taken)
 			g.remakeInputs(r, s)
+		case message.PieceRefused:
+			g.answer(r, g.lossOf(r), g.comeBack(r, p.RetryAfter), "no room at stage "+string(m.Service))
+			continue
 		case message.PieceMoved:
 			s.submitted = false
 			g.counters.PiecesMoved++
@@ -275,6 +283,26 @@
 	}
 }
 
+// comeBack is when a refused caller may come back: after the given time, but
+// early enough to be served then.
+func (g *Gateway) comeBack(r *request, after time.Duration) time.Duration {
+	return max(min(after, r.deadline.Sub(g.now())/3), minRetryAfter)
+}
+
+// shortestChain is the least time in which a request's stages can be done.
+func (g *Gateway) shortestChain(r *request) time.Duration {
+	longest := time.Duration(0)
+	for i := range r.stages {
+		s := &r.stages[i]
+		b := g.batches(s.stage.Service)
+		if s.pieces == 0 || b == nil {
+			continue
+		}
+		longest = max(longest, time.Duration(1+r.chainAfter(i))*(b.CallTime+b.PieceTime))
+	}
+	return longest
+}
+
 // lossOf is what a request is told that cannot be served any more.
 func (g *Gateway) lossOf(r *request) Answer {
 	if r.mayRun {
--- a/kernel/message/batching.go
+++ b/kernel/message/batching.go
@@ -89,6 +89,8 @@
 	PieceInputGone PieceOutcome = "inputGone"
 	// PieceMoved has to be sent to the service's new batcher.
 	PieceMoved PieceOutcome = "moved"
+	// PieceRefused was not begun, since it cannot be done in any useful time.
+	PieceRefused PieceOutcome = "refused"
 	// PieceFailed failed at the endpoint, repeatedly.
 	PieceFailed PieceOutcome = "failed"
 )
@@ -98,6 +100,8 @@
 	ID      PieceID      `json:"id"`
 	Outcome PieceOutcome `json:"outcome"`
 	Handle  ResultHandle `json:"handle,omitempty"`
+	// RetryAfter is, for a refused piece, when there will be room again.
+	RetryAfter time.Duration `json:"retryAfter,omitempty"`
 }
 
 // StageResults answers StageWork, piece by piece.
