Run real daemons before stand-ins of the users' services

Change: anvilstandin plays the metadata store, plain, stage and model workers by the published protocol, with a ledger of what ran; anvilload/fleet runs real daemon processes before them. Tests: whole path, bad input and smuggled requests, failing workers, drains and configurations, store outage with lost history, a planned stop, killed batchers. make demo shows it (anvilload site). Found by it: a planned stop closed idle connections at once, and a request that crossed the close was reset; connections now end with their next answer. Log lines no longer name dataCentre twice.

--- a/anvilcrossd/gatewayd/gatewayd.go
+++ b/anvilcrossd/gatewayd/gatewayd.go
@@ -283,7 +283,6 @@
 	d.log.Event("stopRequested", "limit", d.settings.StopLimit)
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.StopLimit-stopMargin)
 	defer cancel()
-	d.idle.closeIdle(0)
 	select {
 	case <-time.After(min(noticeTime, d.settings.StopLimit/2)):
 	case <-signals:
--- a/anvilload/command/command.go
+++ b/anvilload/command/command.go
@@ -13,12 +13,13 @@
 
 // verbs is the look-up table of the verbs.
 type verbs struct {
-	Demo   demo   `cmd:"" help:"Send requests through every pipeline and check answers and books."`
-	Chaos  chaos  `cmd:"" help:"Send load while daemons are killed and frozen, and check the books."`
-	Usage  usage  `cmd:"" help:"Measure what the daemons of a deployment consume."`
-	Slopes slopes `cmd:"" help:"Fit measurements and work them out at the target size."`
-	Load   load   `cmd:"" help:"Send open-loop load to one pipeline and measure attainment and cost."`
-	Added  added  `cmd:"" help:"Measure the latency that the system adds over calling the endpoints directly."`
+	Demo   demo     `cmd:"" help:"Send requests through every pipeline and check answers and books."`
+	Chaos  chaos    `cmd:"" help:"Send load while daemons are killed and frozen, and check the books."`
+	Usage  usage    `cmd:"" help:"Measure what the daemons of a deployment consume."`
+	Slopes slopes   `cmd:"" help:"Fit measurements and work them out at the target size."`
+	Load   load     `cmd:"" help:"Send open-loop load to one pipeline and measure attainment and cost."`
+	Site   siteDemo `cmd:"" help:"Run gateways before stand-ins of the users' services and check every answer."`
+	Added  added    `cmd:"" help:"Measure the latency that the system adds over calling the endpoints directly."`
 }
 
 // maxConnections bounds the idle connections that a load keeps per address.
--- /dev/null
+++ b/anvilload/fleet/caller.go
@@ -0,0 +1,125 @@
+package fleet
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"anvilcross/anvilstandin/site"
+	"anvilcross/anvilstandin/worker"
+)
+
+// Request is what a caller asks for.
+type Request struct {
+	ID     string
+	Method string
+	// Route is order, lookup, draft or verse.
+	Route string
+	Body  string
+	Key   string
+	// Pieces is the number of pieces of each stage.
+	Pieces string
+	// Events is the number of events of a stream.
+	Events   int
+	Deadline time.Duration
+	// Header holds further headers.
+	Header http.Header
+}
+
+// NewRequest returns a request of a route as the site's callers send it.
+func NewRequest(route string) Request {
+	var b [8]byte
+	// A failure of the random source stops the process.
+	_, _ = rand.Read(b[:])
+	r := Request{ID: hex.EncodeToString(b[:]), Method: http.MethodPost, Route: route, Key: site.Key, Deadline: 8 * time.Second, Body: "body of " + route}
+	switch route {
+	case "lookup":
+		r.Method, r.Body = http.MethodGet, ""
+	case "draft":
+		r.Pieces, r.Events = "3", 12
+	case "verse":
+		r.Pieces, r.Events = "1,4", 12
+	}
+	return r
+}
+
+// Reply is what the caller got.
+type Reply struct {
+	Status int
+	Body   string
+	Header http.Header
+	// Err is why the answer is not whole.
+	Err  error
+	Took time.Duration
+}
+
+// Send sends a request to a daemon and reads the whole answer.
+func (d *Daemon) Send(client *http.Client, r Request) Reply {
+	begun := time.Now()
+	reply := d.send(client, r)
+	reply.Took = time.Since(begun)
+	return reply
+}
+
+func (d *Daemon) send(client *http.Client, r Request) Reply {
+	request, err := http.NewRequest(r.Method, fmt.Sprintf("http://%s/%s/item", d.Callers, r.Route), strings.NewReader(r.Body))
+	if err != nil {
+		return Reply{Err: errors.Trace(err)}
+	}
+	request.Host = site.Host
+	request.Header.Set("Request-Id", r.ID)
+	request.Header.Set("Deadline-Ms", strconv.FormatInt(r.Deadline.Milliseconds(), 10))
+	if r.Key != "" {
+		request.Header.Set("Authorization", "Bearer "+r.Key)
+	}
+	if r.Events > 0 {
+		request.Header.Set("Model", "m")
+		request.Header.Set("Token-Count", fmt.Sprintf("700,%d", r.Events))
+		request.Header.Set("Prompt-Prefix", "5c1e07a2:500,"+r.ID+":200")
+		request.Header.Set("Pieces", r.Pieces)
+		request.Header.Set("Piece-Key", worker.PieceKey(r.ID))
+	}
+	for name, values := range r.Header {
+		request.Header[name] = values
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return Reply{Err: errors.Trace(err)}
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return Reply{Status: response.StatusCode, Body: string(body), Header: response.Header, Err: errors.Trace(err)}
+}
+
+// Check returns what is wrong with a whole answer to a request, or nothing.
+func Check(r Request, reply Reply) string {
+	if reply.Err != nil {
+		return reply.Err.Error()
+	}
+	if reply.Status != http.StatusOK {
+		return fmt.Sprintf("status %d: %s", reply.Status, strings.TrimSpace(reply.Body))
+	}
+	want := worker.Body(r.ID, []byte(r.Body))
+	if r.Events > 0 {
+		want = ""
+		for n := range r.Events {
+			want += worker.Event(r.ID, n+1)
+		}
+	}
+	switch {
+	case reply.Body != want:
+		return fmt.Sprintf("body of %d bytes, want %d", len(reply.Body), len(want))
+	case reply.Header.Get("Response-Seal") == "":
+		return "no signature"
+	case reply.Header.Get("Request-Id") != r.ID:
+		return "answer to request " + reply.Header.Get("Request-Id")
+	}
+	return ""
+}
--- /dev/null
+++ b/anvilload/fleet/fleet.go
@@ -0,0 +1,190 @@
+// Package fleet runs real gateway daemons as processes on loopback, in front
+// of a site that the stand-ins play. It ends only processes that it started.
+package fleet
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
+
+	"anvilcross/anvilstandin/site"
+)
+
+const (
+	// readyLimit bounds the wait for a daemon to become ready.
+	readyLimit = 15 * time.Second
+	// stopLimit bounds a planned stop: the daemons' own limit and a margin.
+	stopLimit = 12 * time.Second
+	readyPoll = 50 * time.Millisecond
+)
+
+// Config sets up a Fleet.
+type Config struct {
+	// Binary is the daemon's program.
+	Binary string
+	// Directory gets settings and logs.
+	Directory string
+	Count     int
+	Site      *site.Site
+}
+
+// Daemon is one process of the fleet.
+type Daemon struct {
+	Name    string
+	Callers string
+	Metrics string
+	Log     string
+
+	ready    string
+	settings string
+	binary   string
+	command  *exec.Cmd
+	ended    chan error
+}
+
+// Fleet is a group of daemons that know each other.
+type Fleet struct {
+	Daemons []*Daemon
+}
+
+// Start starts the daemons and waits until all are ready.
+func Start(c Config) (*Fleet, error) {
+	f := &Fleet{}
+	peers, err := freeAddresses(c.Count)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	for n := range c.Count {
+		d, err := newDaemon(c, n, peers)
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		f.Daemons = append(f.Daemons, d)
+		if err := d.Launch(); err != nil {
+			f.Stop()
+			return nil, errors.Trace(err)
+		}
+	}
+	for _, d := range f.Daemons {
+		if err := d.WaitReady(); err != nil {
+			f.Stop()
+			return nil, errors.Trace(err)
+		}
+	}
+	return f, nil
+}
+
+// freeAddresses returns loopback addresses that nobody listens on.
+func freeAddresses(count int) ([]string, error) {
+	var addresses []string
+	for range count {
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		defer func() { _ = l.Close() }()
+		addresses = append(addresses, l.Addr().String())
+	}
+	return addresses, nil
+}
+
+func newDaemon(c Config, n int, peers []string) (*Daemon, error) {
+	own, err := freeAddresses(3)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	name := fmt.Sprintf("entry-%d", n)
+	d := &Daemon{
+		Name:     name,
+		Callers:  own[0],
+		Metrics:  own[2],
+		Log:      filepath.Join(c.Directory, name+".log"),
+		ready:    own[1],
+		settings: filepath.Join(c.Directory, name+".ini"),
+		binary:   c.Binary,
+	}
+	zones := site.Zones()
+	text := fmt.Sprintf("[instance]\nseat = %s\ndataCentre = %s\nseeds = %s\n[listen]\ncallers = %s\nready = %s\npeers = %s\nmetrics = %s\n[platform]\naddress = %s\n",
+		name, zones[n%len(zones)], strings.Join(peers[:min(len(peers), 3)], ","), own[0], own[1], peers[n], own[2], c.Site.Address())
+	return d, errors.Trace(os.WriteFile(d.settings, []byte(text), 0o600))
+}
+
+// Launch starts the daemon's process.
+func (d *Daemon) Launch() error {
+	log, err := os.OpenFile(d.Log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	d.command = exec.Command(d.binary, "gateway", "--settings", d.settings)
+	d.command.Stdout = log
+	d.command.Stderr = log
+	if err := d.command.Start(); err != nil {
+		return errors.Trace(err)
+	}
+	d.ended = make(chan error, 1)
+	go func(c *exec.Cmd, ended chan error) {
+		ended <- c.Wait()
+		_ = log.Close()
+	}(d.command, d.ended)
+	return nil
+}
+
+// WaitReady waits until the daemon takes connections.
+func (d *Daemon) WaitReady() error {
+	deadline := time.Now().Add(readyLimit)
+	for time.Now().Before(deadline) {
+		response, err := http.Get("http://" + d.ready + "/api/ready")
+		if err == nil {
+			_ = response.Body.Close()
+			if response.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+		time.Sleep(readyPoll)
+	}
+	return errors.Errorf("%s did not become ready; see %s", d.Name, d.Log)
+}
+
+// Signal sends a signal to the daemon's process.
+func (d *Daemon) Signal(s syscall.Signal) error { return errors.Trace(d.command.Process.Signal(s)) }
+
+// WaitEnd waits for the process to end.
+func (d *Daemon) WaitEnd() error {
+	select {
+	case err := <-d.ended:
+		d.ended <- err
+		return errors.Trace(err)
+	case <-time.After(stopLimit):
+		return errors.Errorf("%s did not end", d.Name)
+	}
+}
+
+// Kill ends the process at once.
+func (d *Daemon) Kill() error {
+	if err := d.Signal(syscall.SIGKILL); err != nil {
+		return errors.Trace(err)
+	}
+	err := <-d.ended
+	d.ended <- err
+	return nil
+}
+
+// Stop ends all processes of the fleet.
+func (f *Fleet) Stop() {
+	for _, d := range f.Daemons {
+		if d.command != nil && d.command.Process != nil {
+			// A process that has ended already needs no signal.
+			_ = d.Signal(syscall.SIGKILL)
+			err := <-d.ended
+			d.ended <- err
+		}
+	}
+}
--- /dev/null
+++ b/anvilload/fleet/fleet_test.go
@@ -0,0 +1,397 @@
+package fleet
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"anvilcross/anvilstandin/site"
+	"anvilcross/anvilstandin/worker"
+)
+
+var binary string
+
+func TestMain(m *testing.M) {
+	directory, err := os.MkdirTemp("", "anvilcross")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	binary = filepath.Join(directory, "anvilcrossd")
+	build := exec.Command("go", "build", "-buildvcs=false", "-o", binary, "anvilcross/anvilcrossd")
+	if output, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "building the daemon: %v\n%s", err, output)
+		os.Exit(1)
+	}
+	code := m.Run()
+	_ = os.RemoveAll(directory)
+	os.Exit(code)
+}
+
+// running is a site with a fleet in front of it.
+type running struct {
+	t      *testing.T
+	site   *site.Site
+	fleet  *Fleet
+	client *http.Client
+}
+
+func start(t *testing.T, count int) *running {
+	t.Helper()
+	s, err := site.Start()
+	if err != nil {
+		t.Fatal(err)
+	}
+	f, err := Start(Config{Binary: binary, Directory: t.TempDir(), Count: count, Site: s})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &running{t: t, site: s, fleet: f, client: &http.Client{Timeout: 20 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 16}}}
+	t.Cleanup(func() {
+		f.Stop()
+		_ = s.Close()
+		if t.Failed() {
+			r.showLogs()
+		}
+	})
+	return r
+}
+
+// showLogs prints the end of each daemon's log.
+func (r *running) showLogs() {
+	const lines = 30
+	for _, d := range r.fleet.Daemons {
+		text, err := os.ReadFile(d.Log)
+		if err != nil {
+			continue
+		}
+		all := strings.Split(string(text), "\n")
+		r.t.Logf("%s:\n%s", d.Name, strings.Join(all[max(len(all)-lines, 0):], "\n"))
+	}
+}
+
+func (r *running) wantWhole(d *Daemon, request Request) {
+	r.t.Helper()
+	if wrong := Check(request, d.Send(r.client, request)); wrong != "" {
+		r.t.Fatalf("%s at %s: %s", request.Route, d.Name, wrong)
+	}
+}
+
+func (r *running) wantStatus(d *Daemon, request Request, want int) Reply {
+	r.t.Helper()
+	reply := d.Send(r.client, request)
+	if reply.Err != nil || reply.Status != want {
+		r.t.Fatalf("%s at %s: got status %d and error %v, want %d", request.Route, d.Name, reply.Status, reply.Err, want)
+	}
+	return reply
+}
+
+func (r *running) wantNoProblems() {
+	r.t.Helper()
+	if problems := r.site.Ledger.Problems(); len(problems) > 0 {
+		r.t.Fatalf("the workers noted:\n%s", strings.Join(problems, "\n"))
+	}
+}
+
+// eventually waits until a condition holds.
+func (r *running) eventually(what string, limit time.Duration, holds func() bool) {
+	r.t.Helper()
+	for deadline := time.Now().Add(limit); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	r.t.Fatalf("not within %s: %s", limit, what)
+}
+
+func TestWholePath(t *testing.T) {
+	r := start(t, 3)
+	t.Run("every kind of request at every daemon at once", func(t *testing.T) {
+		var wait sync.WaitGroup
+		for _, d := range r.fleet.Daemons {
+			for _, route := range []string{"order", "lookup", "draft", "verse"} {
+				for range 4 {
+					wait.Go(func() {
+						request := NewRequest(route)
+						if wrong := Check(request, d.Send(r.client, request)); wrong != "" {
+							t.Errorf("%s at %s: %s", route, d.Name, wrong)
+						}
+						if runs := r.site.Ledger.Runs(request.ID); len(runs) != 1 {
+							t.Errorf("%s ran %d times", route, len(runs))
+						}
+					})
+				}
+			}
+		}
+		wait.Wait()
+	})
+	t.Run("results are freed", func(t *testing.T) {
+		r.eventually("all stage results are freed", 3*time.Second, func() bool { return r.site.Results.Count() == 0 })
+	})
+	t.Run("metrics tell of them", func(t *testing.T) {
+		response, err := http.Get("http://" + r.fleet.Daemons[0].Metrics + "/metrics")
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, _ := io.ReadAll(response.Body)
+		_ = response.Body.Close()
+		if !strings.Contains(string(body), "anvilcross_arrived") {
+			t.Fatalf("no counter of arrivals in:\n%.500s", body)
+		}
+	})
+	r.wantNoProblems()
+}
+
+func TestBadInput(t *testing.T) {
+	r := start(t, 1)
+	d := r.fleet.Daemons[0]
+	t.Run("unknown route", func(*testing.T) { r.wantStatus(d, NewRequest("nothing"), http.StatusNotFound) })
+	t.Run("unknown key", func(*testing.T) {
+		request := NewRequest("order")
+		request.Key = "wrong"
+		r.wantStatus(d, request, http.StatusUnauthorized)
+	})
+	t.Run("body too large", func(*testing.T) {
+		request := NewRequest("order")
+		request.Body = strings.Repeat("x", 70_000)
+		r.wantStatus(d, request, http.StatusRequestEntityTooLarge)
+	})
+	t.Run("header too large", func(*testing.T) {
+		request := NewRequest("order")
+		request.Header = http.Header{"X-Large": {strings.Repeat("x", 40_000)}}
+		r.wantStatus(d, request, http.StatusRequestHeaderFieldsTooLarge)
+	})
+	t.Run("malformed pieces", func(*testing.T) {
+		request := NewRequest("draft")
+		request.Pieces = "two"
+		r.wantStatus(d, request, http.StatusBadRequest)
+	})
+	t.Run("a request inside another one", func(t *testing.T) {
+		for name, text := range smuggled() {
+			if reply := exchange(t, d.Callers, text); strings.Contains(reply, "HTTP/1.1 200") && strings.Count(reply, "HTTP/1.1 200") > 1 {
+				t.Errorf("%s: two requests were served:\n%s", name, reply)
+			}
+		}
+		if runs := r.site.Ledger.Runs("inner"); len(runs) != 0 {
+			t.Errorf("the inner request ran %d times", len(runs))
+		}
+	})
+	t.Run("half a request harms nobody", func(t *testing.T) {
+		exchange(t, d.Callers, "POST /order/item HTTP/1.1\r\nHost: site.example\r\nContent-Length: 100\r\n\r\nhalf")
+		r.wantWhole(d, NewRequest("order"))
+	})
+	r.wantNoProblems()
+}
+
+// smuggled returns requests that hide another one from a careless reader.
+func smuggled() map[string]string {
+	inner := "POST /order/inner HTTP/1.1\r\nHost: site.example\r\nRequest-Id: inner\r\nAuthorization: Bearer " + site.Key + "\r\nDeadline-Ms: 1000\r\nContent-Length: 0\r\n\r\n"
+	head := "POST /order/item HTTP/1.1\r\nHost: site.example\r\nRequest-Id: outer\r\nAuthorization: Bearer " + site.Key + "\r\nDeadline-Ms: 1000\r\n"
+	return map[string]string{
+		"two lengths":                head + fmt.Sprintf("Content-Length: 0\r\nContent-Length: %d\r\n\r\n%s", len(inner), inner),
+		"a length that is no number": head + "Content-Length: +0\r\n\r\n" + inner,
+		"an unknown coding":          head + "Transfer-Encoding: xchunked\r\nContent-Length: 0\r\n\r\n" + inner,
+	}
+}
+
+// exchange sends bytes and returns what comes back within a second.
+func exchange(t *testing.T, address, text string) string {
+	t.Helper()
+	connection, err := net.Dial("tcp4", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = connection.Close() }()
+	_ = connection.SetDeadline(time.Now().Add(time.Second))
+	if _, err := io.WriteString(connection, text); err != nil {
+		return ""
+	}
+	reply, _ := io.ReadAll(connection)
+	return string(reply)
+}
+
+func TestFaultsOfWorkers(t *testing.T) {
+	r := start(t, 2)
+	d := r.fleet.Daemons[0]
+	plain := func(f worker.Faults, names ...string) {
+		for _, name := range names {
+			r.site.Plain[name].SetFaults(f)
+		}
+	}
+	all := []string{"orders-0", "orders-1", "orders-2"}
+	t.Run("an order whose answer is lost is not repeated", func(t *testing.T) {
+		plain(worker.Faults{Broken: true}, all...)
+		defer plain(worker.Faults{}, all...)
+		request := NewRequest("order")
+		r.wantStatus(d, request, http.StatusBadGateway)
+		if runs := r.site.Ledger.Runs(request.ID); len(runs) != 1 {
+			t.Fatalf("the order ran %d times", len(runs))
+		}
+	})
+	t.Run("a full service leaves the request not run", func(t *testing.T) {
+		time.Sleep(3 * time.Second)
+		plain(worker.Faults{Full: true}, all...)
+		defer plain(worker.Faults{}, all...)
+		request := NewRequest("order")
+		reply := r.wantStatus(d, request, http.StatusServiceUnavailable)
+		if runs := r.site.Ledger.Runs(request.ID); len(runs) != 0 || reply.Header.Get("Retry-After") == "" {
+			t.Fatalf("ran %d times, Retry-After %q", len(runs), reply.Header.Get("Retry-After"))
+		}
+	})
+	t.Run("an answer without a length is passed on whole", func(*testing.T) {
+		plain(worker.Faults{Unframed: true}, all...)
+		defer plain(worker.Faults{}, all...)
+		r.wantWhole(d, NewRequest("order"))
+	})
+	t.Run("a stream that breaks goes on at another worker", func(t *testing.T) {
+		for _, m := range r.site.Models {
+			m.SetFaults(worker.Faults{CutAfter: 7})
+			defer m.SetFaults(worker.Faults{})
+		}
+		request := NewRequest("verse")
+		r.wantWhole(d, request)
+		if runs := r.site.Ledger.Runs(request.ID); len(runs) != 2 {
+			t.Fatalf("ran %d times, want 2", len(runs))
+		}
+	})
+	t.Run("a stream that cannot be resumed ends visibly incomplete", func(t *testing.T) {
+		for _, m := range r.site.Models {
+			m.SetFaults(worker.Faults{CutAfter: 7})
+			defer m.SetFaults(worker.Faults{})
+		}
+		if reply := d.Send(r.client, NewRequest("draft")); reply.Err == nil {
+			t.Fatalf("the answer looks complete: status %d", reply.Status)
+		}
+	})
+	t.Run("a stage worker that fails costs no request", func(*testing.T) {
+		time.Sleep(3 * time.Second)
+		r.site.Stages["registry-0"].SetFaults(worker.Faults{Broken: true})
+		defer r.site.Stages["registry-0"].SetFaults(worker.Faults{})
+		r.wantWhole(d, NewRequest("verse"))
+	})
+	r.wantNoProblems()
+}
+
+func TestChangesTakeEffect(t *testing.T) {
+	r := start(t, 2)
+	t.Run("a drained worker gets nothing new", func(t *testing.T) {
+		r.site.Drain("orders-0")
+		time.Sleep(time.Second)
+		for _, d := range r.fleet.Daemons {
+			for range 10 {
+				request := NewRequest("order")
+				r.wantWhole(d, request)
+				if runs := r.site.Ledger.Runs(request.ID); runs[0] == "orders-0" {
+					t.Fatal("the drained worker got a request")
+				}
+			}
+		}
+	})
+	t.Run("a new configuration is in force and an older one is ignored", func(t *testing.T) {
+		drop := func(c map[string]any) { c["routes"] = c["routes"].([]any)[:2] }
+		r.site.Configure(7, drop)
+		time.Sleep(time.Second)
+		r.site.Configure(3, nil)
+		time.Sleep(time.Second)
+		for _, d := range r.fleet.Daemons {
+			r.wantStatus(d, NewRequest("verse"), http.StatusNotFound)
+			r.wantWhole(d, NewRequest("order"))
+		}
+	})
+	t.Run("entries that cannot be read change nothing", func(t *testing.T) {
+		r.site.Store.Put("servers/strange", []byte(`{"service":7}`))
+		r.site.Store.Put("servers/bytes", []byte{0xff, 0x00})
+		time.Sleep(500 * time.Millisecond)
+		for _, d := range r.fleet.Daemons {
+			r.wantWhole(d, NewRequest("order"))
+		}
+	})
+	r.wantNoProblems()
+}
+
+func TestStoreOutage(t *testing.T) {
+	r := start(t, 2)
+	r.site.Store.SetDown(true)
+	time.Sleep(2 * time.Second)
+	for _, d := range r.fleet.Daemons {
+		r.wantWhole(d, NewRequest("order"))
+		r.wantWhole(d, NewRequest("verse"))
+	}
+	r.site.Configure(9, func(c map[string]any) { c["routes"] = c["routes"].([]any)[:1] })
+	r.site.Store.Forget()
+	r.site.Store.SetDown(false)
+	r.eventually("the configuration of the outage is in force", 4*time.Second, func() bool {
+		for _, d := range r.fleet.Daemons {
+			if d.Send(r.client, NewRequest("lookup")).Status != http.StatusNotFound {
+				return false
+			}
+		}
+		return true
+	})
+	r.wantNoProblems()
+}
+
+func TestPlannedStopCutsNothing(t *testing.T) {
+	r := start(t, 3)
+	d := r.fleet.Daemons[0]
+	var wait sync.WaitGroup
+	for n := range 30 {
+		wait.Go(func() {
+			time.Sleep(time.Duration(n) * 40 * time.Millisecond)
+			request := NewRequest([]string{"verse", "draft", "order"}[n%3])
+			reply := d.Send(r.client, request)
+			if wrong := Check(request, reply); wrong != "" && reply.Status != http.StatusServiceUnavailable {
+				t.Errorf("%s: %s", request.Route, wrong)
+			}
+		})
+	}
+	time.Sleep(400 * time.Millisecond)
+	if err := d.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	wait.Wait()
+	if err := d.WaitEnd(); err != nil {
+		t.Fatalf("the daemon ended with %v", err)
+	}
+	r.wantWhole(r.fleet.Daemons[1], NewRequest("verse"))
+	r.wantNoProblems()
+}
+
+func TestKilledBatcherIsReplaced(t *testing.T) {
+	r := start(t, 3)
+	for n, victim := range r.fleet.Daemons {
+		other := r.fleet.Daemons[(n+1)%len(r.fleet.Daemons)]
+		results := make(chan string, 8)
+		for range cap(results) {
+			go func() {
+				request := NewRequest("verse")
+				results <- Check(request, other.Send(r.client, request))
+			}()
+		}
+		time.Sleep(60 * time.Millisecond)
+		if err := victim.Kill(); err != nil {
+			t.Fatal(err)
+		}
+		for range cap(results) {
+			if wrong := <-results; wrong != "" {
+				t.Errorf("with %s killed: %s", victim.Name, wrong)
+			}
+		}
+		if err := victim.Launch(); err != nil {
+			t.Fatal(err)
+		}
+		if err := victim.WaitReady(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	r.wantNoProblems()
+}
--- /dev/null
+++ b/anvilstandin/site/site.go
@@ -0,0 +1,188 @@
+// Package site plays a small deployment of the users on loopback: a metadata
+// store, plain, stage and model workers that are listed there, and a published
+// configuration.
+package site
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"time"
+
+	"anvilcross/anvilstandin/metadata"
+	"anvilcross/anvilstandin/worker"
+)
+
+// Tenant and Key are the customer that the site knows.
+const (
+	Tenant = "parish"
+	Key    = "key-parish"
+	// Host is the host of all routes.
+	Host = "site.example"
+)
+
+// workersOfKind is the number of workers of each service.
+const workersOfKind = 3
+
+// Site is a running deployment.
+type Site struct {
+	Store   *metadata.Store
+	Ledger  *worker.Ledger
+	Results *worker.Results
+	// Plain, Stages and Models are the workers by name.
+	Plain  map[string]*worker.Worker
+	Stages map[string]*worker.Stage
+	Models map[string]*worker.Model
+
+	address string
+	servers []*http.Server
+	entries map[string]entry
+}
+
+type entry struct {
+	Service  string `json:"service"`
+	Address  string `json:"address"`
+	Zone     string `json:"zone"`
+	Version  string `json:"version"`
+	Slots    int    `json:"slots"`
+	State    string `json:"state"`
+	Sequence int    `json:"sequence"`
+	Born     int64  `json:"born"`
+}
+
+// Start starts all parts on free ports of the loopback address.
+func Start() (*Site, error) {
+	s := &Site{
+		Store:   metadata.NewStore(),
+		Ledger:  worker.NewLedger(),
+		Results: worker.NewResults(),
+		Plain:   map[string]*worker.Worker{},
+		Stages:  map[string]*worker.Stage{},
+		Models:  map[string]*worker.Model{},
+		entries: map[string]entry{},
+	}
+	address, err := s.serve(func(string) http.Handler { return s.Store })
+	if err != nil {
+		return nil, err
+	}
+	s.address = address
+	for n := range workersOfKind {
+		zone := Zones()[n%len(Zones())]
+		for _, service := range []string{"orders", "models", "registry", "planning"} {
+			if err := s.add(service, n, zone); err != nil {
+				return nil, errors.Join(err, s.Close())
+			}
+		}
+	}
+	s.Configure(1, nil)
+	return s, nil
+}
+
+// Zones are the zones of the site.
+func Zones() []string { return []string{"zone-a", "zone-b"} }
+
+// Address is where the metadata store is reached.
+func (s *Site) Address() string { return s.address }
+
+func (s *Site) serve(handler func(address string) http.Handler) (string, error) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	address := listener.Addr().String()
+	server := &http.Server{Handler: handler(address), ReadHeaderTimeout: 5 * time.Second, ErrorLog: log.New(io.Discard, "", 0)}
+	s.servers = append(s.servers, server)
+	go func() { _ = server.Serve(listener) }()
+	return address, nil
+}
+
+func (s *Site) add(service string, n int, zone string) error {
+	name := fmt.Sprintf("%s-%d", service, n)
+	c := worker.Config{Name: name, Ledger: s.Ledger, Tenants: map[string]bool{Tenant: true}, WorkTime: 5 * time.Millisecond}
+	address, err := s.serve(func(address string) http.Handler {
+		switch service {
+		case "orders":
+			s.Plain[name] = worker.NewWorker(c)
+			return s.Plain[name]
+		case "models":
+			s.Models[name] = worker.NewModel(worker.ModelConfig{Config: c, Store: s.Results, Gap: 3 * time.Millisecond})
+			return s.Models[name]
+		}
+		s.Stages[name] = worker.NewStage(worker.StageConfig{Config: c, Address: address, Batch: 8, Room: 9, Store: s.Results, CallTime: 40 * time.Millisecond, PieceTime: 2 * time.Millisecond})
+		return s.Stages[name]
+	})
+	if err != nil {
+		return err
+	}
+	s.List(name, entry{Service: service, Address: address, Zone: zone, Version: "v1", Slots: 6, State: "ready", Sequence: 1, Born: time.Now().UnixMilli()})
+	return nil
+}
+
+// List writes a worker's entry.
+func (s *Site) List(name string, e entry) {
+	value, err := json.Marshal(e)
+	if err != nil {
+		panic("entry cannot be encoded: " + err.Error())
+	}
+	s.entries[name] = e
+	s.Store.Put("servers/"+name, value)
+}
+
+// Drain marks a worker as leaving.
+func (s *Site) Drain(name string) {
+	e := s.entries[name]
+	e.State = "draining"
+	s.List(name, e)
+}
+
+// Configure publishes a configuration. The change edits it before.
+func (s *Site) Configure(version int, change func(map[string]any)) {
+	pieces := map[string]any{"slots": 1, "queue": 0, "batch": 8, "call-ms": 40.0, "item-ms": 2.0, "headroom-mb": 9.0, "handle-s": 4.0, "link-mbps": 10000}
+	stream := func(name string, resumable bool, attempts int, stages []any) map[string]any {
+		return map[string]any{"name": name, "host": Host, "prefix": "/" + name + "/", "kind": "stream", "timeout-ms": 8000, "target-latency-ms": 1500, "priority": 0, "service": "models", "max-attempts": attempts, "stages": stages, "sticky": true, "resumable": resumable, "target-gap-ms": 400}
+	}
+	plain := func(name, kind string, attempts int) map[string]any {
+		return map[string]any{"name": name, "host": Host, "prefix": "/" + name + "/", "kind": kind, "timeout-ms": 1500, "target-latency-ms": 200, "priority": 2, "service": "orders", "max-attempts": attempts}
+	}
+	c := map[string]any{
+		"version": version,
+		"routes": []any{
+			plain("order", "unsafe", 1),
+			plain("lookup", "safe", 2),
+			stream("draft", false, 1, []any{map[string]any{"service": "registry", "after": []int{}, "length": 800000}}),
+			stream("verse", true, 2, []any{
+				map[string]any{"service": "registry", "after": []int{}, "length": 8000},
+				map[string]any{"service": "planning", "after": []int{0}, "length": 60000},
+			}),
+		},
+		"services": []any{
+			map[string]any{"name": "orders", "health-path": "/health", "max-connections": 48},
+			map[string]any{"name": "models", "health-path": "/health", "max-connections": 500, "engine": map[string]any{"slots": 128, "kv-capacity-tokens": 100000}},
+			map[string]any{"name": "registry", "health-path": "/health", "max-connections": 500, "pieces": pieces},
+			map[string]any{"name": "planning", "health-path": "/health", "max-connections": 500, "pieces": pieces},
+		},
+		"limits":  map[string]any{"max-header-bytes": 16384, "max-body-bytes": 65536, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
+		"tenants": []any{map[string]any{"name": Tenant, "api-keys": []string{Key}}},
+	}
+	if change != nil {
+		change(c)
+	}
+	value, err := json.Marshal(c)
+	if err != nil {
+		panic("configuration cannot be encoded: " + err.Error())
+	}
+	s.Store.Put("op/config", value)
+}
+
+// Close stops all parts.
+func (s *Site) Close() error {
+	var failures []error
+	for _, server := range s.servers {
+		failures = append(failures, server.Close())
+	}
+	return errors.Join(failures...)
+}
--- a/kernel/batching/dispatch.go
+++ b/kernel/batching/dispatch.go
@@ -204,7 +204,7 @@
 		m.booked += p.work.ResultBytes
 		items[i] = Item{ID: p.id, Remaining: p.work.deadline.Sub(now), Key: p.work.Key, Inputs: p.work.Inputs}
 	}
-	b.config.Output.Event("stageCall", "call", c.id, "service", s, "endpoint", e.Name, "at", e.DataCentre, "pieces", len(pieces), "waiting", len(b.queue(s).waiting), "booked", m.booked, "crossing", b.crossingOf(pieces, e.DataCentre), "oldest", now.Sub(pieces[0].since))
+	b.config.Output.Event("stageCall", "call", c.id, "service", s, "endpoint", e.Name, "endpointCentre", e.DataCentre, "pieces", len(pieces), "waiting", len(b.queue(s).waiting), "booked", m.booked, "crossing", b.crossingOf(pieces, e.DataCentre), "oldest", now.Sub(pieces[0].since))
 	m.calls++
 	m.lastCall = now
 	b.calls[c.id] = c
--- a/kernel/gateway/attempts.go
+++ b/kernel/gateway/attempts.go
@@ -54,7 +54,7 @@
 	r.sends++
 	e.Running++
 	g.armHedge(r, e)
-	g.out.Event("sent", "request", r.arrival.ID, "endpoint", e.Name, "dataCentre", e.DataCentre, "busy", e.Busy(now), "after", now.Sub(r.started), "send", r.sends, "resume", r.resume)
+	g.out.Event("sent", "request", r.arrival.ID, "endpoint", e.Name, "endpointCentre", e.DataCentre, "busy", e.Busy(now), "after", now.Sub(r.started), "send", r.sends, "resume", r.resume)
 	g.out.Step(r.handle, Step{Send: &Send{
 		Attempt:    r.attempts,
 		Endpoint:   e.Name,
--- a/kernel/gateway/peers.go
+++ b/kernel/gateway/peers.go
@@ -82,7 +82,7 @@
 func (g *Gateway) handlePing(p message.Ping) {
 	now := g.now()
 	if g.members.Heard(now, p.Member, p.Ready, p.Leaving) {
-		g.out.Event("memberReached", "member", p.Member.Name, "dataCentre", p.Member.DataCentre, "incarnation", p.Member.Incarnation)
+		g.out.Event("memberReached", "member", p.Member.Name, "memberCentre", p.Member.DataCentre, "incarnation", p.Member.Incarnation)
 	}
 	g.members.Named(now, p.Members)
 	g.elsewhere[p.Member.Name] = p.Running
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -1,8 +1,10 @@
 #!/usr/bin/env bash
-# Runs both users' deployments on loopback, sends real requests through every
-# pipeline, and stops everything again.
+# Runs gateways before stand-ins of the users' services, then both users'
+# deployments of the product's own interface, on loopback: sends real requests
+# through every route and pipeline, and stops everything again.
 set -eu
 cd "$(dirname "$0")/.."
+bin/anvilload site
 port=21000
 result=0
 for user in wroclaw pelletier; do
