--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 	scripts/demo.sh
 
 test:
-	go test -race $(PACKAGES)
+	go test -race -count=1 $(PACKAGES)
 
 lint:
 	@bad=$$(gofmt -l $(MODULES)); if [ -n "$$bad" ]; then echo "not gofmt-clean:"; echo "$$bad"; exit 1; fi
--- a/anvilcrossd/gatewayd/gatewayd.go
+++ b/anvilcrossd/gatewayd/gatewayd.go
@@ -113,7 +113,7 @@
 	d.mesh = peer.NewMesh(peer.Config{
 		DataCentre: s.DataCentre,
 		Near:       link.NewTransport(link.Config{KeepIdle: keepPeer, MaxPerHost: maxPeerConnections}),
-		Receive:    func(e message.Envelope) { d.do(func(g *gateway.Gateway) { g.HandlePeer(e) }) },
+		Receive:    func(e message.Envelope) { d.learn(func(g *gateway.Gateway) { g.HandlePeer(e) }) },
 		Failed: func(to ident.Instance, reason string) {
 			d.do(func(g *gateway.Gateway) { g.PeerFailed(to, reason) })
 		},
@@ -190,6 +190,10 @@
 			d.log.Event("platformBack")
 			d.do(func(g *gateway.Gateway) { g.PlatformBack() })
 		},
+		Reads: func() (reads bool) {
+			d.do(func(g *gateway.Gateway) { reads = g.Reads() })
+			return reads
+		},
 		AsOf: func() (asOf replica.Revision) {
 			d.do(func(g *gateway.Gateway) { asOf = g.AsOf() })
 			return asOf
--- a/anvilcrossd/metadata/metadata.go
+++ b/anvilcrossd/metadata/metadata.go
@@ -20,6 +20,9 @@
 	replySlack = 500 * time.Millisecond
 	// listTimeout bounds a listing.
 	listTimeout = 1500 * time.Millisecond
+	// readsPeriod is how often an instance that does not read looks whether
+	// it has to.
+	readsPeriod = 100 * time.Millisecond
 	// firstPause is the pause after a failed call; it doubles up to maxPause.
 	firstPause = 100 * time.Millisecond
 	maxPause   = 800 * time.Millisecond
@@ -34,6 +37,8 @@
 	Watched func([]replica.Record, replica.Revision)
 	Lost    func(reason error)
 	Back    func()
+	// Reads tells whether this instance reads the store, or learns from others.
+	Reads func() bool
 	// AsOf is the revision up to which all records are known.
 	AsOf func() replica.Revision
 }
@@ -52,6 +57,10 @@
 func (f *Follower) Run(ctx context.Context) {
 	listed := false
 	for ctx.Err() == nil {
+		if !f.config.Reads() {
+			sleep(ctx, readsPeriod)
+			continue
+		}
 		var err error
 		if listed {
 			err = f.watch(ctx)
@@ -109,8 +118,12 @@
 		f.config.Lost(err)
 	}
 	f.pause = min(max(2*f.pause, firstPause), maxPause)
+	sleep(ctx, f.pause)
+}
+
+func sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
-	case <-time.After(f.pause):
+	case <-time.After(d):
 	}
 }
--- a/kernel/endpoints/endpoints.go
+++ b/kernel/endpoints/endpoints.go
@@ -97,7 +97,7 @@
 	if e == nil {
 		return
 	}
-	if !e.Leaving && b.inTrouble(now) {
+	if !e.Leaving && b.InTrouble(now) {
 		e.lapsedAt = now
 		return
 	}
@@ -117,11 +117,20 @@
 	b.troubleUntil = now.Add(lapseGrace)
 }
 
-func (b *Book) inTrouble(now time.Time) bool { return b.troubled || now.Before(b.troubleUntil) }
+// InTrouble reports whether entries may have lapsed in an outage of the
+// platform.
+func (b *Book) InTrouble(now time.Time) bool { return b.troubled || now.Before(b.troubleUntil) }
+
+// Doubt takes in that entries may have lapsed, by another instance's word.
+func (b *Book) Doubt(now time.Time) {
+	if until := now.Add(lapseGrace); until.After(b.troubleUntil) {
+		b.troubleUntil = until
+	}
+}
 
 // Sweep drops the entries that lapsed and are not back.
 func (b *Book) Sweep(now time.Time) []ident.Endpoint {
-	if b.inTrouble(now) {
+	if b.InTrouble(now) {
 		return nil
 	}
 	var dropped []ident.Endpoint
--- a/kernel/gateway/gateway.go
+++ b/kernel/gateway/gateway.go
@@ -109,7 +109,9 @@
 	claims    map[ident.Service]time.Time
 	words     map[ident.Instance]map[ident.Service]batcherWord
 	startedAt time.Time
-	counters  Counters
+	// contacts tells when each instance last heard from the platform.
+	contacts map[ident.Instance]contact
+	counters Counters
 }
 
 // Counters are the gateway's totals.
@@ -135,6 +137,7 @@
 		claims:    map[ident.Service]time.Time{},
 		words:     map[ident.Instance]map[ident.Service]batcherWord{},
 		startedAt: c.Timers.Now(),
+		contacts:  map[ident.Instance]contact{},
 	}
 	g.budget = newBudget(c.Bounds)
 	g.batcher = batching.NewBatcher(batching.Config{
@@ -236,20 +239,6 @@
 	g.reviewPieces(now)
 }
 
-// Listed takes in a full listing of the platform's records.
-func (g *Gateway) Listed(records []replica.Record, asOf replica.Revision) {
-	g.learn(g.records.Replace(g.now(), records, asOf), "listing")
-}
-
-// Watched takes in changes of the platform's records.
-func (g *Gateway) Watched(records []replica.Record, asOf replica.Revision) {
-	news := g.records.Apply(g.now(), records, asOf)
-	g.learn(news, "watch")
-	if len(news) > 0 {
-		g.spread(news)
-	}
-}
-
 // PlatformLost takes in that the platform cannot be read.
 func (g *Gateway) PlatformLost() { g.book.PlatformLost() }
 
--- a/kernel/gateway/peers.go
+++ b/kernel/gateway/peers.go
@@ -4,7 +4,6 @@
 	"anvilcross/kernel/ident"
 	"anvilcross/kernel/membership"
 	"anvilcross/kernel/message"
-	"anvilcross/kernel/replica"
 	"anvilcross/kernel/value"
 )
 
@@ -12,13 +11,14 @@
 func (g *Gateway) ping() {
 	now := g.now()
 	p := message.Ping{
-		Member:  g.members.Self(),
-		Ready:   g.Ready(),
-		Leaving: g.leaving,
-		Members: g.members.Sample(now),
-		AsOf:    g.records.AsOf(),
-		Running: g.runningByEndpoint(),
-		Batches: g.ownBatching(now),
+		Member:      g.members.Self(),
+		Ready:       g.Ready(),
+		Leaving:     g.leaving,
+		Members:     g.members.Sample(now),
+		AsOf:        g.records.AsOf(),
+		PlatformAge: g.contactAge(now),
+		Running:     g.runningByEndpoint(),
+		Batches:     g.ownBatching(now),
 	}
 	for _, target := range g.members.Targets(now) {
 		g.send(target, message.Envelope{Ping: &p})
@@ -48,24 +48,13 @@
 	}
 }
 
-// spread passes news of the platform on at once, so that instances that
-// cannot reach it learn of changes in time.
-func (g *Gateway) spread(news []replica.Record) {
-	m := message.Records{Records: news, AsOf: 0}
-	for _, name := range g.members.Living(g.now()) {
-		if name != g.config.Self.Name {
-			g.sendTo(name, message.Envelope{Records: &m})
-		}
-	}
-}
-
 // HandlePeer takes a message from another instance.
 func (g *Gateway) HandlePeer(m message.Envelope) {
 	switch {
 	case m.Ping != nil:
 		g.handlePing(*m.Ping)
 	case m.Records != nil:
-		g.learn(g.records.Apply(g.now(), m.Records.Records, m.Records.AsOf), string(m.From))
+		g.handleRecords(m.From, *m.Records)
 	case m.StageWork != nil:
 		g.batcher.Submit(m.From, *m.StageWork)
 	case m.StageResults != nil:
@@ -88,14 +77,8 @@
 	g.elsewhere[p.Member.Name] = p.Running
 	g.countElsewhere()
 	g.heardBatching(now, p.Member.Name, p.Batches)
-	if p.AsOf < g.records.AsOf() {
-		records, complete := g.records.Since(p.AsOf, maxRecords)
-		m := message.Records{Records: records}
-		if complete {
-			m.AsOf = g.records.AsOf()
-		}
-		g.sendTo(p.Member.Name, message.Envelope{Records: &m})
-	}
+	g.heardContact(now, p.Member.Name, p.PlatformAge)
+	g.answerBehind(p.Member.Name, p.AsOf)
 }
 
 // PeerFailed takes in that messages to a member could not be delivered.
--- /dev/null
+++ b/kernel/gateway/reader_test.go
@@ -0,0 +1,107 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"anvilcross/kernel/endpoints"
+	"anvilcross/kernel/ident"
+	"anvilcross/kernel/membership"
+	"anvilcross/kernel/message"
+	"anvilcross/kernel/replica"
+)
+
+// hear lets a member's ping arrive.
+func (w *world) hear(name ident.Instance, centre ident.DataCentre, platformAge time.Duration) {
+	p := message.Ping{Member: membership.Member{Name: name, Address: string(name) + ":1", DataCentre: centre, Incarnation: 1}, Ready: true, AsOf: w.gateway.AsOf()}
+	if platformAge >= 0 {
+		p.PlatformAge = &platformAge
+	}
+	w.gateway.HandlePeer(message.Envelope{From: name, Ping: &p})
+}
+
+// Tests of who reads the platform: calls to it are counted for the whole fleet.
+func TestReaders(t *testing.T) {
+	many := func(w *world, age time.Duration) {
+		for _, name := range []ident.Instance{"two", "three", "four", "five", "six", "seven", "eight"} {
+			w.hear(name, "east", age)
+		}
+	}
+	t.Run("an instance without a configuration reads", func(t *testing.T) {
+		w := newWorld(t)
+		many(w, 0)
+		if !w.gateway.Reads() {
+			t.Fatal("does not read")
+		}
+	})
+	t.Run("a data centre has few readers", func(t *testing.T) {
+		readers := 0
+		for _, self := range []ident.Instance{"one", "two", "three", "four", "five", "six", "seven", "eight"} {
+			w := configured(t)
+			w.gateway.config.Self.Name = self
+			many(w, 0)
+			if w.gateway.readers(w.timers.Now()).Has(string(self)) {
+				readers++
+			}
+		}
+		if readers < minReaders || readers > minReaders+1 {
+			t.Fatalf("%d readers", readers)
+		}
+	})
+	t.Run("others read when the readers are out of touch", func(t *testing.T) {
+		w := configured(t)
+		many(w, 5*time.Second)
+		if !w.gateway.Reads() {
+			t.Fatal("does not read although no reader is in touch")
+		}
+	})
+}
+
+func TestRecordsOfMembers(t *testing.T) {
+	t.Run("a change reaches an instance that does not read", func(t *testing.T) {
+		w := configured(t)
+		l := listing("orders", 0)
+		l.Leaving = true
+		w.gateway.HandlePeer(message.Envelope{From: "two", Records: &message.Records{Records: []replica.Record{record(t, string(l.Name), 5, l)}, Base: 1, AsOf: 5}})
+		if e := w.gateway.book.Lookup(l.Name); !e.Leaving || w.gateway.AsOf() != 5 {
+			t.Fatalf("leaving %v, as of %d", e.Leaving, w.gateway.AsOf())
+		}
+	})
+	t.Run("an older record changes nothing", func(t *testing.T) {
+		w := configured(t)
+		old := testCatalog(0)
+		old.Routes = nil
+		w.gateway.HandlePeer(message.Envelope{From: "two", Records: &message.Records{Records: []replica.Record{record(t, "catalog", 1, old)}, Base: 0, AsOf: 1}})
+		if len(w.gateway.Catalog().Routes) == 0 {
+			t.Fatal("an older configuration is in force")
+		}
+	})
+	t.Run("a gap does not count as complete", func(t *testing.T) {
+		w := configured(t)
+		w.gateway.HandlePeer(message.Envelope{From: "two", Records: &message.Records{Base: 7, AsOf: 9}})
+		if w.gateway.AsOf() != 1 {
+			t.Fatalf("as of %d", w.gateway.AsOf())
+		}
+	})
+	t.Run("an entry that lapsed in an outage is kept until it is surely gone", func(t *testing.T) {
+		w := configured(t)
+		gone := replica.Record{Key: "orders-0", Revision: 6, Removed: true}
+		w.gateway.HandlePeer(message.Envelope{From: "two", Records: &message.Records{Records: []replica.Record{gone}, Base: 1, AsOf: 6, Doubtful: true}})
+		w.wantListed("orders-0", true)
+		w.pass(3 * time.Second)
+		w.wantListed("orders-0", false)
+	})
+	t.Run("an entry that was removed in calm is gone at once", func(t *testing.T) {
+		w := configured(t)
+		gone := replica.Record{Key: "orders-0", Revision: 6, Removed: true}
+		w.gateway.Watched([]replica.Record{gone}, 6)
+		w.wantListed("orders-0", false)
+	})
+}
+
+func (w *world) wantListed(name ident.Endpoint, want bool) {
+	w.t.Helper()
+	if got := w.gateway.book.Lookup(name) != (*endpoints.Endpoint)(nil); got != want {
+		w.t.Fatalf("%s listed: %v, want %v", name, got, want)
+	}
+}
--- a/kernel/membership/membership.go
+++ b/kernel/membership/membership.go
@@ -139,6 +139,14 @@
 	return 0
 }
 
+// DataCentre returns a member's data centre.
+func (t *Table) DataCentre(name ident.Instance) ident.DataCentre {
+	if k := t.members[name]; k != nil {
+		return k.DataCentre
+	}
+	return t.config.Self.DataCentre
+}
+
 // Living returns the members within reach, the own one included, by name.
 func (t *Table) Living(now time.Time) []ident.Instance {
 	names := []ident.Instance{t.config.Self.Name}
--- a/kernel/message/batching.go
+++ b/kernel/message/batching.go
@@ -18,6 +18,9 @@
 	Members []membership.Member `json:"members,omitempty"`
 	// AsOf is the platform's revision up to which the sender knows all.
 	AsOf replica.Revision `json:"asOf"`
+	// PlatformAge is how long ago the sender itself heard from the platform;
+	// it is missing if it never has.
+	PlatformAge *time.Duration `json:"platformAge,omitempty"`
 	// Running counts the sender's requests by model endpoint.
 	Running map[ident.Endpoint]int `json:"running,omitempty"`
 	// Batches tells of the services that the sender batches for.
@@ -34,10 +37,14 @@
 	Tenure time.Duration `json:"tenure"`
 }
 
-// Records passes published records on.
+// Records passes published records on: all that changed above Base, up to AsOf.
 type Records struct {
 	Records []replica.Record `json:"records,omitempty"`
+	Base    replica.Revision `json:"base"`
 	AsOf    replica.Revision `json:"asOf"`
+	// Doubtful is set around an outage of the platform: entries of living
+	// endpoints may have lapsed.
+	Doubtful bool `json:"doubtful,omitempty"`
 }
 
 // ResultHandle names a stage result: the maker's address and a key there.
