Doubt a removal only on the word of who went through the outage

Ruled out: a late watch (all instances logged the removal within 4 ms). Change: records carry doubt only for two seconds after their reader itself read in an outage; other removals are believed at once. Both tests failed first.

--- a/kernel/endpoints/endpoints.go
+++ b/kernel/endpoints/endpoints.go
@@ -90,14 +90,15 @@
 	return fresh
 }
 
-// Drop takes in that an entry is gone. While the platform is in trouble, an
-// endpoint that was not leaving is kept: the entry may only have lapsed.
-func (b *Book) Drop(now time.Time, name ident.Endpoint) {
+// Drop takes in that an entry is gone. If that is doubtful, since the entry may
+// have lapsed in an outage of the platform, an endpoint that was not leaving is
+// kept for a while.
+func (b *Book) Drop(now time.Time, name ident.Endpoint, doubtful bool) {
 	e := b.byName[name]
 	if e == nil {
 		return
 	}
-	if !e.Leaving && b.InTrouble(now) {
+	if !e.Leaving && doubtful {
 		e.lapsedAt = now
 		return
 	}
--- a/kernel/gateway/gateway.go
+++ b/kernel/gateway/gateway.go
@@ -111,7 +111,9 @@
 	startedAt time.Time
 	// contacts tells when each instance last heard from the platform.
 	contacts map[ident.Instance]contact
-	counters Counters
+	// doubtUntil is until when removals that this instance read are doubtful.
+	doubtUntil time.Time
+	counters   Counters
 }
 
 // Counters are the gateway's totals.
@@ -245,8 +247,9 @@
 // PlatformBack takes in that the platform can be read again.
 func (g *Gateway) PlatformBack() { g.book.PlatformBack(g.now()) }
 
-// learn puts records that are news in force.
-func (g *Gateway) learn(news []replica.Record, source string) {
+// learn puts records that are news in force. Removals are doubtful around an
+// outage of the platform that the reader of the records went through.
+func (g *Gateway) learn(news []replica.Record, source string, doubtful bool) {
 	changed := value.NewSet[ident.Service]()
 	for _, r := range news {
 		c, err := g.config.Decode(r)
@@ -254,7 +257,7 @@
 			g.counters.RecordsRejected++
 			g.out.Event("recordRejected", "record", r.Key, "revision", r.Revision, "reason", err)
 			if c.Endpoint != "" {
-				g.book.Drop(g.now(), c.Endpoint)
+				g.book.Drop(g.now(), c.Endpoint, false)
 			}
 			continue
 		}
@@ -271,7 +274,7 @@
 			if g.book.Lookup(c.Endpoint) != nil {
 				g.out.Event("endpointRemoved", "endpoint", c.Endpoint, "revision", r.Revision, "source", source)
 			}
-			g.book.Drop(g.now(), c.Endpoint)
+			g.book.Drop(g.now(), c.Endpoint, doubtful)
 		}
 	}
 	for _, s := range changed.Sorted() {
--- a/kernel/gateway/reader_test.go
+++ b/kernel/gateway/reader_test.go
@@ -91,6 +91,27 @@
 		w.pass(3 * time.Second)
 		w.wantListed("orders-0", false)
 	})
+	// Seen on pelletier-jars scale-2 --seed 7001: the platform refused one
+	// instance only, whose doubt spread to those that could read it.
+	t.Run("a removal by a member in touch is believed without the platform", func(t *testing.T) {
+		w := configured(t)
+		w.gateway.PlatformLost()
+		gone := replica.Record{Key: "orders-0", Revision: 6, Removed: true}
+		w.gateway.HandlePeer(message.Envelope{From: "two", Records: &message.Records{Records: []replica.Record{gone}, Base: 1, AsOf: 6}})
+		w.wantListed("orders-0", false)
+	})
+	t.Run("an instance that cannot read the platform spreads no doubt", func(t *testing.T) {
+		w := configured(t)
+		w.gateway.PlatformLost()
+		w.peers = nil
+		p := message.Ping{Member: membership.Member{Name: "two", Address: "two:1", DataCentre: "east", Incarnation: 1}}
+		w.gateway.HandlePeer(message.Envelope{From: "two", Ping: &p})
+		for _, sent := range w.peers {
+			if sent.message.Records != nil && sent.message.Records.Doubtful {
+				t.Fatal("records of a member in touch are called doubtful")
+			}
+		}
+	})
 	t.Run("an entry that was removed in calm is gone at once", func(t *testing.T) {
 		w := configured(t)
 		gone := replica.Record{Key: "orders-0", Revision: 6, Removed: true}
--- a/kernel/gateway/readers.go
+++ b/kernel/gateway/readers.go
@@ -14,6 +14,9 @@
 	// platform no longer vouches for others: a watch's wait, and a ping. Half
 	// of the time in which changes have to be in force is then left.
 	staleReader = 1200 * time.Millisecond
+	// doubtLife is how long after a reading in an outage removals are doubtful:
+	// by then the entries of living endpoints are back.
+	doubtLife = 2 * time.Second
 	// minReaders is how many instances read the platform at least, so that
 	// one that falls silent delays nobody.
 	minReaders = 2
@@ -109,12 +112,19 @@
 	base := g.records.AsOf()
 	news := apply(now)
 	g.contacts[g.config.Self.Name] = contact{at: now, known: true}
-	g.learn(news, source)
+	if g.book.InTrouble(now) {
+		g.doubtUntil = now.Add(doubtLife)
+	}
+	g.learn(news, source, g.doubts(now))
 	if len(news) > 0 {
 		g.spread(news, base)
 	}
 }
 
+// doubts reports whether removals that this instance has read may be entries
+// that only lapsed.
+func (g *Gateway) doubts(now time.Time) bool { return now.Before(g.doubtUntil) }
+
 // spread passes news of the platform on at once, so that instances that do not
 // or cannot read it learn of changes in time.
 func (g *Gateway) spread(news []replica.Record, base replica.Revision) {
@@ -122,7 +132,7 @@
 		// The next pings ask for what they lack.
 		return
 	}
-	m := message.Records{Records: news, Base: base, AsOf: g.records.AsOf(), Doubtful: g.book.InTrouble(g.now())}
+	m := message.Records{Records: news, Base: base, AsOf: g.records.AsOf(), Doubtful: g.doubts(g.now())}
 	for _, name := range g.members.Living(g.now()) {
 		if name != g.config.Self.Name {
 			g.sendTo(name, message.Envelope{Records: &m})
@@ -140,7 +150,7 @@
 	if m.Base <= g.records.AsOf() {
 		asOf = m.AsOf
 	}
-	g.learn(g.records.Apply(now, m.Records, asOf), string(from))
+	g.learn(g.records.Apply(now, m.Records, asOf), string(from), m.Doubtful)
 }
 
 // answerBehind sends a member the records that it lacks.
@@ -149,7 +159,7 @@
 		return
 	}
 	records, complete := g.records.Since(its, maxRecords)
-	m := message.Records{Records: records, Base: its, Doubtful: g.book.InTrouble(g.now())}
+	m := message.Records{Records: records, Base: its, Doubtful: g.doubts(g.now())}
 	if complete {
 		m.AsOf = g.records.AsOf()
 	}
