Keep doubt about lapsed entries from echoing

Ruled out: a reading in the outage (the platform was back 3 s before). Change: own trouble and heard doubt are kept apart; only the first is passed on.

--- a/kernel/endpoints/endpoints.go
+++ b/kernel/endpoints/endpoints.go
@@ -70,6 +70,8 @@
 	// have to be back; zero while there was none.
 	troubled     bool
 	troubleUntil time.Time
+	// doubtUntil is the same by another instance's word.
+	doubtUntil time.Time
 }
 
 // NewBook returns an empty book.
@@ -119,19 +121,17 @@
 }
 
 // InTrouble reports whether entries may have lapsed in an outage of the
-// platform.
+// platform that this instance went through.
 func (b *Book) InTrouble(now time.Time) bool { return b.troubled || now.Before(b.troubleUntil) }
 
 // Doubt takes in that entries may have lapsed, by another instance's word.
 func (b *Book) Doubt(now time.Time) {
-	if until := now.Add(lapseGrace); until.After(b.troubleUntil) {
-		b.troubleUntil = until
-	}
+	b.doubtUntil = now.Add(lapseGrace)
 }
 
 // Sweep drops the entries that lapsed and are not back.
 func (b *Book) Sweep(now time.Time) []ident.Endpoint {
-	if b.InTrouble(now) {
+	if b.InTrouble(now) || now.Before(b.doubtUntil) {
 		return nil
 	}
 	var dropped []ident.Endpoint
--- a/kernel/gateway/reader_test.go
+++ b/kernel/gateway/reader_test.go
@@ -112,6 +112,27 @@
 			}
 		}
 	})
+	// Seen on pelletier-jars trouble-1 --seed 521553483152: two readers kept
+	// each other in doubt long after the outage.
+	t.Run("doubt is not passed on by those who only heard of it", func(t *testing.T) {
+		w := configured(t)
+		w.hear("two", "east", 0)
+		w.gateway.HandlePeer(message.Envelope{From: "two", Records: &message.Records{Base: 1, AsOf: 1, Doubtful: true}})
+		w.peers = nil
+		l := listing("orders", 1)
+		l.Leaving = true
+		w.gateway.Watched([]replica.Record{record(t, string(l.Name), 4, l)}, 4)
+		w.wantSpread(false)
+	})
+	t.Run("a reader that went through an outage passes its doubt on", func(t *testing.T) {
+		w := configured(t)
+		w.hear("two", "east", 0)
+		w.gateway.PlatformLost()
+		w.peers = nil
+		gone := replica.Record{Key: "orders-0", Revision: 6, Removed: true}
+		w.gateway.Watched([]replica.Record{gone}, 6)
+		w.wantSpread(true)
+	})
 	t.Run("an entry that was removed in calm is gone at once", func(t *testing.T) {
 		w := configured(t)
 		gone := replica.Record{Key: "orders-0", Revision: 6, Removed: true}
@@ -120,6 +141,20 @@
 	})
 }
 
+// wantSpread checks that records were passed on, with doubt or without.
+func (w *world) wantSpread(doubtful bool) {
+	w.t.Helper()
+	for _, sent := range w.peers {
+		if r := sent.message.Records; r != nil && len(r.Records) > 0 {
+			if r.Doubtful != doubtful {
+				w.t.Fatalf("records passed on with doubt: %v, want %v", r.Doubtful, doubtful)
+			}
+			return
+		}
+	}
+	w.t.Fatal("no records were passed on")
+}
+
 func (w *world) wantListed(name ident.Endpoint, want bool) {
 	w.t.Helper()
 	if got := w.gateway.book.Lookup(name) != (*endpoints.Endpoint)(nil); got != want {
