Make lost stage results anew, and count one loss once

Change: pieces are asked for anew where results were lost; a stage forgets only what is gone, and its inputs only if they were given back.

--- a/kernel/batching/batching.go
+++ b/kernel/batching/batching.go
@@ -322,6 +322,10 @@
 	q := b.queue(s.Service)
 	for _, index := range s.Pieces {
 		id := message.PieceID{Request: s.Request, Stage: s.Stage, Piece: index}
+		if p := b.pieces[id]; p != nil && s.Anew && p.state == done {
+			b.free(p.handle)
+			delete(b.pieces, id)
+		}
 		if p := b.pieces[id]; p != nil {
 			p.work = w
 			if p.state == done {
--- a/kernel/gateway/request.go
+++ b/kernel/gateway/request.go
@@ -116,6 +116,8 @@
 	scarce    bool
 	submitted bool
 	released  bool
+	// anew is set if results were lost that the batcher may still know.
+	anew bool
 	// owner is the batcher that has the pieces, with its process.
 	owner       ident.Instance
 	incarnation ident.Incarnation
--- a/kernel/gateway/stage_test.go
+++ b/kernel/gateway/stage_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"anvilcross/kernel/batching"
 )
 
 // Seen on pelletier-jars scale-1 --seed 1061399667863: a process that woke up
@@ -96,3 +98,48 @@
 		w.wantSend(w.arrive("/order/", nil))
 	})
 }
+
+// Lost inputs (zone_cut, srv_crash): only what is gone is made again, and what
+// it was made from only if that was given back.
+func TestLostInputsAreMadeAgain(t *testing.T) {
+	t.Run("at the model endpoint", func(t *testing.T) {
+		w := configured(t)
+		h := w.arrive("/verse/", func(a *Arrival) { a.Pieces = []int{1, 4} })
+		w.pass(200 * time.Millisecond)
+		w.finishCalls(1)
+		w.pass(200 * time.Millisecond)
+		w.finishCalls(1)
+		w.pass(time.Millisecond)
+		s := w.wantSend(h)
+		w.mayWrite(h, s)
+		w.gateway.Failed(h, s.Attempt, InputsGone, "", "conflict")
+		w.wantSteps(h, 1)
+		w.pass(300 * time.Millisecond)
+		w.finishCalls(1)
+		w.pass(300 * time.Millisecond)
+		w.finishCalls(1)
+		w.pass(time.Millisecond)
+		w.wantSteps(h, 2)
+		if s := w.wantSend(h); len(s.Inputs) != 4 {
+			t.Fatalf("%d inputs the second time, want 4", len(s.Inputs))
+		}
+	})
+	t.Run("several pieces of one loss count once", func(t *testing.T) {
+		w := configured(t)
+		w.arrive("/verse/", func(a *Arrival) { a.Pieces = []int{1, 4} })
+		w.pass(200 * time.Millisecond)
+		w.finishCalls(1)
+		w.pass(200 * time.Millisecond)
+		c := w.calls[0]
+		w.calls = nil
+		gone := batching.Reply{}
+		for range c.Items {
+			gone.Items = append(gone.Items, batching.ReplyItem{Reason: batching.InputGone})
+		}
+		w.gateway.Batcher().Replied(c.ID, gone)
+		w.pass(time.Millisecond)
+		if got := w.gateway.Counters().InputsRemade; got != 1 {
+			t.Fatalf("%d remakes, want 1", got)
+		}
+	})
+}
--- a/kernel/gateway/stages.go
+++ b/kernel/gateway/stages.go
@@ -40,7 +40,7 @@
 	}
 	for _, s := range r.stages {
 		for _, after := range s.stage.After {
-			if after >= 0 && after < len(r.stages) && s.pieces > 0 {
+			if s.pieces > 0 {
 				r.stages[after].followed = true
 			}
 		}
@@ -99,7 +99,7 @@
 
 func (g *Gateway) inputsThere(r *request, s *stageState) bool {
 	for _, after := range s.stage.After {
-		if after >= 0 && after < len(r.stages) && (r.stages[after].missing > 0 || r.stages[after].released) {
+		if r.stages[after].missing > 0 || r.stages[after].released {
 			return false
 		}
 	}
@@ -109,9 +109,7 @@
 func (r *request) inputs(s *stageState) []message.ResultHandle {
 	var inputs []message.ResultHandle
 	for _, after := range s.stage.After {
-		if after >= 0 && after < len(r.stages) {
-			inputs = append(inputs, r.stages[after].handles...)
-		}
+		inputs = append(inputs, r.stages[after].handles...)
 	}
 	return inputs
 }
@@ -193,7 +191,9 @@
 		Deadline:    r.deadline.Sub(now),
 		Prefer:      r.prefer,
 		Weight:      r.weight(),
+		Anew:        s.anew,
 	}
+	s.anew = false
 	if len(s.stage.After) == 0 {
 		w.Key = r.arrival.PieceKey
 		w.Chain = r.chainServices(index)
@@ -247,7 +247,7 @@
 			}
 			s.submitted = false
 			clear(s.taken)
-			g.remakeInputs(r, s)
+			g.remake(r, s.stage.After)
 		case message.PieceRefused:
 			g.answer(r, g.lossOf(r), g.comeBack(r, p.RetryAfter), "no room at stage "+string(m.Service))
 			continue
@@ -319,20 +319,8 @@
 	g.sendTo(g.batcherOf(s), message.Envelope{StageRelease: &message.StageRelease{Service: s, Request: p.ID.Request, Handles: []message.ResultHandle{p.Handle}}})
 }
 
-// remakeInputs lets the inputs of a stage be made again, as far as they may
-// be lost.
-func (g *Gateway) remakeInputs(r *request, s *stageState) {
-	var lost []int
-	for _, after := range s.stage.After {
-		if after < len(r.stages) {
-			lost = append(lost, after)
-		}
-	}
-	g.remake(r, lost)
-}
-
-// remake lets results of stages be made again: those whose maker is gone or
-// out of reach, or all of them if that explains nothing.
+// remake lets results of stages be made again, and ends the request if that
+// has happened too often.
 func (g *Gateway) remake(r *request, indexes []int) {
 	r.remakes++
 	g.counters.InputsRemade++
@@ -340,6 +328,14 @@
 		g.answer(r, g.lossOf(r), busyRetryAfter, "stage results lost repeatedly")
 		return
 	}
+	g.out.Event("resultsLost", "request", r.arrival.ID, "stages", indexes, "remakes", r.remakes)
+	g.forget(r, indexes)
+}
+
+// forget drops results of stages that are lost: those whose maker is gone or
+// out of reach, or all of them if that explains nothing. What they were made
+// from is dropped too if it was given back already.
+func (g *Gateway) forget(r *request, indexes []int) {
 	now := g.now()
 	found := false
 	for pass := 0; pass < 2 && !found; pass++ {
@@ -353,17 +349,28 @@
 				found = true
 				s.handles[i] = ""
 				s.missing++
-				s.submitted = false
+				s.submitted, s.anew = false, true
+				delete(s.taken, i)
 			}
 			s.released = s.released && s.missing == 0
 		}
 	}
-	g.out.Event("resultsLost", "request", r.arrival.ID, "stages", indexes, "remakes", r.remakes)
 	for _, index := range indexes {
-		if s := &r.stages[index]; s.missing > 0 && !g.inputsThere(r, s) {
-			g.remakeInputs(r, s)
+		if s := &r.stages[index]; s.missing > 0 {
+			g.forget(r, r.givenBack(s.stage.After))
+		}
+	}
+}
+
+// givenBack returns those of the stages whose results were freed.
+func (r *request) givenBack(indexes []int) []int {
+	var freed []int
+	for _, index := range indexes {
+		if r.stages[index].released {
+			freed = append(freed, index)
 		}
 	}
+	return freed
 }
 
 // releaseConsumed gives back the results that all later stages have used.
--- a/kernel/message/batching.go
+++ b/kernel/message/batching.go
@@ -77,6 +77,8 @@
 	// done for the request to be on time; Deadline until it is of no use.
 	Due      time.Duration `json:"due"`
 	Deadline time.Duration `json:"deadline"`
+	// Anew is set if earlier results of these pieces are lost.
+	Anew bool `json:"anew,omitempty"`
 	// Weight ranks requests when not all can be on time.
 	Weight float64 `json:"weight"`
 	// Prefer is the data centre where the results will be used.
