Stop contents that crash the endpoints that run them

Ruled out: blaming every broken exchange (lost answers would quarantine look-ups). Change: what an endpoint was running is blamed only when the endpoint is found gone within five seconds; instances tell each other of crashes by age; after the third a content is answered at once.

--- a/anvilcrossd/entry/entry.go
+++ b/anvilcrossd/entry/entry.go
@@ -17,6 +17,7 @@
 
 	"anvilcross/anvilcrossd/h1"
 	"anvilcross/kernel/gateway"
+	"anvilcross/kernel/ident"
 	"anvilcross/kernel/published"
 	"anvilcross/platform"
 )
@@ -109,6 +110,7 @@
 		s.reject(w, r, http.StatusBadRequest, err.Error())
 		return
 	}
+	arrival.Digest = ident.NewDigest(ident.Pipeline(arrival.Host+r.RequestURI+" "+arrival.Key), string(body))
 	x := &exchange{handle: gateway.Handle(s.next.Add(1)), steps: make(chan gateway.Step, maxSteps)}
 	s.mutex.Lock()
 	s.active[x.handle] = x
--- a/kernel/gateway/attempts.go
+++ b/kernel/gateway/attempts.go
@@ -134,6 +134,7 @@
 	now := g.now()
 	if e := g.book.Lookup(r.attempt.endpoint); e != nil {
 		e.Answered(now, failed, now.Sub(r.attempt.started), load)
+		g.crashes.answered(e.Name)
 	}
 	r.attempt.begun = true
 }
@@ -213,6 +214,12 @@
 	if e != nil && (f == Unreached || f == Broken || f == Replaced) {
 		e.Unreachable(now)
 	}
+	switch {
+	case f == Broken:
+		g.crashes.broke(now, a.endpoint, r.arrival.Digest)
+	case e != nil && (f == Unreached || f == Replaced):
+		g.crashes.gone(now, e.Name, e.Service)
+	}
 	r.mayRun = r.mayRun || !provedNotRun
 	if f == InputsGone {
 		r.sends--
--- a/kernel/gateway/gateway.go
+++ b/kernel/gateway/gateway.go
@@ -95,6 +95,7 @@
 	members *membership.Table
 	batcher *batching.Batcher
 	budget  *budget
+	crashes *crashes
 
 	requests map[Handle]*request
 	// patience is the longest that callers of a route have shown.
@@ -142,6 +143,7 @@
 		contacts:  map[ident.Instance]contact{},
 	}
 	g.budget = newBudget(c.Bounds)
+	g.crashes = newCrashes()
 	g.batcher = batching.NewBatcher(batching.Config{
 		Timers:  c.Timers,
 		Book:    g.book,
@@ -239,6 +241,7 @@
 	}
 	g.reviewBatching(now)
 	g.reviewPieces(now)
+	g.crashes.sweep(now)
 }
 
 // PlatformLost takes in that the platform cannot be read.
@@ -265,13 +268,18 @@
 		case c.Catalog != nil:
 			g.configure(c.Catalog, r.Revision, source)
 		case c.Listing != nil:
+			old := g.book.Lookup(c.Listing.Name)
 			fresh := g.book.List(*c.Listing)
+			if fresh && old != nil {
+				g.crashes.gone(g.now(), old.Name, old.Service)
+			}
 			changed.Add(c.Listing.Service)
 			if fresh || c.Listing.Leaving {
 				g.out.Event("endpointListed", "endpoint", c.Listing.Name, "service", c.Listing.Service, "leaving", c.Listing.Leaving, "revision", r.Revision, "source", source)
 			}
 		case c.Endpoint != "" && r.Removed:
-			if g.book.Lookup(c.Endpoint) != nil {
+			if e := g.book.Lookup(c.Endpoint); e != nil {
+				g.crashes.gone(g.now(), e.Name, e.Service)
 				g.out.Event("endpointRemoved", "endpoint", c.Endpoint, "revision", r.Revision, "source", source)
 			}
 			g.book.Drop(g.now(), c.Endpoint, doubtful)
--- a/kernel/gateway/peers.go
+++ b/kernel/gateway/peers.go
@@ -17,6 +17,7 @@
 		Members:     g.members.Sample(now),
 		AsOf:        g.records.AsOf(),
 		PlatformAge: g.contactAge(now),
+		Crashes:     g.crashes.latest(now),
 		Running:     g.runningByEndpoint(),
 		Batches:     g.ownBatching(now),
 	}
@@ -76,6 +77,7 @@
 	g.members.Named(now, p.Members)
 	g.elsewhere[p.Member.Name] = p.Running
 	g.countElsewhere()
+	g.crashes.heard(now, p.Crashes)
 	g.heardBatching(now, p.Member.Name, p.Batches)
 	g.heardContact(now, p.Member.Name, p.PlatformAge)
 	g.answerBehind(p.Member.Name, p.AsOf)
--- a/kernel/gateway/request.go
+++ b/kernel/gateway/request.go
@@ -30,6 +30,9 @@
 	Pieces   []int
 	PieceKey string
 	Prompt   []PromptPart
+	// Digest is the hash of path, caller and body, by which a request is
+	// recognised that comes again under a new id.
+	Digest ident.Digest
 	// PromptTokens and OutputTokens are the size of a generation.
 	PromptTokens int
 	OutputTokens int
@@ -46,6 +49,8 @@
 	UnknownRoute
 	// UnknownKey means that no workspace holds the key.
 	UnknownKey
+	// Quarantined means that the content crashes endpoints; it was not run.
+	Quarantined
 	// MayHaveRun means that an endpoint got the request and its answer is lost.
 	MayHaveRun
 	// TimedOut means that the route's time is over; the request may have run.
@@ -56,7 +61,7 @@
 
 // String returns the answer's name for logs.
 func (a Answer) String() string {
-	return [...]string{"notRun", "unknownRoute", "unknownKey", "mayHaveRun", "timedOut", "brokenOff"}[a]
+	return [...]string{"notRun", "unknownRoute", "unknownKey", "quarantined", "mayHaveRun", "timedOut", "brokenOff"}[a]
 }
 
 // Send asks the edge to send a request to an endpoint.
@@ -248,6 +253,10 @@
 		g.answer(r, NotRun, leavingRetryAfter, "the instance is stopping")
 		return false
 	}
+	if g.crashes.guilty(g.now(), r.arrival.Digest) {
+		g.answer(r, Quarantined, 0, "the content has crashed the endpoints that ran it")
+		return false
+	}
 	r.service = g.target(route)
 	return true
 }
--- a/kernel/message/batching.go
+++ b/kernel/message/batching.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"anvilcross/kernel/blame"
 	"anvilcross/kernel/ident"
 	"anvilcross/kernel/membership"
 	"anvilcross/kernel/replica"
@@ -25,8 +24,17 @@
 	Running map[ident.Endpoint]int `json:"running,omitempty"`
 	// Batches tells of the services that the sender batches for.
 	Batches map[ident.Service]Batching `json:"batches,omitempty"`
-	// Blamed are the contents that crashed endpoints lately.
-	Blamed []blame.Report `json:"blamed,omitempty"`
+	// Crashes are the latest crashes of endpoints and what they were running.
+	Crashes []Crash `json:"crashes,omitempty"`
+}
+
+// Crash says that a content ran on an endpoint when that crashed. Its age is
+// told, since the times of day of instances differ.
+type Crash struct {
+	Digest   ident.Digest   `json:"digest"`
+	Endpoint ident.Endpoint `json:"endpoint"`
+	Service  ident.Service  `json:"service"`
+	Age      time.Duration  `json:"age"`
 }
 
 // Batching is what an instance tells of a service that it batches for.
