End doubt about lapsed entries two seconds after the platform's return

Ruled out: a late record. Change: doubt begins with the first reading in an outage and is passed on with the time that is left; a record from an instance without doubt settles it.

--- a/kernel/endpoints/endpoints.go
+++ b/kernel/endpoints/endpoints.go
@@ -120,13 +120,28 @@
 	b.troubleUntil = now.Add(lapseGrace)
 }
 
+// Troubled reports whether the platform does not answer this instance.
+func (b *Book) Troubled() bool { return b.troubled }
+
 // InTrouble reports whether entries may have lapsed in an outage of the
 // platform that this instance went through.
 func (b *Book) InTrouble(now time.Time) bool { return b.troubled || now.Before(b.troubleUntil) }
 
 // Doubt takes in that entries may have lapsed, by another instance's word.
-func (b *Book) Doubt(now time.Time) {
-	b.doubtUntil = now.Add(lapseGrace)
+func (b *Book) Doubt(now time.Time, left time.Duration) {
+	b.doubtUntil = now.Add(min(left, lapseGrace))
+}
+
+// Confirm drops an endpoint whose removal was doubtful, and reports whether
+// there was one.
+func (b *Book) Confirm(name ident.Endpoint) bool {
+	e := b.byName[name]
+	if e == nil || e.lapsedAt.IsZero() {
+		return false
+	}
+	delete(b.byName, name)
+	b.index()
+	return true
 }
 
 // Sweep drops the entries that lapsed and are not back.
--- a/kernel/gateway/reader_test.go
+++ b/kernel/gateway/reader_test.go
@@ -86,7 +86,7 @@
 	t.Run("an entry that lapsed in an outage is kept until it is surely gone", func(t *testing.T) {
 		w := configured(t)
 		gone := replica.Record{Key: "orders-0", Revision: 6, Removed: true}
-		w.gateway.HandlePeer(message.Envelope{From: "two", Records: &message.Records{Records: []replica.Record{gone}, Base: 1, AsOf: 6, Doubtful: true}})
+		w.gateway.HandlePeer(message.Envelope{From: "two", Records: &message.Records{Records: []replica.Record{gone}, Base: 1, AsOf: 6, Doubt: 2 * time.Second}})
 		w.wantListed("orders-0", true)
 		w.pass(3 * time.Second)
 		w.wantListed("orders-0", false)
@@ -107,7 +107,7 @@
 		p := message.Ping{Member: membership.Member{Name: "two", Address: "two:1", DataCentre: "east", Incarnation: 1}}
 		w.gateway.HandlePeer(message.Envelope{From: "two", Ping: &p})
 		for _, sent := range w.peers {
-			if sent.message.Records != nil && sent.message.Records.Doubtful {
+			if sent.message.Records != nil && sent.message.Records.Doubt > 0 {
 				t.Fatal("records of a member in touch are called doubtful")
 			}
 		}
@@ -117,7 +117,7 @@
 	t.Run("doubt is not passed on by those who only heard of it", func(t *testing.T) {
 		w := configured(t)
 		w.hear("two", "east", 0)
-		w.gateway.HandlePeer(message.Envelope{From: "two", Records: &message.Records{Base: 1, AsOf: 1, Doubtful: true}})
+		w.gateway.HandlePeer(message.Envelope{From: "two", Records: &message.Records{Base: 1, AsOf: 1, Doubt: 2 * time.Second}})
 		w.peers = nil
 		l := listing("orders", 1)
 		l.Leaving = true
@@ -133,6 +133,28 @@
 		w.gateway.Watched([]replica.Record{gone}, 6)
 		w.wantSpread(true)
 	})
+	// Seen on pelletier-jars hunt-a516-15: the platform had refused one reader
+	// until four seconds before; its doubt outlasted the time in which lapsed
+	// entries come back, and the word of a reader in touch did not end it.
+	t.Run("doubt ends two seconds after the platform's return", func(t *testing.T) {
+		w := configured(t)
+		w.gateway.PlatformLost()
+		w.gateway.Watched(nil, 2)
+		w.gateway.PlatformBack()
+		w.pass(1900 * time.Millisecond)
+		w.gateway.Watched(nil, 3)
+		w.pass(200 * time.Millisecond)
+		w.gateway.Watched([]replica.Record{{Key: "orders-0", Revision: 6, Removed: true}}, 6)
+		w.wantListed("orders-0", false)
+	})
+	t.Run("the word of a member in touch ends a doubt", func(t *testing.T) {
+		w := configured(t)
+		gone := []replica.Record{{Key: "orders-0", Revision: 6, Removed: true}}
+		w.gateway.HandlePeer(message.Envelope{From: "two", Records: &message.Records{Records: gone, Base: 1, AsOf: 6, Doubt: time.Second}})
+		w.wantListed("orders-0", true)
+		w.gateway.HandlePeer(message.Envelope{From: "three", Records: &message.Records{Records: gone, Base: 1, AsOf: 6}})
+		w.wantListed("orders-0", false)
+	})
 	t.Run("an entry that was removed in calm is gone at once", func(t *testing.T) {
 		w := configured(t)
 		gone := replica.Record{Key: "orders-0", Revision: 6, Removed: true}
@@ -146,8 +168,8 @@
 	w.t.Helper()
 	for _, sent := range w.peers {
 		if r := sent.message.Records; r != nil && len(r.Records) > 0 {
-			if r.Doubtful != doubtful {
-				w.t.Fatalf("records passed on with doubt: %v, want %v", r.Doubtful, doubtful)
+			if (r.Doubt > 0) != doubtful {
+				w.t.Fatalf("records passed on with doubt: %v, want %v", r.Doubt, doubtful)
 			}
 			return
 		}
--- a/kernel/gateway/readers.go
+++ b/kernel/gateway/readers.go
@@ -112,18 +112,18 @@
 	base := g.records.AsOf()
 	news := apply(now)
 	g.contacts[g.config.Self.Name] = contact{at: now, known: true}
-	if g.book.InTrouble(now) {
+	if g.book.Troubled() {
 		g.doubtUntil = now.Add(doubtLife)
 	}
-	g.learn(news, source, g.doubts(now))
+	g.learn(news, source, g.doubt(now) > 0)
 	if len(news) > 0 {
 		g.spread(news, base)
 	}
 }
 
-// doubts reports whether removals that this instance has read may be entries
-// that only lapsed.
-func (g *Gateway) doubts(now time.Time) bool { return now.Before(g.doubtUntil) }
+// doubt returns for how long removals that this instance has read may be
+// entries that only lapsed.
+func (g *Gateway) doubt(now time.Time) time.Duration { return max(g.doubtUntil.Sub(now), 0) }
 
 // spread passes news of the platform on at once, so that instances that do not
 // or cannot read it learn of changes in time.
@@ -132,7 +132,7 @@
 		// The next pings ask for what they lack.
 		return
 	}
-	m := message.Records{Records: news, Base: base, AsOf: g.records.AsOf(), Doubtful: g.doubts(g.now())}
+	m := message.Records{Records: news, Base: base, AsOf: g.records.AsOf(), Doubt: g.doubt(g.now())}
 	for _, name := range g.members.Living(g.now()) {
 		if name != g.config.Self.Name {
 			g.sendTo(name, message.Envelope{Records: &m})
@@ -143,14 +143,28 @@
 // handleRecords takes in records that a member passes on.
 func (g *Gateway) handleRecords(from ident.Instance, m message.Records) {
 	now := g.now()
-	if m.Doubtful {
-		g.book.Doubt(now)
+	if m.Doubt > 0 {
+		g.book.Doubt(now, m.Doubt)
+	} else {
+		g.confirm(m.Records)
 	}
 	asOf := replica.Revision(0)
 	if m.Base <= g.records.AsOf() {
 		asOf = m.AsOf
 	}
-	g.learn(g.records.Apply(now, m.Records, asOf), string(from), m.Doubtful)
+	g.learn(g.records.Apply(now, m.Records, asOf), string(from), m.Doubt > 0)
+}
+
+// confirm drops endpoints whose removal was doubtful until now.
+func (g *Gateway) confirm(records []replica.Record) {
+	for _, r := range records {
+		if !r.Removed {
+			continue
+		}
+		if c, err := g.config.Decode(r); err == nil && c.Endpoint != "" && g.book.Confirm(c.Endpoint) {
+			g.out.Event("endpointLapsed", "endpoint", c.Endpoint, "cause", "confirmed by another instance")
+		}
+	}
 }
 
 // answerBehind sends a member the records that it lacks.
@@ -159,7 +173,7 @@
 		return
 	}
 	records, complete := g.records.Since(its, maxRecords)
-	m := message.Records{Records: records, Base: its, Doubtful: g.doubts(g.now())}
+	m := message.Records{Records: records, Base: its, Doubt: g.doubt(g.now())}
 	if complete {
 		m.AsOf = g.records.AsOf()
 	}
--- a/kernel/message/batching.go
+++ b/kernel/message/batching.go
@@ -50,9 +50,9 @@
 	Records []replica.Record `json:"records,omitempty"`
 	Base    replica.Revision `json:"base"`
 	AsOf    replica.Revision `json:"asOf"`
-	// Doubtful is set around an outage of the platform: entries of living
-	// endpoints may have lapsed.
-	Doubtful bool `json:"doubtful,omitempty"`
+	// Doubt is for how long removals in the records are doubtful: after an
+	// outage of the platform, entries of living endpoints may have lapsed.
+	Doubt time.Duration `json:"doubt,omitempty"`
 }
 
 // ResultHandle names a stage result: the maker's address and a key there.
