--- a/anvilcrossd/gatewayd/gatewayd.go
+++ b/anvilcrossd/gatewayd/gatewayd.go
@@ -109,7 +109,7 @@
 	d.log = eventlog.NewLog(eventlog.Config{Writer: os.Stdout, Fields: []any{"seat", s.Seat, "dataCentre", s.DataCentre}})
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMegabytes) * (1 << 20)))
 	d.metrics = newMetrics(metricsConfig{Collect: d.collect})
-	d.client = h1.NewClient(h1.Config{})
+	d.client = h1.NewClient()
 	d.mesh = peer.NewMesh(peer.Config{
 		DataCentre: s.DataCentre,
 		Near:       link.NewTransport(link.Config{KeepIdle: keepPeer, MaxPerHost: maxPeerConnections}),
@@ -152,19 +152,18 @@
 			Incarnation: ident.Incarnation(rand.Uint64() >> 12),
 		},
 		Seeds:  s.Seeds,
-		Bounds: gateway.Bounds{RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow, ReuseWindow: s.ReuseWindow},
+		Bounds: gateway.Bounds{RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow},
 		Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		Timers: timers,
 		Decode: platform.DecodeRecord,
 		Output: gateway.Output{
-			Step:      d.entry.Step,
-			Cancel:    d.entry.Cancel,
-			Peer:      func(to membership.Address, m message.Envelope) { d.mesh.SendTo(to.Address, m) },
-			Event:     d.log.Event,
-			Run:       d.stages.Run,
-			CancelRun: d.stages.Cancel,
-			Free:      d.stages.Free,
-			Inspect:   d.stages.Inspect,
+			Step:    d.entry.Step,
+			Cancel:  d.entry.Cancel,
+			Peer:    func(to membership.Address, m message.Envelope) { d.mesh.SendTo(to.Address, m) },
+			Event:   d.log.Event,
+			Run:     d.stages.Run,
+			Free:    d.stages.Free,
+			Inspect: d.stages.Inspect,
 		},
 	})})
 	d.follower = d.newFollower()
@@ -339,7 +338,7 @@
 		return
 	}
 	d.do(func(g *gateway.Gateway) {
-		g.Reload(s.Seeds, gateway.Bounds{RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow, ReuseWindow: s.ReuseWindow})
+		g.Reload(s.Seeds, gateway.Bounds{RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow})
 	})
 	d.log.Event("reloaded", "cause", cause, "seeds", len(s.Seeds))
 }
--- a/anvilcrossd/h1/h1.go
+++ b/anvilcrossd/h1/h1.go
@@ -51,15 +51,8 @@
 // ErrUnreached is the error of a request of which nothing was written.
 var ErrUnreached = errors.New("endpoint cannot be reached")
 
-// Config sets up a Client.
-type Config struct {
-	// Opened is called for each new connection; it may be nil.
-	Opened func()
-}
-
 // Client keeps connections to endpoints.
 type Client struct {
-	config Config
 	dialer net.Dialer
 	mutex  sync.Mutex
 	idle   map[string][]*connection
@@ -92,10 +85,9 @@
 }
 
 // NewClient returns a client without connections.
-func NewClient(c Config) *Client {
+func NewClient() *Client {
 	return &Client{
-		config: c,
-		idle:   map[string][]*connection{},
+		idle: map[string][]*connection{},
 		dialer: net.Dialer{
 			Timeout:         dialTimeout,
 			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: 500 * time.Millisecond, Count: 3},
@@ -173,9 +165,6 @@
 		return nil, errors.Annotate(ErrUnreached, err.Error())
 	}
 	c.opened.Add(1)
-	if c.config.Opened != nil {
-		c.config.Opened()
-	}
 	return &connection{Conn: n, reader: bufio.NewReaderSize(n, bufferBytes)}, nil
 }
 
--- a/anvilcrossd/settings/gateway.go
+++ b/anvilcrossd/settings/gateway.go
@@ -33,8 +33,6 @@
 	RetryRatio  float64
 	RetrySlack  float64
 	RetryWindow time.Duration
-	// ReuseWindow is how long endpoints are expected to keep prompt parts.
-	ReuseWindow time.Duration
 }
 
 func gatewayRules() []rule[Gateway] {
@@ -52,7 +50,6 @@
 		fractionRule("retries", "ratio", func(s *Gateway) *float64 { return &s.RetryRatio }),
 		fractionRule("retries", "slack", func(s *Gateway) *float64 { return &s.RetrySlack }),
 		durationRule("retries", "window", func(s *Gateway) *time.Duration { return &s.RetryWindow }),
-		durationRule("engine", "reuseWindow", func(s *Gateway) *time.Duration { return &s.ReuseWindow }),
 	}
 }
 
@@ -95,7 +92,6 @@
 		RetryRatio:      defaultRatio,
 		RetrySlack:      defaultSlack,
 		RetryWindow:     defaultWindow,
-		ReuseWindow:     defaultWindow,
 	}
 	if err := parse(text, overrides, s, gatewayRules()); err != nil {
 		return nil, errors.Trace(err)
--- a/anvilcrossd/stagecall/stagecall.go
+++ b/anvilcrossd/stagecall/stagecall.go
@@ -44,41 +44,23 @@
 type Caller struct {
 	config  Config
 	mutex   sync.Mutex
-	cancels map[batching.CallID]context.CancelFunc
 	freeing map[string][]message.ResultHandle
 }
 
 // NewCaller returns a caller without calls.
 func NewCaller(c Config) *Caller {
-	return &Caller{config: c, cancels: map[batching.CallID]context.CancelFunc{}, freeing: map[string][]message.ResultHandle{}}
+	return &Caller{config: c, freeing: map[string][]message.ResultHandle{}}
 }
 
 // Run starts a call. It does not block.
 func (c *Caller) Run(call batching.Call) {
-	ctx, cancel := context.WithTimeout(context.Background(), call.Limit)
-	c.mutex.Lock()
-	c.cancels[call.ID] = cancel
-	c.mutex.Unlock()
 	go func() {
-		defer func() {
-			cancel()
-			c.mutex.Lock()
-			delete(c.cancels, call.ID)
-			c.mutex.Unlock()
-		}()
+		ctx, cancel := context.WithTimeout(context.Background(), call.Limit)
+		defer cancel()
 		c.exchange(ctx, call)
 	}()
 }
 
-// Cancel ends a call.
-func (c *Caller) Cancel(id batching.CallID) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	if cancel := c.cancels[id]; cancel != nil {
-		cancel()
-	}
-}
-
 func (c *Caller) exchange(ctx context.Context, call batching.Call) {
 	response, err := c.send(ctx, call.Address, platform.StageCall(call))
 	if err != nil {
--- a/kernel/batching/batching.go
+++ b/kernel/batching/batching.go
@@ -90,9 +90,8 @@
 
 // Output are the batcher's effects.
 type Output struct {
-	Run    func(Call)
-	Cancel func(CallID)
-	Free   func(address string, handles []message.ResultHandle)
+	Run  func(Call)
+	Free func(address string, handles []message.ResultHandle)
 	// Inspect asks an endpoint for the room that it has.
 	Inspect func(ident.Endpoint, string)
 	Results func(to ident.Instance, r message.StageResults)
--- a/kernel/batching/load_test.go
+++ b/kernel/batching/load_test.go
@@ -61,7 +61,6 @@
 		Backlog: func(ident.Service) time.Duration { return s.backlog },
 		Output: Output{
 			Run:     s.run,
-			Cancel:  func(CallID) {},
 			Free:    func(string, []message.ResultHandle) {},
 			Inspect: func(ident.Endpoint, string) {},
 			Results: s.results,
--- a/kernel/gateway/gateway.go
+++ b/kernel/gateway/gateway.go
@@ -34,11 +34,10 @@
 	Peer func(to membership.Address, m message.Envelope)
 	// Event is one log line.
 	Event func(name string, fields ...any)
-	// Run, CancelRun and Free call stage endpoints.
-	Run       func(batching.Call)
-	CancelRun func(batching.CallID)
-	Free      func(address string, handles []message.ResultHandle)
-	Inspect   func(ident.Endpoint, string)
+	// Run, Free and Inspect call stage endpoints.
+	Run     func(batching.Call)
+	Free    func(address string, handles []message.ResultHandle)
+	Inspect func(ident.Endpoint, string)
 }
 
 // Change is what a record of the platform says.
@@ -58,9 +57,6 @@
 	RetryRatio  float64
 	RetrySlack  float64
 	RetryWindow time.Duration
-	// ReuseWindow is how long an endpoint's cached prompt parts are expected
-	// to stay.
-	ReuseWindow time.Duration
 }
 
 // Config sets up a Gateway.
@@ -151,7 +147,6 @@
 		Backlog: g.backlog,
 		Output: batching.Output{
 			Run:     c.Output.Run,
-			Cancel:  c.Output.CancelRun,
 			Free:    c.Output.Free,
 			Inspect: c.Output.Inspect,
 			Results: func(to ident.Instance, r message.StageResults) {
--- a/kernel/gateway/peers.go
+++ b/kernel/gateway/peers.go
@@ -41,11 +41,8 @@
 		g.timers.After(0, func() { g.HandlePeer(m) })
 		return
 	}
-	for _, t := range g.members.Targets(g.now()) {
-		if t.Name == name {
-			g.send(t, m)
-			return
-		}
+	if address, known := g.members.Address(name); known {
+		g.send(membership.Address{Name: name, Address: address}, m)
 	}
 }
 
--- a/kernel/gateway/request.go
+++ b/kernel/gateway/request.go
@@ -33,9 +33,6 @@
 	// Digest is the hash of path, caller and body, by which a request is
 	// recognised that comes again under a new id.
 	Digest ident.Digest
-	// PromptTokens and OutputTokens are the size of a generation.
-	PromptTokens int
-	OutputTokens int
 }
 
 // Answer is what the gateway itself tells a caller.
--- a/kernel/gateway/world_test.go
+++ b/kernel/gateway/world_test.go
@@ -48,14 +48,13 @@
 		Timers: w.timers,
 		Decode: decodeTestRecord,
 		Output: Output{
-			Step:      func(h Handle, s Step) { w.steps[h] = append(w.steps[h], s) },
-			Cancel:    func(h Handle) { w.cancels = append(w.cancels, h) },
-			Peer:      func(to membership.Address, m message.Envelope) { w.peers = append(w.peers, sentMessage{to, m}) },
-			Event:     func(name string, _ ...any) { w.events = append(w.events, name) },
-			Run:       func(c batching.Call) { w.calls = append(w.calls, c) },
-			Inspect:   func(ident.Endpoint, string) {},
-			CancelRun: func(batching.CallID) {},
-			Free:      func(_ string, h []message.ResultHandle) { w.freed = append(w.freed, h...) },
+			Step:    func(h Handle, s Step) { w.steps[h] = append(w.steps[h], s) },
+			Cancel:  func(h Handle) { w.cancels = append(w.cancels, h) },
+			Peer:    func(to membership.Address, m message.Envelope) { w.peers = append(w.peers, sentMessage{to, m}) },
+			Event:   func(name string, _ ...any) { w.events = append(w.events, name) },
+			Run:     func(c batching.Call) { w.calls = append(w.calls, c) },
+			Inspect: func(ident.Endpoint, string) {},
+			Free:    func(_ string, h []message.ResultHandle) { w.freed = append(w.freed, h...) },
 		},
 	})
 	return w
@@ -102,7 +101,7 @@
 		},
 		Services: map[ident.Service]*published.Service{
 			"orders":   {Name: "orders"},
-			"models":   {Name: "models", Engine: &published.Engine{Slots: 128}},
+			"models":   {Name: "models"},
 			"registry": {Name: "registry", Batches: batches},
 			"planning": {Name: "planning", Batches: batches},
 		},
--- a/kernel/membership/membership.go
+++ b/kernel/membership/membership.go
@@ -196,6 +196,15 @@
 	Address string
 }
 
+// Address returns where a member is reached.
+func (t *Table) Address(name ident.Instance) (string, bool) {
+	k := t.members[name]
+	if k == nil {
+		return "", false
+	}
+	return k.Address, true
+}
+
 // Targets returns whom to ping: the known members that are not forgotten, and
 // the seeds that none of them is.
 func (t *Table) Targets(now time.Time) []Address {
@@ -218,7 +227,7 @@
 	return targets
 }
 
-// Named members rotate through the pings, so that a large fleet is named
+// Sample returns members to name in a ping. They rotate through the pings, so that a large fleet is named
 // completely within a few of them.
 func (t *Table) Sample(now time.Time) []Member {
 	names := value.SortedKeys(t.members)
--- a/kernel/published/published.go
+++ b/kernel/published/published.go
@@ -83,14 +83,6 @@
 	return false
 }
 
-// Engine describes the model endpoints of a service.
-type Engine struct {
-	// Slots is how many requests an endpoint runs at once.
-	Slots int
-	// MemoryTokens is what an endpoint keeps, running and cached.
-	MemoryTokens int
-}
-
 // Batches describes the stage endpoints of a service.
 type Batches struct {
 	// Slots is how many calls an endpoint works on at once.
@@ -109,11 +101,8 @@
 
 // Service is a group of interchangeable endpoints.
 type Service struct {
-	Name           ident.Service
-	HealthPath     string
-	MaxConnections int
-	// Engine is set for model endpoints, Batches for stage endpoints.
-	Engine  *Engine
+	Name ident.Service
+	// Batches is set for stage endpoints.
 	Batches *Batches
 }
 
