--- a/anvilload/command/site.go
+++ b/anvilload/command/site.go
@@ -12,6 +12,7 @@
 	"github.com/juju/errors"
 
 	"anvilcross/anvilload/fleet"
+	"anvilcross/anvilstandin/client"
 	"anvilcross/anvilstandin/site"
 )
 
@@ -79,8 +80,8 @@
 // send sends all requests of a route, spread over the daemons.
 func (c *siteDemo) send(f *fleet.Fleet, route string) siteRow {
 	const timeout = 20 * time.Second
-	client := newClient(timeout)
-	defer client.CloseIdleConnections()
+	connections := newClient(timeout)
+	defer connections.CloseIdleConnections()
 	var row siteRow
 	var mutex sync.Mutex
 	var wait sync.WaitGroup
@@ -89,9 +90,9 @@
 		places <- struct{}{}
 		wait.Go(func() {
 			defer func() { <-places }()
-			request := fleet.NewRequest(route)
-			reply := f.Daemons[n%len(f.Daemons)].Send(client, request)
-			wrong := fleet.Check(request, reply)
+			request := client.NewRequest(route)
+			reply := client.Send(connections, f.Daemons[n%len(f.Daemons)].Callers, request)
+			wrong := client.Check(request, reply)
 			mutex.Lock()
 			defer mutex.Unlock()
 			row.slowest = max(row.slowest, reply.Took)
--- a/anvilload/fleet/fleet_test.go
+++ b/anvilload/fleet/fleet_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"anvilcross/anvilstandin/client"
 	"anvilcross/anvilstandin/site"
 	"anvilcross/anvilstandin/worker"
 )
@@ -39,10 +40,10 @@
 
 // running is a site with a fleet in front of it.
 type running struct {
-	t      *testing.T
-	site   *site.Site
-	fleet  *Fleet
-	client *http.Client
+	t     *testing.T
+	site  *site.Site
+	fleet *Fleet
+	http  *http.Client
 }
 
 func start(t *testing.T, count int) *running {
@@ -55,7 +56,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r := &running{t: t, site: s, fleet: f, client: &http.Client{Timeout: 20 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 16}}}
+	r := &running{t: t, site: s, fleet: f, http: &http.Client{Timeout: 20 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 16}}}
 	t.Cleanup(func() {
 		f.Stop()
 		_ = s.Close()
@@ -79,16 +80,16 @@
 	}
 }
 
-func (r *running) wantWhole(d *Daemon, request Request) {
+func (r *running) wantWhole(d *Daemon, request client.Request) {
 	r.t.Helper()
-	if wrong := Check(request, d.Send(r.client, request)); wrong != "" {
+	if wrong := client.Check(request, client.Send(r.http, d.Callers, request)); wrong != "" {
 		r.t.Fatalf("%s at %s: %s", request.Route, d.Name, wrong)
 	}
 }
 
-func (r *running) wantStatus(d *Daemon, request Request, want int) Reply {
+func (r *running) wantStatus(d *Daemon, request client.Request, want int) client.Reply {
 	r.t.Helper()
-	reply := d.Send(r.client, request)
+	reply := client.Send(r.http, d.Callers, request)
 	if reply.Err != nil || reply.Status != want {
 		r.t.Fatalf("%s at %s: got status %d and error %v, want %d", request.Route, d.Name, reply.Status, reply.Err, want)
 	}
@@ -121,8 +122,8 @@
 			for _, route := range []string{"order", "lookup", "draft", "verse"} {
 				for range 4 {
 					wait.Go(func() {
-						request := NewRequest(route)
-						if wrong := Check(request, d.Send(r.client, request)); wrong != "" {
+						request := client.NewRequest(route)
+						if wrong := client.Check(request, client.Send(r.http, d.Callers, request)); wrong != "" {
 							t.Errorf("%s at %s: %s", route, d.Name, wrong)
 						}
 						if runs := r.site.Ledger.Runs(request.ID); len(runs) != 1 {
@@ -154,29 +155,29 @@
 func TestBadInput(t *testing.T) {
 	r := start(t, 1)
 	d := r.fleet.Daemons[0]
-	t.Run("unknown route", func(*testing.T) { r.wantStatus(d, NewRequest("nothing"), http.StatusNotFound) })
+	t.Run("unknown route", func(*testing.T) { r.wantStatus(d, client.NewRequest("nothing"), http.StatusNotFound) })
 	t.Run("unknown key", func(*testing.T) {
-		request := NewRequest("order")
+		request := client.NewRequest("order")
 		request.Key = "wrong"
 		r.wantStatus(d, request, http.StatusUnauthorized)
 	})
 	t.Run("body too large", func(*testing.T) {
-		request := NewRequest("order")
+		request := client.NewRequest("order")
 		request.Body = strings.Repeat("x", 70_000)
 		r.wantStatus(d, request, http.StatusRequestEntityTooLarge)
 	})
 	t.Run("header too large", func(*testing.T) {
-		request := NewRequest("order")
+		request := client.NewRequest("order")
 		request.Header = http.Header{"X-Large": {strings.Repeat("x", 40_000)}}
 		r.wantStatus(d, request, http.StatusRequestHeaderFieldsTooLarge)
 	})
 	t.Run("malformed pieces", func(*testing.T) {
-		request := NewRequest("draft")
+		request := client.NewRequest("draft")
 		request.Pieces = "two"
 		r.wantStatus(d, request, http.StatusBadRequest)
 	})
 	t.Run("a request inside another one", func(t *testing.T) {
-		for name, text := range smuggled() {
+		for name, text := range client.Smuggled() {
 			if reply := exchange(t, d.Callers, text); strings.Contains(reply, "HTTP/1.1 200") && strings.Count(reply, "HTTP/1.1 200") > 1 {
 				t.Errorf("%s: two requests were served:\n%s", name, reply)
 			}
@@ -187,22 +188,11 @@
 	})
 	t.Run("half a request harms nobody", func(t *testing.T) {
 		exchange(t, d.Callers, "POST /order/item HTTP/1.1\r\nHost: site.example\r\nContent-Length: 100\r\n\r\nhalf")
-		r.wantWhole(d, NewRequest("order"))
+		r.wantWhole(d, client.NewRequest("order"))
 	})
 	r.wantNoProblems()
 }
 
-// smuggled returns requests that hide another one from a careless reader.
-func smuggled() map[string]string {
-	inner := "POST /order/inner HTTP/1.1\r\nHost: site.example\r\nRequest-Id: inner\r\nAuthorization: Bearer " + site.Key + "\r\nDeadline-Ms: 1000\r\nContent-Length: 0\r\n\r\n"
-	head := "POST /order/item HTTP/1.1\r\nHost: site.example\r\nRequest-Id: outer\r\nAuthorization: Bearer " + site.Key + "\r\nDeadline-Ms: 1000\r\n"
-	return map[string]string{
-		"two lengths":                head + fmt.Sprintf("Content-Length: 0\r\nContent-Length: %d\r\n\r\n%s", len(inner), inner),
-		"a length that is no number": head + "Content-Length: +0\r\n\r\n" + inner,
-		"an unknown coding":          head + "Transfer-Encoding: xchunked\r\nContent-Length: 0\r\n\r\n" + inner,
-	}
-}
-
 // exchange sends bytes and returns what comes back within a second.
 func exchange(t *testing.T, address, text string) string {
 	t.Helper()
@@ -231,7 +221,7 @@
 	t.Run("an order whose answer is lost is not repeated", func(t *testing.T) {
 		plain(worker.Faults{Broken: true}, all...)
 		defer plain(worker.Faults{}, all...)
-		request := NewRequest("order")
+		request := client.NewRequest("order")
 		r.wantStatus(d, request, http.StatusBadGateway)
 		if runs := r.site.Ledger.Runs(request.ID); len(runs) != 1 {
 			t.Fatalf("the order ran %d times", len(runs))
@@ -241,7 +231,7 @@
 		time.Sleep(3 * time.Second)
 		plain(worker.Faults{Full: true}, all...)
 		defer plain(worker.Faults{}, all...)
-		request := NewRequest("order")
+		request := client.NewRequest("order")
 		reply := r.wantStatus(d, request, http.StatusServiceUnavailable)
 		if runs := r.site.Ledger.Runs(request.ID); len(runs) != 0 || reply.Header.Get("Retry-After") == "" {
 			t.Fatalf("ran %d times, Retry-After %q", len(runs), reply.Header.Get("Retry-After"))
@@ -250,14 +240,14 @@
 	t.Run("an answer without a length is passed on whole", func(*testing.T) {
 		plain(worker.Faults{Unframed: true}, all...)
 		defer plain(worker.Faults{}, all...)
-		r.wantWhole(d, NewRequest("order"))
+		r.wantWhole(d, client.NewRequest("order"))
 	})
 	t.Run("a stream that breaks goes on at another worker", func(t *testing.T) {
 		for _, m := range r.site.Models {
 			m.SetFaults(worker.Faults{CutAfter: 7})
 			defer m.SetFaults(worker.Faults{})
 		}
-		request := NewRequest("verse")
+		request := client.NewRequest("verse")
 		r.wantWhole(d, request)
 		if runs := r.site.Ledger.Runs(request.ID); len(runs) != 2 {
 			t.Fatalf("ran %d times, want 2", len(runs))
@@ -268,7 +258,7 @@
 			m.SetFaults(worker.Faults{CutAfter: 7})
 			defer m.SetFaults(worker.Faults{})
 		}
-		if reply := d.Send(r.client, NewRequest("draft")); reply.Err == nil {
+		if reply := client.Send(r.http, d.Callers, client.NewRequest("draft")); reply.Err == nil {
 			t.Fatalf("the answer looks complete: status %d", reply.Status)
 		}
 	})
@@ -276,7 +266,7 @@
 		time.Sleep(3 * time.Second)
 		r.site.Stages["registry-0"].SetFaults(worker.Faults{Broken: true})
 		defer r.site.Stages["registry-0"].SetFaults(worker.Faults{})
-		r.wantWhole(d, NewRequest("verse"))
+		r.wantWhole(d, client.NewRequest("verse"))
 	})
 	r.wantNoProblems()
 }
@@ -288,7 +278,7 @@
 		time.Sleep(time.Second)
 		for _, d := range r.fleet.Daemons {
 			for range 10 {
-				request := NewRequest("order")
+				request := client.NewRequest("order")
 				r.wantWhole(d, request)
 				if runs := r.site.Ledger.Runs(request.ID); runs[0] == "orders-0" {
 					t.Fatal("the drained worker got a request")
@@ -303,8 +293,8 @@
 		r.site.Configure(3, nil)
 		time.Sleep(time.Second)
 		for _, d := range r.fleet.Daemons {
-			r.wantStatus(d, NewRequest("verse"), http.StatusNotFound)
-			r.wantWhole(d, NewRequest("order"))
+			r.wantStatus(d, client.NewRequest("verse"), http.StatusNotFound)
+			r.wantWhole(d, client.NewRequest("order"))
 		}
 	})
 	t.Run("entries that cannot be read change nothing", func(t *testing.T) {
@@ -312,7 +302,7 @@
 		r.site.Store.Put("servers/bytes", []byte{0xff, 0x00})
 		time.Sleep(500 * time.Millisecond)
 		for _, d := range r.fleet.Daemons {
-			r.wantWhole(d, NewRequest("order"))
+			r.wantWhole(d, client.NewRequest("order"))
 		}
 	})
 	r.wantNoProblems()
@@ -323,15 +313,15 @@
 	r.site.Store.SetDown(true)
 	time.Sleep(2 * time.Second)
 	for _, d := range r.fleet.Daemons {
-		r.wantWhole(d, NewRequest("order"))
-		r.wantWhole(d, NewRequest("verse"))
+		r.wantWhole(d, client.NewRequest("order"))
+		r.wantWhole(d, client.NewRequest("verse"))
 	}
 	r.site.Configure(9, func(c map[string]any) { c["routes"] = c["routes"].([]any)[:1] })
 	r.site.Store.Forget()
 	r.site.Store.SetDown(false)
 	r.eventually("the configuration of the outage is in force", 4*time.Second, func() bool {
 		for _, d := range r.fleet.Daemons {
-			if d.Send(r.client, NewRequest("lookup")).Status != http.StatusNotFound {
+			if client.Send(r.http, d.Callers, client.NewRequest("lookup")).Status != http.StatusNotFound {
 				return false
 			}
 		}
@@ -347,9 +337,9 @@
 	for n := range 30 {
 		wait.Go(func() {
 			time.Sleep(time.Duration(n) * 40 * time.Millisecond)
-			request := NewRequest([]string{"verse", "draft", "order"}[n%3])
-			reply := d.Send(r.client, request)
-			if wrong := Check(request, reply); wrong != "" && reply.Status != http.StatusServiceUnavailable {
+			request := client.NewRequest([]string{"verse", "draft", "order"}[n%3])
+			reply := client.Send(r.http, d.Callers, request)
+			if wrong := client.Check(request, reply); wrong != "" && reply.Status != http.StatusServiceUnavailable {
 				t.Errorf("%s: %s", request.Route, wrong)
 			}
 		})
@@ -362,7 +352,7 @@
 	if err := d.WaitEnd(); err != nil {
 		t.Fatalf("the daemon ended with %v", err)
 	}
-	r.wantWhole(r.fleet.Daemons[1], NewRequest("verse"))
+	r.wantWhole(r.fleet.Daemons[1], client.NewRequest("verse"))
 	r.wantNoProblems()
 }
 
@@ -373,8 +363,8 @@
 		results := make(chan string, 8)
 		for range cap(results) {
 			go func() {
-				request := NewRequest("verse")
-				results <- Check(request, other.Send(r.client, request))
+				request := client.NewRequest("verse")
+				results <- client.Check(request, client.Send(r.http, other.Callers, request))
 			}()
 		}
 		time.Sleep(60 * time.Millisecond)
--- a/anvilload/fleet/caller.go
+++ b/anvilstandin/client/client.go
@@ -1,4 +1,6 @@
-package fleet
+// Package client plays the users' callers: it sends requests as they do and
+// checks the answers against what the stand-ins' workers send.
+package client
 
 import (
 	"crypto/rand"
@@ -10,8 +12,6 @@
 	"strings"
 	"time"
 
-	"github.com/juju/errors"
-
 	"anvilcross/anvilstandin/site"
 	"anvilcross/anvilstandin/worker"
 )
@@ -60,18 +60,18 @@
 	Took time.Duration
 }
 
-// Send sends a request to a daemon and reads the whole answer.
-func (d *Daemon) Send(client *http.Client, r Request) Reply {
+// Send sends a request to an address and reads the whole answer.
+func Send(h *http.Client, address string, r Request) Reply {
 	begun := time.Now()
-	reply := d.send(client, r)
+	reply := send(h, address, r)
 	reply.Took = time.Since(begun)
 	return reply
 }
 
-func (d *Daemon) send(client *http.Client, r Request) Reply {
-	request, err := http.NewRequest(r.Method, fmt.Sprintf("http://%s/%s/item", d.Callers, r.Route), strings.NewReader(r.Body))
+func send(h *http.Client, address string, r Request) Reply {
+	request, err := http.NewRequest(r.Method, fmt.Sprintf("http://%s/%s/item", address, r.Route), strings.NewReader(r.Body))
 	if err != nil {
-		return Reply{Err: errors.Trace(err)}
+		return Reply{Err: err}
 	}
 	request.Host = site.Host
 	request.Header.Set("Request-Id", r.ID)
@@ -89,13 +89,13 @@
 	for name, values := range r.Header {
 		request.Header[name] = values
 	}
-	response, err := client.Do(request)
+	response, err := h.Do(request)
 	if err != nil {
-		return Reply{Err: errors.Trace(err)}
+		return Reply{Err: err}
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(response.Body)
-	return Reply{Status: response.StatusCode, Body: string(body), Header: response.Header, Err: errors.Trace(err)}
+	return Reply{Status: response.StatusCode, Body: string(body), Header: response.Header, Err: err}
 }
 
 // Check returns what is wrong with a whole answer to a request, or nothing.
@@ -123,3 +123,15 @@
 	}
 	return ""
 }
+
+// Smuggled returns the bytes of requests that hide another one, with the id
+// "inner", from a careless reader.
+func Smuggled() map[string]string {
+	inner := "POST /order/inner HTTP/1.1\r\nHost: " + site.Host + "\r\nRequest-Id: inner\r\nAuthorization: Bearer " + site.Key + "\r\nDeadline-Ms: 1000\r\nContent-Length: 0\r\n\r\n"
+	head := "POST /order/item HTTP/1.1\r\nHost: " + site.Host + "\r\nRequest-Id: outer\r\nAuthorization: Bearer " + site.Key + "\r\nDeadline-Ms: 1000\r\n"
+	return map[string]string{
+		"two lengths":                head + fmt.Sprintf("Content-Length: 0\r\nContent-Length: %d\r\n\r\n%s", len(inner), inner),
+		"a length that is no number": head + "Content-Length: +0\r\n\r\n" + inner,
+		"an unknown coding":          head + "Transfer-Encoding: xchunked\r\nContent-Length: 0\r\n\r\n" + inner,
+	}
+}
