--- /dev/null
+++ b/anvilcrossd/h1/h1_test.go
@@ -0,0 +1,161 @@
+package h1
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// peer answers each request on a connection with the next of the given texts,
+// and closes the connection after the last.
+func peer(t *testing.T, texts ...string) (string, *atomic.Int64) {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	requests := &atomic.Int64{}
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				reader := bufio.NewReader(c)
+				for _, text := range texts {
+					request, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, request.Body)
+					requests.Add(1)
+					_, _ = io.WriteString(c, text)
+				}
+			}()
+		}
+	}()
+	return listener.Addr().String(), requests
+}
+
+func accepts(id string) func(*http.Response) bool {
+	return func(r *http.Response) bool { return r.Header.Get("Id") == id }
+}
+
+func get(c *Client, address, id string) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	response, err := c.Do(ctx, Request{Address: address, Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}, Accepts: accepts(id)})
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return string(body), err
+}
+
+func wantBody(t *testing.T, body string, err error, want string) {
+	t.Helper()
+	if err != nil || body != want {
+		t.Fatalf("got %q and %v, want %q", body, err, want)
+	}
+}
+
+const own = "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 3\r\n\r\nown"
+
+func TestAnswers(t *testing.T) {
+	t.Run("a connection is used again", func(t *testing.T) {
+		address, _ := peer(t, own, own)
+		c := NewClient()
+		for range 2 {
+			body, err := get(c, address, "a")
+			wantBody(t, body, err, "own")
+		}
+		if c.Opened() != 1 {
+			t.Fatalf("%d connections", c.Opened())
+		}
+	})
+	t.Run("an answer to another request is skipped", func(t *testing.T) {
+		address, _ := peer(t, "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 5\r\n\r\nstray"+own)
+		body, err := get(NewClient(), address, "a")
+		wantBody(t, body, err, "own")
+	})
+	t.Run("a connection with surplus bytes is dropped", func(t *testing.T) {
+		address, _ := peer(t, own+"surplus", own)
+		c := NewClient()
+		for range 2 {
+			body, err := get(c, address, "a")
+			wantBody(t, body, err, "own")
+		}
+		if c.Opened() != 2 {
+			t.Fatalf("%d connections, want 2", c.Opened())
+		}
+	})
+	t.Run("an answer that ends early is no whole answer", func(t *testing.T) {
+		address, _ := peer(t, "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 9\r\n\r\nown")
+		if body, err := get(NewClient(), address, "a"); err == nil {
+			t.Fatalf("got %q without an error", body)
+		}
+	})
+	t.Run("bytes that are no answer are an error", func(t *testing.T) {
+		address, _ := peer(t, "noise\r\n\r\n")
+		if body, err := get(NewClient(), address, "a"); err == nil {
+			t.Fatalf("got %q without an error", body)
+		}
+	})
+}
+
+func TestNothingIsSentTwice(t *testing.T) {
+	address, requests := peer(t, own, "")
+	c := NewClient()
+	if _, err := get(c, address, "a"); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := get(c, address, "a"); err == nil || Unreached(err) {
+		t.Fatalf("a request on a connection that closed: got %v, want an error that claims nothing", err)
+	}
+	if requests.Load() != 2 {
+		t.Fatalf("%d requests reached the peer, want 2", requests.Load())
+	}
+}
+
+func TestUnreached(t *testing.T) {
+	t.Run("nobody listens", func(t *testing.T) {
+		listener, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		address := listener.Addr().String()
+		_ = listener.Close()
+		if _, err := get(NewClient(), address, "a"); !Unreached(err) {
+			t.Fatalf("got %v", err)
+		}
+	})
+	t.Run("the request was given up before its first byte", func(t *testing.T) {
+		address, requests := peer(t, own)
+		_, err := NewClient().Do(context.Background(), Request{Address: address, Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}, MayWrite: func() bool { return false }})
+		if !Unreached(err) || requests.Load() != 0 {
+			t.Fatalf("got %v, %d requests", err, requests.Load())
+		}
+	})
+}
+
+func TestLongBody(t *testing.T) {
+	address, _ := peer(t, own)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	response, err := NewClient().Do(ctx, Request{Address: address, Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, Body: []byte(strings.Repeat("x", 1<<20)), Accepts: accepts("a")})
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := io.ReadAll(response.Body)
+	wantBody(t, string(body), err, "own")
+}
