--- a/anvilload/fleet/fleet.go
+++ b/anvilload/fleet/fleet.go
@@ -5,7 +5,6 @@
 import (
 	"fmt"
 	"net"
-	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -15,6 +14,7 @@
 
 	"github.com/juju/errors"
 
+	"anvilcross/anvilstandin/client"
 	"anvilcross/anvilstandin/site"
 )
 
@@ -141,12 +141,8 @@
 func (d *Daemon) WaitReady() error {
 	deadline := time.Now().Add(readyLimit)
 	for time.Now().Before(deadline) {
-		response, err := http.Get("http://" + d.ready + "/api/ready")
-		if err == nil {
-			_ = response.Body.Close()
-			if response.StatusCode == http.StatusOK {
-				return nil
-			}
+		if client.Ready(d.ready) {
+			return nil
 		}
 		time.Sleep(readyPoll)
 	}
--- a/anvilstandin/client/client.go
+++ b/anvilstandin/client/client.go
@@ -124,6 +124,17 @@
 	return ""
 }
 
+// Ready asks a daemon, as the platform's balancer does, whether it takes new
+// connections.
+func Ready(address string) bool {
+	response, err := http.Get("http://" + address + "/api/ready")
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
 // Smuggled returns the bytes of requests that hide another one, with the id
 // "inner", from a careless reader.
 func Smuggled() map[string]string {
