Set up metrics in one place, and remove what nothing calls

Cause: reading the change once more: the gateway repeated the operator's set-up of metrics; counts of ready members, a route's test for a service, the number of known members and a second name of Dispatch had no caller, and pings carried readiness that nobody read. Change: anvilcrossd/registry serves both daemons; the rest is removed. Behaviour as before: kernel tests, lint.

--- a/anvilcrossd/gatewayd/metrics.go
+++ b/anvilcrossd/gatewayd/metrics.go
@@ -10,6 +10,7 @@
 	"github.com/uber-go/tally/v4/prometheus"
 
 	"anvilcross/anvilcrossd/eventlog"
+	"anvilcross/anvilcrossd/registry"
 	"anvilcross/kernel/gateway"
 )
 
@@ -26,22 +27,12 @@
 	reporter prometheus.Reporter
 }
 
-// reportPeriod is how often counters go to the reporter.
-const reportPeriod = time.Second
-
 // latencyBuckets are the bounds of the latency histograms.
 var latencyBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 16)
 
 func newMetrics(c metricsConfig) *metrics {
-	reporter := prometheus.NewReporter(prometheus.Options{})
-	scope, _ := tally.NewRootScope(tally.ScopeOptions{
-		Prefix:                 "anvilcross",
-		CachedReporter:         reporter,
-		Separator:              prometheus.DefaultSeparator,
-		SanitizeOptions:        &prometheus.DefaultSanitizerOpts,
-		OmitCardinalityMetrics: true,
-	}, reportPeriod)
-	return &metrics{config: c, scope: scope, reporter: reporter}
+	r := registry.NewRegistry()
+	return &metrics{config: c, scope: r.Scope, reporter: r.Reporter}
 }
 
 // observe counts an ended request.
--- a/anvilcrossd/operator/operator.go
+++ b/anvilcrossd/operator/operator.go
@@ -10,6 +10,7 @@
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 
+	"anvilcross/anvilcrossd/registry"
 	"anvilcross/kernel/burn"
 	"anvilcross/kernel/ident"
 	"anvilcross/kernel/node"
@@ -17,7 +18,6 @@
 )
 
 const (
-	reportPeriod      = time.Second
 	readHeaderTimeout = 5 * time.Second
 )
 
@@ -39,15 +39,8 @@
 
 // NewServer returns a server with its metrics registry.
 func NewServer(c Config) *Server {
-	reporter := prometheus.NewReporter(prometheus.Options{})
-	scope, closer := tally.NewRootScope(tally.ScopeOptions{
-		Prefix:                 "anvilcross",
-		CachedReporter:         reporter,
-		Separator:              prometheus.DefaultSeparator,
-		SanitizeOptions:        &prometheus.DefaultSanitizerOpts,
-		OmitCardinalityMetrics: true,
-	}, reportPeriod)
-	return &Server{config: c, scope: scope, reporter: reporter, close: closer.Close}
+	r := registry.NewRegistry()
+	return &Server{config: c, scope: r.Scope, reporter: r.Reporter, close: r.Close}
 }
 
 // Close ends the reporting of metrics.
@@ -71,7 +64,7 @@
 
 // Run exports the kernel's totals until the stop channel is closed.
 func (s *Server) Run(stop <-chan struct{}) {
-	ticker := time.NewTicker(reportPeriod)
+	ticker := time.NewTicker(registry.ReportPeriod)
 	defer ticker.Stop()
 	for {
 		select {
--- a/kernel/batching/dispatch.go
+++ b/kernel/batching/dispatch.go
@@ -446,6 +446,3 @@
 	}
 	b.Dispatch(c.service)
 }
-
-// Changed takes in that the listed endpoints of a service have changed.
-func (b *Batcher) Changed(s ident.Service) { b.Dispatch(s) }
--- a/kernel/gateway/gateway.go
+++ b/kernel/gateway/gateway.go
@@ -281,7 +281,7 @@
 		}
 	}
 	for _, s := range changed.Sorted() {
-		g.batcher.Changed(s)
+		g.batcher.Dispatch(s)
 	}
 }
 
--- a/kernel/gateway/peers.go
+++ b/kernel/gateway/peers.go
@@ -12,7 +12,6 @@
 	now := g.now()
 	p := message.Ping{
 		Member:      g.members.Self(),
-		Ready:       g.Ready(),
 		Leaving:     g.leaving,
 		Members:     g.members.Sample(now),
 		AsOf:        g.records.AsOf(),
@@ -68,7 +67,7 @@
 
 func (g *Gateway) handlePing(p message.Ping) {
 	now := g.now()
-	if g.members.Heard(now, p.Member, p.Ready, p.Leaving) {
+	if g.members.Heard(now, p.Member, p.Leaving) {
 		g.out.Event("memberReached", "member", p.Member.Name, "memberCentre", p.Member.DataCentre, "incarnation", p.Member.Incarnation)
 	}
 	g.members.Named(now, p.Members)
--- a/kernel/gateway/reader_test.go
+++ b/kernel/gateway/reader_test.go
@@ -13,7 +13,7 @@
 
 // hear lets a member's ping arrive.
 func (w *world) hear(name ident.Instance, centre ident.DataCentre, platformAge time.Duration) {
-	p := message.Ping{Member: membership.Member{Name: name, Address: string(name) + ":1", DataCentre: centre, Incarnation: 1}, Ready: true, AsOf: w.gateway.AsOf()}
+	p := message.Ping{Member: membership.Member{Name: name, Address: string(name) + ":1", DataCentre: centre, Incarnation: 1}, AsOf: w.gateway.AsOf()}
 	if platformAge >= 0 {
 		p.PlatformAge = &platformAge
 	}
--- a/kernel/membership/membership.go
+++ b/kernel/membership/membership.go
@@ -37,7 +37,6 @@
 	// named is when another member last spoke of this one.
 	named   time.Time
 	leaving bool
-	ready   bool
 }
 
 // Config sets up a Table.
@@ -70,7 +69,7 @@
 
 // Heard takes in that a member sent a message. It returns true when the
 // member is new, came back or was replaced.
-func (t *Table) Heard(now time.Time, m Member, ready, leaving bool) bool {
+func (t *Table) Heard(now time.Time, m Member, leaving bool) bool {
 	if m.Name == t.config.Self.Name {
 		return false
 	}
@@ -82,7 +81,6 @@
 	}
 	k.Member = m
 	k.heard = now
-	k.ready = ready
 	k.leaving = leaving
 	return news
 }
@@ -124,10 +122,6 @@
 	return t.Reachable(now, name) && (k == nil || !k.leaving)
 }
 
-// Known returns the number of members that are not forgotten, within reach or
-// not, the own one included.
-func (t *Table) Known() int { return len(t.members) + 1 }
-
 // Incarnation returns the process of a member that was last heard.
 func (t *Table) Incarnation(name ident.Instance) ident.Incarnation {
 	if name == t.config.Self.Name {
@@ -158,18 +152,6 @@
 	return value.NewSet(names...).Sorted()
 }
 
-// CountReady returns how many members of the data centre, other than the own,
-// are within reach and ready.
-func (t *Table) CountReady(now time.Time, centre ident.DataCentre) int {
-	count := 0
-	for name, k := range t.members {
-		if k.DataCentre == centre && k.ready && t.Alive(now, name) {
-			count++
-		}
-	}
-	return count
-}
-
 // Owner returns the living member with the highest rendezvous score for a
 // key, so that instances with the same view agree without a word.
 func (t *Table) Owner(now time.Time, key string) ident.Instance {
--- a/kernel/message/batching.go
+++ b/kernel/message/batching.go
@@ -12,7 +12,6 @@
 // of the platform and of endpoints.
 type Ping struct {
 	Member  membership.Member   `json:"member"`
-	Ready   bool                `json:"ready,omitempty"`
 	Leaving bool                `json:"leaving,omitempty"`
 	Members []membership.Member `json:"members,omitempty"`
 	// AsOf is the platform's revision up to which the sender knows all.
--- a/kernel/published/published.go
+++ b/kernel/published/published.go
@@ -73,16 +73,6 @@
 	return r.Kind == Safe || r.Kind == Stream && r.Resumable
 }
 
-// Leads reports whether the route may send requests to the service.
-func (r *Route) Leads(s ident.Service) bool {
-	for _, t := range r.Targets {
-		if t.Service == s {
-			return true
-		}
-	}
-	return false
-}
-
 // Batches describes the stage endpoints of a service.
 type Batches struct {
 	// Slots is how many calls an endpoint works on at once.
