Ping a few core members in a large fleet, and batch on instances with room

Cause: on the grown deployment of 66 instances everybody pinged everybody five times a second. Ruled out: longer periods alone (the number of pings still grows with the square of the fleet), a batcher per data centre (it would still run on a link of 10 Mbit/s). Change: fleets above 12 members have a core: the first member of each data centre by capacity class and score, and up to eight of the best class. All ping the core, and two others in turn; the answer to a ping brings what the core knows (members with the age of the last sign of life, size of the fleet, running requests by endpoint). Batchers and readers are core members; settings tell an instance's processor share and link. Records go to the own data centre and the core; a member that lags is answered by its own data centre first. Copies that are more than 200 records behind complete page by page (they never did). The batcher orders at most every 8 ms, finds a request's pieces by an index, and tells of fetched inputs only where room is short.

--- a/anvilcrossd/gatewayd/gatewayd.go
+++ b/anvilcrossd/gatewayd/gatewayd.go
@@ -13,6 +13,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -114,6 +115,7 @@
 		DataCentre: s.DataCentre,
 		Near:       link.NewTransport(link.Config{KeepIdle: keepPeer, MaxPerHost: maxPeerConnections}),
 		Receive:    func(e message.Envelope) { d.learn(func(g *gateway.Gateway) { g.HandlePeer(e) }) },
+		Reply:      d.pong,
 		Failed: func(to ident.Instance, reason string) {
 			d.do(func(g *gateway.Gateway) { g.PeerFailed(to, reason) })
 		},
@@ -150,6 +152,7 @@
 			Address:     s.PeerListen,
 			DataCentre:  s.DataCentre,
 			Incarnation: ident.Incarnation(rand.Uint64() >> 12),
+			Capacity:    s.Capacity(),
 		},
 		Seeds:  s.Seeds,
 		Bounds: gateway.Bounds{RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow},
@@ -202,6 +205,17 @@
 
 func (d *daemon) do(f func(*gateway.Gateway)) { d.owner.Do(f) }
 
+// pong answers the pings of another instance.
+func (d *daemon) pong(batch []message.Envelope) []message.Envelope {
+	ping := slices.IndexFunc(batch, func(e message.Envelope) bool { return e.Ping != nil })
+	if ping < 0 {
+		return nil
+	}
+	var answer message.Envelope
+	d.do(func(g *gateway.Gateway) { answer = g.Pong(*batch[ping].Ping) })
+	return []message.Envelope{answer}
+}
+
 // learn lets the gateway take records in, and takes the limits over.
 func (d *daemon) learn(f func(*gateway.Gateway)) {
 	d.do(func(g *gateway.Gateway) {
--- a/anvilcrossd/peer/peer.go
+++ b/anvilcrossd/peer/peer.go
@@ -47,6 +47,9 @@
 	Far        *link.Transport
 	// Receive takes each message that arrives with a valid signature.
 	Receive func(message.Envelope)
+	// Reply returns what goes back at once to the sender of a batch, after its
+	// messages were received; it may be nil.
+	Reply func([]message.Envelope) []message.Envelope
 	// Failed is told of messages that could not be delivered; it may be nil.
 	Failed func(to ident.Instance, reason string)
 	// Timeout bounds one POST.
@@ -215,8 +218,28 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	_, _ = io.Copy(io.Discard, response.Body)
-	return errors.Trace(response.Body.Close())
+	defer func() { _ = response.Body.Close() }()
+	return errors.Trace(m.takeReply(response))
+}
+
+// takeReply receives what a peer answered a batch with.
+func (m *Mesh) takeReply(response *http.Response) error {
+	if m.config.Reply == nil || response.StatusCode != http.StatusOK {
+		_, err := io.Copy(io.Discard, response.Body)
+		return errors.Trace(err)
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxBodyBytes))
+	if err != nil {
+		return errors.Trace(err)
+	}
+	batch, err := Decode(body)
+	if err != nil {
+		return errors.Annotate(err, "reply of a peer")
+	}
+	for _, e := range batch {
+		m.config.Receive(e)
+	}
+	return nil
 }
 
 func (m *Mesh) sign(body []byte) string {
@@ -247,10 +270,30 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	w.WriteHeader(http.StatusNoContent)
+	if m.config.Reply == nil {
+		w.WriteHeader(http.StatusNoContent)
+	}
 	for _, e := range batch {
 		m.config.Receive(e)
 	}
+	if m.config.Reply != nil {
+		m.reply(w, batch)
+	}
+}
+
+func (m *Mesh) reply(w http.ResponseWriter, batch []message.Envelope) {
+	answers := m.config.Reply(batch)
+	if len(answers) == 0 {
+		w.WriteHeader(http.StatusNoContent)
+		return
+	}
+	body, err := json.Marshal(answers)
+	if err != nil {
+		panic("peer message cannot be encoded: " + err.Error())
+	}
+	m.sentBytes.Add(int64(len(body)))
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(body)
 }
 
 // Decode parses a batch of messages.
--- a/anvilcrossd/settings/gateway.go
+++ b/anvilcrossd/settings/gateway.go
@@ -29,6 +29,10 @@
 
 	// MemoryMegabytes is what the process may use.
 	MemoryMegabytes int
+	// ProcessorShare is the part of a processor core that the process has, and
+	// LinkMegabits the bandwidth of its machine's link in Mbit/s.
+	ProcessorShare float64
+	LinkMegabits   float64
 	// RetryRatio, RetrySlack and RetryWindow are the fleet's retry budget.
 	RetryRatio  float64
 	RetrySlack  float64
@@ -47,6 +51,8 @@
 		listenRule("metrics", func(s *Gateway) *string { return &s.MetricsListen }),
 		textRule("platform", "address", true, func(s *Gateway) *string { return &s.PlatformAddress }),
 		numberRule("memoryMegabytes", func(s *Gateway) *int { return &s.MemoryMegabytes }),
+		fractionRule("limits", "processorShare", func(s *Gateway) *float64 { return &s.ProcessorShare }),
+		fractionRule("limits", "linkMegabits", func(s *Gateway) *float64 { return &s.LinkMegabits }),
 		fractionRule("retries", "ratio", func(s *Gateway) *float64 { return &s.RetryRatio }),
 		fractionRule("retries", "slack", func(s *Gateway) *float64 { return &s.RetrySlack }),
 		durationRule("retries", "window", func(s *Gateway) *time.Duration { return &s.RetryWindow }),
@@ -74,6 +80,19 @@
 	return nil
 }
 
+// What batching for one stage service of a large fleet takes: the smallest
+// instances of the users' grown deployments have one unit of each.
+const (
+	unitProcessor = 0.19
+	unitMegabits  = 10
+)
+
+// Capacity is what the instance can take on for others, in units of the
+// smallest instances; zero if the settings do not say.
+func (s *Gateway) Capacity() float64 {
+	return min(s.ProcessorShare/unitProcessor, s.LinkMegabits/unitMegabits)
+}
+
 // Defaults of the gateway's settings, for deployments that set no bounds.
 const (
 	defaultGatewayStop = 8 * time.Second
--- a/kernel/batching/batching.go
+++ b/kernel/batching/batching.go
@@ -115,6 +115,9 @@
 	// lingerTime is how long a call that is under half full waits for more
 	// pieces: a third of the fixed part of a call.
 	lingerTime = 80 * time.Millisecond
+	// orderPause is the least time between two orderings of a service's
+	// pieces: small against a call.
+	orderPause = 8 * time.Millisecond
 	// declinedPause is how long a full endpoint is left alone: about half of
 	// the fixed part of a call.
 	declinedPause = 120 * time.Millisecond
@@ -248,6 +251,10 @@
 type queue struct {
 	waiting []*piece
 	linger  *timer.Subscription
+	// ordered is when the pieces were last put in order, and pending the next
+	// time if that was put off.
+	ordered time.Time
+	pending *timer.Subscription
 	// started counts pieces by slot of time, for the rate.
 	started [rateSlots]int
 	slot    int64
@@ -258,6 +265,7 @@
 	config   Config
 	queues   map[ident.Service]*queue
 	pieces   map[message.PieceID]*piece
+	requests map[ident.RequestID][]*piece
 	calls    map[CallID]*call
 	makers   map[ident.Endpoint]*maker
 	bookings map[message.ResultHandle]*booking
@@ -276,6 +284,7 @@
 		config:   c,
 		queues:   map[ident.Service]*queue{},
 		pieces:   map[message.PieceID]*piece{},
+		requests: map[ident.RequestID][]*piece{},
 		calls:    map[CallID]*call{},
 		makers:   map[ident.Endpoint]*maker{},
 		bookings: map[message.ResultHandle]*booking{},
@@ -323,7 +332,7 @@
 		id := message.PieceID{Request: s.Request, Stage: s.Stage, Piece: index}
 		if p := b.pieces[id]; p != nil && s.Anew && p.state == done {
 			b.free(p.handle)
-			delete(b.pieces, id)
+			b.drop(p)
 		}
 		if p := b.pieces[id]; p != nil {
 			p.work = w
@@ -338,11 +347,26 @@
 			continue
 		}
 		b.pieces[id] = p
+		b.requests[id.Request] = append(b.requests[id.Request], p)
 		q.waiting = append(q.waiting, p)
 	}
 	b.Dispatch(s.Service)
 }
 
+// drop forgets a piece.
+func (b *Batcher) drop(p *piece) {
+	if b.pieces[p.id] != p {
+		return
+	}
+	delete(b.pieces, p.id)
+	rest := slices.DeleteFunc(b.requests[p.id.Request], func(o *piece) bool { return o == p })
+	if len(rest) == 0 {
+		delete(b.requests, p.id.Request)
+		return
+	}
+	b.requests[p.id.Request] = rest
+}
+
 // Release withdraws a request's pieces, or gives results back.
 func (b *Batcher) Release(r message.StageRelease) {
 	if r.Withdrawn {
@@ -355,9 +379,9 @@
 	for _, address := range value.SortedKeys(byAddress) {
 		b.config.Output.Free(address, byAddress[address])
 	}
-	for id, p := range b.pieces {
-		if id.Request == r.Request && p.state == done && slices.Contains(r.Handles, p.handle) {
-			delete(b.pieces, id)
+	for _, p := range slices.Clone(b.requests[r.Request]) {
+		if p.state == done && slices.Contains(r.Handles, p.handle) {
+			b.drop(p)
 		}
 	}
 }
@@ -378,12 +402,11 @@
 func (b *Batcher) withdraw(r message.StageRelease) {
 	q := b.queue(r.Service)
 	q.waiting = slices.DeleteFunc(q.waiting, func(p *piece) bool { return p.id.Request == r.Request })
-	for id, p := range b.pieces {
-		if id.Request != r.Request || p.work.Service != r.Service {
-			continue
-		}
+	for _, p := range slices.Clone(b.requests[r.Request]) {
 		// A result that was reported is given back by its origin.
-		delete(b.pieces, id)
+		if p.work.Service == r.Service {
+			b.drop(p)
+		}
 	}
 }
 
@@ -429,7 +452,7 @@
 func (b *Batcher) Dispatch(s ident.Service) {
 	q := b.queue(s)
 	batches := b.config.Batches(s)
-	if batches == nil || len(q.waiting) == 0 {
+	if batches == nil || len(q.waiting) == 0 || b.putOff(s, q) {
 		return
 	}
 	b.order(s, q, batches)
@@ -446,3 +469,21 @@
 		}
 	}
 }
+
+// putOff reports whether the pieces were put in order a moment ago: in a burst
+// that takes most of the time, and a fuller call is worth the wait.
+func (b *Batcher) putOff(s ident.Service, q *queue) bool {
+	if q.pending != nil {
+		return true
+	}
+	wait := q.ordered.Add(orderPause).Sub(b.now())
+	if wait <= 0 {
+		q.ordered = b.now()
+		return false
+	}
+	q.pending = b.config.Timers.After(wait, func() {
+		q.pending = nil
+		b.Dispatch(s)
+	})
+	return true
+}
--- a/kernel/batching/dispatch.go
+++ b/kernel/batching/dispatch.go
@@ -258,7 +258,7 @@
 	}
 	byOrigin := map[ident.Instance][]message.PieceID{}
 	for _, p := range c.pieces {
-		if len(p.work.Inputs) > 0 && b.pieces[p.id] == p {
+		if p.work.InputsScarce && b.pieces[p.id] == p {
 			byOrigin[p.work.origin] = append(byOrigin[p.work.origin], p.id)
 		}
 	}
@@ -287,7 +287,7 @@
 		return
 	}
 	if p.tries >= maxTries {
-		delete(b.pieces, p.id)
+		b.drop(p)
 		b.report(p, message.PieceFailed)
 		return
 	}
@@ -370,14 +370,14 @@
 	switch item.Reason {
 	case Late:
 		b.stats.LatePieces++
-		delete(b.pieces, p.id)
+		b.drop(p)
 		add(results, p, message.PieceLate)
 	case InputGone:
 		b.stats.InputGone++
 		if p.calls > 0 {
 			return
 		}
-		delete(b.pieces, p.id)
+		b.drop(p)
 		add(results, p, message.PieceInputGone)
 	case NoRoom:
 		b.stats.NoRoom++
@@ -410,7 +410,7 @@
 	k.expiry = b.config.Timers.After(keep+handleNetwork, func() {
 		b.unbook(h)
 		if b.pieces[p.id] == p && p.handle == h {
-			delete(b.pieces, p.id)
+			b.drop(p)
 		}
 		b.Dispatch(c.service)
 	})
--- a/kernel/batching/handover.go
+++ b/kernel/batching/handover.go
@@ -14,7 +14,7 @@
 	q := b.queue(s)
 	results := map[ident.Instance]*message.StageResults{}
 	for _, p := range q.waiting {
-		delete(b.pieces, p.id)
+		b.drop(p)
 		add(results, p, message.PieceMoved)
 	}
 	q.waiting = nil
--- a/kernel/batching/order.go
+++ b/kernel/batching/order.go
@@ -33,13 +33,18 @@
 
 // held reports whether a piece would begin a chain whose later stages are
 // congested: its result would only take room there and expire.
-func (b *Batcher) held(p *piece) bool {
+func (b *Batcher) held(p *piece, backlogs map[ident.Service]time.Duration) bool {
 	limit := maxDownstream + time.Duration(p.work.Weight*float64(moreDownstream))
 	if p.late {
 		limit = lateDownstream
 	}
 	for _, s := range p.work.Chain {
-		if b.config.Backlog(s) > limit {
+		wait, known := backlogs[s]
+		if !known {
+			wait = b.config.Backlog(s)
+			backlogs[s] = wait
+		}
+		if wait > limit {
 			return true
 		}
 	}
@@ -98,10 +103,11 @@
 	now := b.now()
 	b.dropExpired(q, now)
 	turns := b.turns(s, batches)
+	backlogs := map[ident.Service]time.Duration{}
 	var timely, late []*piece
 	for _, p := range q.waiting {
 		due, ok := p.target(now, batches)
-		if b.held(p) {
+		if b.held(p, backlogs) {
 			p.rank = heldRank
 			continue
 		}
@@ -171,7 +177,7 @@
 			return false
 		}
 		b.stats.Refused++
-		delete(b.pieces, p.id)
+		b.drop(p)
 		add(results, p, message.PieceRefused)
 		list := results[p.work.origin].Results
 		list[len(list)-1].RetryAfter = retryAfter
@@ -190,7 +196,7 @@
 			return false
 		}
 		b.stats.LatePieces++
-		delete(b.pieces, p.id)
+		b.drop(p)
 		b.report(p, message.PieceLate)
 		return true
 	})
--- a/kernel/gateway/batchers.go
+++ b/kernel/gateway/batchers.go
@@ -4,16 +4,15 @@
 	"time"
 
 	"anvilcross/kernel/ident"
-	"anvilcross/kernel/membership"
 	"anvilcross/kernel/message"
 	"anvilcross/kernel/published"
 	"anvilcross/kernel/value"
 )
 
 const (
-	// batchingLife is how long an instance's word on what it batches for is
-	// believed: three pings.
-	batchingLife = 3 * membership.PingPeriod
+	// wordPings is for how many pings an instance's word on what it batches
+	// for is believed.
+	wordPings = 3
 	// sameTenure is how close two tenures count as equal: they are measured
 	// by messages that are some milliseconds under way.
 	sameTenure = 150 * time.Millisecond
@@ -33,6 +32,16 @@
 
 // heardBatching takes in what a member batches for.
 func (g *Gateway) heardBatching(now time.Time, from ident.Instance, batches map[ident.Service]message.Batching) {
+	if len(batches) == 0 {
+		if _, claimed := g.words[from]; claimed {
+			delete(g.words, from)
+			clear(g.owners)
+		}
+		return
+	}
+	if len(g.words[from]) != len(batches) {
+		clear(g.owners)
+	}
 	words := make(map[ident.Service]batcherWord, len(batches))
 	for s, b := range batches {
 		words[s] = batcherWord{Batching: b, at: now}
@@ -41,15 +50,31 @@
 }
 
 // batcherOf returns the instance that batches for a service, as far as this
-// one knows the fleet: the living one that has done so for longest, so that an
-// instance that joins does not move the work; without any, the one with the
-// highest rendezvous score.
+// one knows the fleet.
 func (g *Gateway) batcherOf(s ident.Service) ident.Instance {
+	owner, known := g.owners[s]
+	if !known {
+		owner = g.findBatcher(s)
+		g.owners[s] = owner
+	}
+	return owner
+}
+
+// findBatcher finds the core member that batches for a service: of those with
+// the most capacity the one that has done so for longest, so that an instance
+// that joins does not move the work; without any, the one with the highest
+// rendezvous score.
+func (g *Gateway) findBatcher(s ident.Service) ident.Instance {
 	now := g.now()
 	self := g.config.Self.Name
 	key := "batcher/" + string(s)
+	first := g.members.Owner(now, key)
+	class := g.members.Class(first)
 	best, bestTenure, found := ident.Instance(""), time.Duration(0), false
 	consider := func(name ident.Instance, tenure time.Duration) {
+		if g.members.Class(name) < class || !g.members.InCore(now, name) {
+			return
+		}
 		longer := tenure > bestTenure+sameTenure
 		same := (tenure - bestTenure).Abs() <= sameTenure
 		if !found || longer || same && ident.Score(key, string(name)) > ident.Score(key, string(best)) {
@@ -59,18 +84,22 @@
 	if since, mine := g.claims[s]; mine && !g.leaving {
 		consider(self, now.Sub(since))
 	}
+	life := g.wordLife()
 	for _, name := range value.SortedKeys(g.words) {
 		word, claims := g.words[name][s]
-		if claims && now.Sub(word.at) <= batchingLife && g.members.Alive(now, name) {
+		if claims && now.Sub(word.at) <= life && g.members.Alive(now, name) {
 			consider(name, word.Tenure+now.Sub(word.at))
 		}
 	}
 	if found {
 		return best
 	}
-	return g.members.Owner(now, key)
+	return first
 }
 
+// wordLife is how long an instance's word on what it batches for is believed.
+func (g *Gateway) wordLife() time.Duration { return wordPings * g.members.Period() }
+
 // reviewBatching claims the services that this instance batches for, and hands
 // over those that another one does.
 func (g *Gateway) reviewBatching(now time.Time) {
@@ -83,9 +112,11 @@
 		switch {
 		case owner == g.config.Self.Name && !mine && !g.leaving && now.Sub(g.startedAt) >= claimAfter:
 			g.claims[s] = now
+			clear(g.owners)
 			g.out.Event("batchingBegun", "service", s, "members", g.Living())
 		case owner != g.config.Self.Name && mine:
 			delete(g.claims, s)
+			clear(g.owners)
 			g.out.Event("batchingHandedOver", "service", s, "to", owner, "waiting", g.batcher.Waiting(s))
 			g.handOver(s, owner)
 		}
--- a/kernel/gateway/gateway.go
+++ b/kernel/gateway/gateway.go
@@ -99,8 +99,22 @@
 	byID     map[ident.RequestID]*request
 	leaving  bool
 	leftAt   time.Time
-	// elsewhere holds the counts of running requests by member.
+	// elsewhere holds the counts of running requests by member, and fleet the
+	// totals that a core member of a large fleet told.
 	elsewhere map[ident.Instance]map[ident.Endpoint]int
+	fleet     map[ident.Endpoint]int
+	fleetAt   time.Time
+	// told is the number of living instances by a core member's word.
+	told   int
+	toldAt time.Time
+	// pong is the latest answer to a ping.
+	pong   *message.Ping
+	pongAt time.Time
+	// owners caches who batches for a service until the next tick, or until
+	// what it follows from changes.
+	owners map[ident.Service]ident.Instance
+	// behind tells since when members have lacked records.
+	behind map[ident.Instance]lag
 	// claims are the services that this instance batches for, and words what
 	// other members said of theirs.
 	claims    map[ident.Service]time.Time
@@ -137,6 +151,8 @@
 		words:     map[ident.Instance]map[ident.Service]batcherWord{},
 		startedAt: c.Timers.Now(),
 		contacts:  map[ident.Instance]contact{},
+		owners:    map[ident.Service]ident.Instance{},
+		behind:    map[ident.Instance]lag{},
 	}
 	g.budget = newBudget(c.Bounds)
 	g.crashes = newCrashes()
@@ -182,8 +198,15 @@
 // InFlight returns the number of requests that have no answer yet.
 func (g *Gateway) InFlight() int { return len(g.requests) }
 
-// Living returns the number of instances within reach, the own one included.
-func (g *Gateway) Living() int { return len(g.members.Living(g.now())) }
+// Living returns the number of instances within reach of this one or, in a
+// large fleet, of a core member, the own one included.
+func (g *Gateway) Living() int {
+	living := len(g.members.Living(g.now()))
+	if g.now().Sub(g.toldAt) <= fleetLife {
+		living = max(living, g.told)
+	}
+	return living
+}
 
 // AsOf returns the platform's revision up to which all records are known.
 func (g *Gateway) AsOf() replica.Revision { return g.records.AsOf() }
@@ -194,7 +217,9 @@
 	g.leaving = true
 	g.leftAt = g.now()
 	g.members.Leave()
-	g.ping()
+	clear(g.owners)
+	g.pong = nil
+	g.pingAll()
 	g.reviewBatching(g.now())
 }
 
@@ -229,6 +254,8 @@
 	if g.catalog == nil {
 		return
 	}
+	clear(g.owners)
+	g.countElsewhere(now)
 	for _, s := range value.SortedKeys(g.catalog.Services) {
 		if g.batcher.Waiting(s) > 0 {
 			g.batcher.Dispatch(s)
--- a/kernel/gateway/peers.go
+++ b/kernel/gateway/peers.go
@@ -1,28 +1,99 @@
 package gateway
 
 import (
+	"cmp"
+	"slices"
+	"time"
+
 	"anvilcross/kernel/ident"
 	"anvilcross/kernel/membership"
 	"anvilcross/kernel/message"
 	"anvilcross/kernel/value"
 )
 
-// ping tells the other instances what they need to know of this one.
+const (
+	// pongLife is how long an answer to pings is used for further ones: a core
+	// member of a large fleet gets hundreds of them a second.
+	pongLife = 50 * time.Millisecond
+	// fleetLife is how long a core member's word on all running requests is
+	// believed.
+	fleetLife = 1500 * time.Millisecond
+	// maxCounts bounds the endpoints whose running requests are told.
+	maxCounts = 128
+)
+
+// ping tells other instances what they need to know of this one.
 func (g *Gateway) ping() {
 	now := g.now()
-	p := message.Ping{
+	targets := g.members.Targets(now)
+	if len(targets) == 0 {
+		return
+	}
+	p := g.status(now)
+	for _, target := range targets {
+		g.send(target, message.Envelope{Ping: &p})
+	}
+}
+
+// pingAll tells all known instances.
+func (g *Gateway) pingAll() {
+	p := g.status(g.now())
+	for _, target := range g.members.All() {
+		g.send(target, message.Envelope{Ping: &p})
+	}
+}
+
+// Pong answers a ping.
+func (g *Gateway) Pong(ping message.Ping) message.Envelope {
+	now := g.now()
+	if g.pong == nil || now.Sub(g.pongAt) >= pongLife {
+		p := g.status(now)
+		if g.members.Large() && g.members.InCore(now, g.config.Self.Name) {
+			p.Living = g.Living()
+		}
+		g.pong, g.pongAt = &p, now
+	}
+	answer := *g.pong
+	answer.Members = g.members.Sightings(now, ping.Known)
+	if answer.Living > 0 && g.tellsFleet(now, ping.Member) {
+		answer.Fleet = busiest(g.fleetRunning(now, answer.Running))
+	}
+	return message.Envelope{From: g.config.Self.Name, Incarnation: g.config.Self.Incarnation, Ping: &answer}
+}
+
+// tellsFleet reports whether this instance is the one that tells a member of
+// the requests that run in the fleet: the first of its data centre.
+func (g *Gateway) tellsFleet(now time.Time, to membership.Member) bool {
+	self := g.config.Self
+	return to.DataCentre == self.DataCentre && g.readers(now).Has(self.Name)
+}
+
+// busiest bounds the counts in one message.
+func busiest(counts map[ident.Endpoint]int) map[ident.Endpoint]int {
+	if len(counts) <= maxCounts {
+		return counts
+	}
+	names := value.SortedKeys(counts)
+	slices.SortStableFunc(names, func(x, y ident.Endpoint) int { return cmp.Compare(counts[y], counts[x]) })
+	kept := make(map[ident.Endpoint]int, maxCounts)
+	for _, name := range names[:maxCounts] {
+		kept[name] = counts[name]
+	}
+	return kept
+}
+
+// status is what this instance tells the others of itself.
+func (g *Gateway) status(now time.Time) message.Ping {
+	return message.Ping{
 		Member:      g.members.Self(),
 		Leaving:     g.leaving,
-		Members:     g.members.Sample(now),
+		Known:       g.members.Known(),
 		AsOf:        g.records.AsOf(),
 		PlatformAge: g.contactAge(now),
 		Crashes:     g.crashes.latest(now),
 		Running:     g.runningByEndpoint(),
 		Batches:     g.ownBatching(now),
 	}
-	for _, target := range g.members.Targets(now) {
-		g.send(target, message.Envelope{Ping: &p})
-	}
 }
 
 func (g *Gateway) send(to membership.Address, m message.Envelope) {
@@ -70,13 +141,18 @@
 	if g.members.Heard(now, p.Member, p.Leaving) {
 		g.out.Event("memberReached", "member", p.Member.Name, "memberCentre", p.Member.DataCentre, "incarnation", p.Member.Incarnation)
 	}
-	g.members.Named(now, p.Members)
+	g.members.Sighted(now, p.Members)
 	g.elsewhere[p.Member.Name] = p.Running
-	g.countElsewhere()
+	if p.Fleet != nil {
+		g.fleet, g.fleetAt = p.Fleet, now
+	}
+	if p.Living > 0 {
+		g.told, g.toldAt = p.Living, now
+	}
 	g.crashes.heard(now, p.Crashes)
 	g.heardBatching(now, p.Member.Name, p.Batches)
 	g.heardContact(now, p.Member.Name, p.PlatformAge)
-	g.answerBehind(p.Member.Name, p.AsOf)
+	g.answerBehind(now, p.Member, p.AsOf)
 }
 
 // PeerFailed takes in that messages to a member could not be delivered.
@@ -84,8 +160,9 @@
 	if g.members.Alive(g.now(), name) {
 		g.out.Event("memberLost", "member", name, "reason", reason)
 	}
-	g.members.Unreachable(name)
+	g.members.Unreachable(g.now(), name)
 	delete(g.elsewhere, name)
+	clear(g.owners)
 	g.reviewPieces(g.now())
 }
 
@@ -99,20 +176,35 @@
 	return running
 }
 
-func (g *Gateway) countElsewhere() {
-	now := g.now()
+// fleetRunning sums up the running requests of the fleet by model endpoint, as
+// far as this instance has heard of them.
+func (g *Gateway) fleetRunning(now time.Time, own map[ident.Endpoint]int) map[ident.Endpoint]int {
 	total := map[ident.Endpoint]int{}
-	for name, counts := range g.elsewhere {
-		if !g.members.Alive(now, name) {
-			continue
-		}
+	add := func(counts map[ident.Endpoint]int) {
 		for e, n := range counts {
 			total[e] += n
 		}
 	}
+	add(own)
+	for name, counts := range g.elsewhere {
+		if g.members.Alive(now, name) {
+			add(counts)
+		}
+	}
+	return total
+}
+
+// countElsewhere brings the requests that other instances run up to date.
+func (g *Gateway) countElsewhere(now time.Time) {
+	own := g.runningByEndpoint()
+	total := g.fleet
+	outside := g.members.Large() && !g.members.InCore(now, g.config.Self.Name)
+	if !outside || now.Sub(g.fleetAt) > fleetLife {
+		total = g.fleetRunning(now, own)
+	}
 	for _, s := range value.SortedKeys(g.services()) {
 		for _, e := range g.book.Listed(s) {
-			e.Elsewhere = total[e.Name]
+			e.Elsewhere = max(total[e.Name]-own[e.Name], 0)
 		}
 	}
 }
--- a/kernel/gateway/reader_test.go
+++ b/kernel/gateway/reader_test.go
@@ -40,7 +40,7 @@
 			w := configured(t)
 			w.gateway.config.Self.Name = self
 			many(w, 0)
-			if w.gateway.readers(w.timers.Now()).Has(string(self)) {
+			if w.gateway.readers(w.timers.Now()).Has(self) {
 				readers++
 			}
 		}
--- a/kernel/gateway/readers.go
+++ b/kernel/gateway/readers.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"anvilcross/kernel/ident"
+	"anvilcross/kernel/membership"
 	"anvilcross/kernel/message"
 	"anvilcross/kernel/replica"
 	"anvilcross/kernel/value"
@@ -17,6 +18,11 @@
 	// doubtLife is how long after a reading in an outage removals are doubtful:
 	// by then the entries of living endpoints are back.
 	doubtLife = 2 * time.Second
+	// nearLag and farLag are for how long a member may lack records before
+	// one of its own or of another data centre sends them: by then the news
+	// that a reader passed on are there. A member without any gets them at once.
+	nearLag = 150 * time.Millisecond
+	farLag  = 500 * time.Millisecond
 	// minReaders is how many instances read the platform at least, so that
 	// one that falls silent delays nobody.
 	minReaders = 2
@@ -37,12 +43,12 @@
 		return true
 	}
 	readers := g.readers(now)
-	if readers.Has(string(g.config.Self.Name)) {
+	if readers.Has(g.config.Self.Name) {
 		return true
 	}
 	for _, name := range readers.Sorted() {
-		c := g.contacts[ident.Instance(name)]
-		if c.known && now.Sub(c.at) < staleReader {
+		c := g.contacts[name]
+		if c.known && now.Sub(c.at) < g.staleAfter() {
 			return false
 		}
 	}
@@ -51,30 +57,14 @@
 
 // readers returns the instances that read the platform, as this one sees the
 // fleet.
-func (g *Gateway) readers(now time.Time) value.Set[string] {
-	living := g.members.Living(now)
-	best := map[ident.DataCentre]ident.Instance{}
-	score := func(name ident.Instance) uint64 { return ident.Score("reader", string(name)) }
-	for _, name := range living {
-		centre := g.members.DataCentre(name)
-		if old, ok := best[centre]; !ok || score(name) > score(old) {
-			best[centre] = name
-		}
-	}
-	readers := value.NewSet[string]()
-	for _, name := range best {
-		readers.Add(string(name))
-	}
-	for len(readers) < min(minReaders, len(living)) {
-		var next ident.Instance
-		for _, name := range living {
-			if !readers.Has(string(name)) && (next == "" || score(name) > score(next)) {
-				next = name
-			}
-		}
-		readers.Add(string(next))
-	}
-	return readers
+func (g *Gateway) readers(now time.Time) value.Set[ident.Instance] {
+	return value.NewSet(g.members.Firsts(now, minReaders)...)
+}
+
+// staleAfter is the age at which a reader's last contact does not vouch for
+// others: what is heard of it is older in a large fleet.
+func (g *Gateway) staleAfter() time.Duration {
+	return staleReader + 2*(g.members.Period()-membership.PingPeriod)
 }
 
 // heardContact takes in how long ago a member heard from the platform.
@@ -126,15 +116,18 @@
 func (g *Gateway) doubt(now time.Time) time.Duration { return max(g.doubtUntil.Sub(now), 0) }
 
 // spread passes news of the platform on at once, so that instances that do not
-// or cannot read it learn of changes in time.
+// or cannot read it learn of changes in time. Each data centre has a reader of
+// its own; the rest of the fleet asks by its pings.
 func (g *Gateway) spread(news []replica.Record, base replica.Revision) {
 	if len(news) > maxRecords {
 		// The next pings ask for what they lack.
 		return
 	}
 	m := message.Records{Records: news, Base: base, AsOf: g.records.AsOf(), Doubt: g.doubt(g.now())}
-	for _, name := range g.members.Living(g.now()) {
-		if name != g.config.Self.Name {
+	now := g.now()
+	for _, name := range g.members.Living(now) {
+		near := g.members.DataCentre(name) == g.config.Self.DataCentre
+		if name != g.config.Self.Name && (near || g.members.InCore(now, name)) {
 			g.sendTo(name, message.Envelope{Records: &m})
 		}
 	}
@@ -167,15 +160,37 @@
 	}
 }
 
-// answerBehind sends a member the records that it lacks.
-func (g *Gateway) answerBehind(to ident.Instance, its replica.Revision) {
+// lag is since when a member has lacked records, as it told.
+type lag struct {
+	asOf  replica.Revision
+	since time.Time
+}
+
+// answerBehind sends a member the records that it lacks, unless they are likely
+// to be under way: a reader passes news on at once, and others answer too.
+func (g *Gateway) answerBehind(now time.Time, m membership.Member, its replica.Revision) {
 	if its >= g.records.AsOf() {
+		delete(g.behind, m.Name)
 		return
 	}
-	records, complete := g.records.Since(its, maxRecords)
-	m := message.Records{Records: records, Base: its, Doubt: g.doubt(g.now())}
-	if complete {
-		m.AsOf = g.records.AsOf()
+	old, known := g.behind[m.Name]
+	if !known || old.asOf != its {
+		old = lag{asOf: its, since: now}
+		g.behind[m.Name] = old
+	}
+	patience := farLag
+	if m.DataCentre == g.config.Self.DataCentre {
+		patience = nearLag
+		if its == 0 && !known {
+			patience = 0
+		}
+	}
+	if now.Sub(old.since) < patience {
+		return
 	}
-	g.sendTo(to, message.Envelope{Records: &m})
+	// The answer takes a while: the next one is due after another lag.
+	g.behind[m.Name] = lag{asOf: its, since: now}
+	records, asOf := g.records.Since(its, maxRecords)
+	answer := message.Records{Records: records, Base: its, AsOf: asOf, Doubt: g.doubt(now)}
+	g.sendTo(m.Name, message.Envelope{Records: &answer})
 }
--- a/kernel/gateway/stages.go
+++ b/kernel/gateway/stages.go
@@ -201,6 +201,7 @@
 		w.Inputs = r.inputs(s)
 		for _, after := range s.stage.After {
 			w.InputBytes = max(w.InputBytes, r.stages[after].stage.ResultBytes)
+			w.InputsScarce = w.InputsScarce || r.stages[after].scarce
 		}
 	}
 	g.sendTo(s.owner, message.Envelope{StageWork: &w})
--- a/kernel/message/batching.go
+++ b/kernel/message/batching.go
@@ -11,9 +11,11 @@
 // Ping tells others that the sender lives, whom it knows, and what it knows
 // of the platform and of endpoints.
 type Ping struct {
-	Member  membership.Member   `json:"member"`
-	Leaving bool                `json:"leaving,omitempty"`
-	Members []membership.Member `json:"members,omitempty"`
+	Member  membership.Member `json:"member"`
+	Leaving bool              `json:"leaving,omitempty"`
+	// Known is how many members the sender knows, and Members are some of them.
+	Known   int                   `json:"known"`
+	Members []membership.Sighting `json:"members,omitempty"`
 	// AsOf is the platform's revision up to which the sender knows all.
 	AsOf replica.Revision `json:"asOf"`
 	// PlatformAge is how long ago the sender itself heard from the platform;
@@ -21,6 +23,11 @@
 	PlatformAge *time.Duration `json:"platformAge,omitempty"`
 	// Running counts the sender's requests by model endpoint.
 	Running map[ident.Endpoint]int `json:"running,omitempty"`
+	// Fleet counts the requests of all instances, and Living the instances;
+	// core members of a large fleet tell them, since the others do not hear
+	// from everybody.
+	Fleet  map[ident.Endpoint]int `json:"fleet,omitempty"`
+	Living int                    `json:"living,omitempty"`
 	// Batches tells of the services that the sender batches for.
 	Batches map[ident.Service]Batching `json:"batches,omitempty"`
 	// Crashes are the latest crashes of endpoints and what they were running.
@@ -78,6 +85,8 @@
 	// InputBytes the size of each input.
 	Readers    int `json:"readers"`
 	InputBytes int `json:"inputBytes,omitempty"`
+	// InputsScarce is set if the inputs take room that is short.
+	InputsScarce bool `json:"inputsScarce,omitempty"`
 	// Chain lists the services that later stages of the request need.
 	Chain []ident.Service `json:"chain,omitempty"`
 	// Due is how much time is left, at sending, until the pieces have to be
--- a/kernel/replica/replica.go
+++ b/kernel/replica/replica.go
@@ -5,6 +5,8 @@
 package replica
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"anvilcross/kernel/value"
@@ -76,20 +78,25 @@
 	return s.Apply(now, all, asOf)
 }
 
-// Since returns the records above a revision, at most the given number.
-func (s *Store) Since(after Revision, most int) ([]Record, bool) {
+// Since returns the records above a revision in the order of their changes, at
+// most the given number and those that changed together with the last one, and
+// the revision up to which they are complete.
+func (s *Store) Since(after Revision, most int) ([]Record, Revision) {
 	var records []Record
 	for _, key := range value.SortedKeys(s.entries) {
-		e := s.entries[key]
-		if e.record.Revision <= after {
-			continue
-		}
-		if len(records) == most {
-			return records, false
+		if r := s.entries[key].record; r.Revision > after {
+			records = append(records, r)
 		}
-		records = append(records, e.record)
 	}
-	return records, true
+	slices.SortStableFunc(records, func(x, y Record) int { return cmp.Compare(x.Revision, y.Revision) })
+	if len(records) <= most {
+		return records, s.asOf
+	}
+	end := most
+	for end < len(records) && records[end].Revision == records[most-1].Revision {
+		end++
+	}
+	return records[:end], min(records[end-1].Revision, s.asOf)
 }
 
 func (s *Store) forget(now time.Time) {
