Try past crashed endpoints, share which are out of reach, and end stages in time

Ruled out: longer ejections (a restarted endpoint is back after some seconds). Change: up to 24 endpoints are tried while an answer is of use; pings tell which endpoints could not be reached in the last 0.8 s, believed unless they are more than two fifths of all; an endpoint whose address another has gets nothing more. Stages are due before the caller gives up, by the route's objective and longest pause; a late piece is refused 1.2 s after it came.

--- a/kernel/batching/dispatch.go
+++ b/kernel/batching/dispatch.go
@@ -434,7 +434,11 @@
 	case Unreached, Broken, Replaced:
 		b.stats.Broken++
 		if e != nil {
-			e.Unreachable(now)
+			if f == Replaced {
+				e.Replaced(now)
+			} else {
+				e.Unreachable(now)
+			}
 			b.config.Timers.After(endpoints.FirstEjection, func() { b.Dispatch(c.service) })
 		}
 	}
--- a/kernel/batching/load_test.go
+++ b/kernel/batching/load_test.go
@@ -334,3 +334,33 @@
 		t.Fatalf("%d pieces moved, %d waited", moved, waiting)
 	}
 }
+
+// While the urgent kind fills the endpoints (burst), a request that is late
+// already is made or told so within its limit; it does not wait on behind all
+// that keep coming.
+func TestLateRequestIsNotLeftWaitingInABurst(t *testing.T) {
+	s := newShop(t, 2)
+	slow := kind{name: "slow", perSecond: 10, pieces: 2, weight: 1.0 / 3, due: 250 * time.Millisecond, deadline: 12 * time.Second, bytes: 8_000}
+	begun := map[ident.RequestID]time.Time{}
+	s.batcher.config.Output.Run = func(c Call) {
+		for _, item := range c.Items {
+			if _, known := begun[item.ID.Request]; !known {
+				begun[item.ID.Request] = s.timers.Now()
+			}
+		}
+		s.run(c)
+	}
+	origin := s.timers.Now()
+	s.play(6*time.Second, urgent(44), slow)
+	for n := range 60 {
+		id := ident.RequestID(fmt.Sprintf("slow-%d-%d", origin.UnixMilli(), n))
+		sent := origin.Add(time.Duration(n) * 100 * time.Millisecond)
+		at, served := begun[id]
+		if told, refused := s.refused[id]; refused {
+			at, served = told, true
+		}
+		if !served || at.Sub(sent) > maxLateWait+200*time.Millisecond {
+			t.Fatalf("%s waited %v (served or refused: %v)", id, at.Sub(sent), served)
+		}
+	}
+}
--- a/kernel/batching/order.go
+++ b/kernel/batching/order.go
@@ -21,8 +21,8 @@
 	lateWeight = 0.15
 	// lateRank puts late pieces behind all that can be on time.
 	lateRank = time.Hour
-	// maxLateWait is how long a late request may wait for its first turn:
-	// beyond it, refusing it costs its caller less than the wait.
+	// maxLateWait is how long a late request may wait for its first turn in
+	// all: beyond it, refusing it costs its caller less than the wait.
 	maxLateWait = 1200 * time.Millisecond
 	// heldRetryAfter is when callers may come back whose requests would be
 	// held up at a later stage: the time of two full calls.
@@ -156,7 +156,8 @@
 	for i, p := range late {
 		wait := t.finish(timely + i + 1)
 		chain := time.Duration(len(p.work.Chain)) * t.full
-		if p.begun() || wait <= maxLateWait && wait+chain < p.work.deadline.Sub(now) {
+		waited := now.Sub(p.since)
+		if p.begun() || waited+wait <= maxLateWait && wait+chain < p.work.deadline.Sub(now) {
 			continue
 		}
 		refused.Add(p.work.Request)
--- a/kernel/endpoints/endpoints.go
+++ b/kernel/endpoints/endpoints.go
@@ -18,6 +18,15 @@
 	// lapseGrace is how long after the platform's return an entry that
 	// lapsed meanwhile is still believed: by then a living one is listed again.
 	lapseGrace = 2 * time.Second
+	// goneEjection is how long an endpoint gets no work at whose address
+	// another process answers: a listing of it comes sooner if it lives.
+	goneEjection = 5 * time.Second
+	// toldLife is how long another instance's failure to reach an endpoint
+	// keeps work from it.
+	toldLife = 800 * time.Millisecond
+	// maxToldShare is the share of all endpoints above which the word of
+	// another instance that it cannot reach them is not believed.
+	maxToldShare = 0.4
 	// errorWeight is the weight of a new sample in the failure average.
 	errorWeight = 0.1
 )
@@ -59,6 +68,12 @@
 	ejectedUntil time.Time
 	failures     int
 	lapsedAt     time.Time
+	// answeredAt is when the endpoint last answered this instance, failedAt
+	// when it last could not be reached, and toldUntil until when the word of
+	// others that they could not reach it holds.
+	answeredAt time.Time
+	failedAt   time.Time
+	toldUntil  time.Time
 }
 
 // Book lists the endpoints by service.
@@ -185,33 +200,90 @@
 func (b *Book) Count() int { return len(b.byName) }
 
 // Candidates returns the endpoints of a service that may get new work: not
-// leaving, not excluded, and within reach as far as is known.
+// leaving, not excluded, and within reach as far as is known. Those that only
+// others could not reach are taken if there is no better one.
 func (b *Book) Candidates(now time.Time, s ident.Service, excluded value.Set[ident.Endpoint]) []*Endpoint {
-	var usable []*Endpoint
+	var usable, told []*Endpoint
 	for _, e := range b.byService[s] {
-		if !e.Leaving && !excluded.Has(e.Name) && !e.Ejected(now) {
+		switch {
+		case e.Leaving || excluded.Has(e.Name) || now.Before(e.ejectedUntil):
+		case now.Before(e.toldUntil):
+			told = append(told, e)
+		default:
 			usable = append(usable, e)
 		}
 	}
+	if len(usable) == 0 {
+		return told
+	}
 	return usable
 }
 
 // Ejected reports whether the endpoint gets no work after failures.
-func (e *Endpoint) Ejected(now time.Time) bool { return now.Before(e.ejectedUntil) }
+func (e *Endpoint) Ejected(now time.Time) bool {
+	return now.Before(e.ejectedUntil) || now.Before(e.toldUntil)
+}
+
+// Unreached returns how long ago each endpoint could not be reached, by this
+// instance or by others, for those where that was a short while ago and this
+// one has not heard of them since.
+func (b *Book) Unreached(now time.Time) map[ident.Endpoint]time.Duration {
+	var failed map[ident.Endpoint]time.Duration
+	for name, e := range b.byName {
+		at := e.failedAt
+		if told := e.toldUntil.Add(-toldLife); told.After(at) {
+			at = told
+		}
+		if age := now.Sub(at); age < toldLife && at.After(e.answeredAt) {
+			if failed == nil {
+				failed = map[ident.Endpoint]time.Duration{}
+			}
+			failed[name] = age
+		}
+	}
+	return failed
+}
+
+// Told takes in that another instance could not reach endpoints. An answer to
+// this instance since then goes before it. Who can reach few endpoints is cut
+// off itself, so that its word says nothing.
+func (b *Book) Told(now time.Time, failed map[ident.Endpoint]time.Duration) {
+	if float64(len(failed)) > maxToldShare*float64(len(b.byName)) {
+		return
+	}
+	for name, age := range failed {
+		e := b.byName[name]
+		if e == nil {
+			continue
+		}
+		if at := now.Add(-age); at.After(e.answeredAt) {
+			e.toldUntil = at.Add(toldLife)
+		}
+	}
+}
 
 // Unreachable takes in that the endpoint could not be reached or broke off.
 func (e *Endpoint) Unreachable(now time.Time) {
-	if e.Ejected(now) {
+	e.failedAt = now
+	if now.Before(e.ejectedUntil) {
 		return
 	}
 	e.ejectedUntil = now.Add(min(FirstEjection<<min(e.failures, 8), maxEjection))
 	e.failures++
 }
 
+// Replaced takes in that another process answers at the endpoint's address:
+// the endpoint is gone.
+func (e *Endpoint) Replaced(now time.Time) {
+	e.failedAt = now
+	e.ejectedUntil = now.Add(goneEjection)
+}
+
 // Answered takes in a response and what it said of the endpoint's work.
 func (e *Endpoint) Answered(now time.Time, failed bool, took time.Duration, load Load) {
 	e.failures = 0
-	e.ejectedUntil = time.Time{}
+	e.answeredAt = now
+	e.ejectedUntil, e.toldUntil = time.Time{}, time.Time{}
 	sample := 0.0
 	if failed {
 		sample = 1
--- a/kernel/gateway/attempts.go
+++ b/kernel/gateway/attempts.go
@@ -37,8 +37,12 @@
 	// is sent elsewhere: well beyond the endpoint's usual time.
 	hedgeFactor = 4.0
 	hedgeFloor  = 150 * time.Millisecond
-	// maxUnreached bounds the endpoints that a request tries to reach.
-	maxUnreached = 4
+	// maxUnreached bounds the endpoints that a request tries to reach: a third
+	// of a large service may be gone at once, and those look the least busy.
+	maxUnreached = 24
+	// maxDeclined bounds the endpoints that may decline a request: each of
+	// these arrivals counts against the retry budget.
+	maxDeclined = 4
 )
 
 // dispatch sends a request to an endpoint, or ends it if there is none.
@@ -211,7 +215,11 @@
 	g.out.Event("attemptFailed", "request", r.arrival.ID, "endpoint", a.endpoint, "failure", f, "detail", detail, "after", now.Sub(a.started))
 	g.endAttempt(r)
 	provedNotRun := f != Broken && f != Spoiled
-	if e != nil && (f == Unreached || f == Broken || f == Replaced) {
+	switch {
+	case e == nil:
+	case f == Replaced:
+		e.Replaced(now)
+	case f == Unreached || f == Broken:
 		e.Unreachable(now)
 	}
 	switch {
@@ -244,11 +252,11 @@
 	switch f {
 	case Unreached:
 		r.sends--
-		r.declines++
-		return r.declines <= maxUnreached
+		r.unreached++
+		return r.unreached <= maxUnreached && g.now().Before(r.useful)
 	case Declined, Replaced:
 		r.declines++
-		return r.declines <= maxUnreached && g.budget.take(g.now(), r.service, g.Living())
+		return r.declines <= maxDeclined && g.budget.take(g.now(), r.service, g.Living())
 	}
 	if !r.route.Repeatable() || r.sends >= r.route.MaxAttempts {
 		return false
--- a/kernel/gateway/peers.go
+++ b/kernel/gateway/peers.go
@@ -93,6 +93,7 @@
 		Crashes:     g.crashes.latest(now),
 		Running:     g.runningByEndpoint(),
 		Batches:     g.ownBatching(now),
+		Unreached:   g.book.Unreached(now),
 	}
 }
 
@@ -149,6 +150,7 @@
 	if p.Living > 0 {
 		g.told, g.toldAt = p.Living, now
 	}
+	g.book.Told(now, p.Unreached)
 	g.crashes.heard(now, p.Crashes)
 	g.heardBatching(now, p.Member.Name, p.Batches)
 	g.heardContact(now, p.Member.Name, p.PlatformAge)
--- a/kernel/gateway/reader_test.go
+++ b/kernel/gateway/reader_test.go
@@ -11,6 +11,11 @@
 	"anvilcross/kernel/replica"
 )
 
+// member returns a member of the own data centre.
+func member(name ident.Instance) membership.Member {
+	return membership.Member{Name: name, Address: string(name) + ":1", DataCentre: "east", Incarnation: 1}
+}
+
 // hear lets a member's ping arrive.
 func (w *world) hear(name ident.Instance, centre ident.DataCentre, platformAge time.Duration) {
 	p := message.Ping{Member: membership.Member{Name: name, Address: string(name) + ":1", DataCentre: centre, Incarnation: 1}, AsOf: w.gateway.AsOf()}
--- a/kernel/gateway/request.go
+++ b/kernel/gateway/request.go
@@ -136,18 +136,21 @@
 	space    *published.Workspace
 	started  time.Time
 	deadline time.Time
-	// objective is when the request is late.
+	// objective is when the request is late, and useful when its caller gives
+	// up if nothing has come by then.
 	objective time.Time
+	useful    time.Time
 	timeout   *timer.Subscription
 	stages    []stageState
 	attempt   *attempt
 	attempts  AttemptID
 	// sends counts the endpoints that may have run the request.
-	sends    int
-	declines int
-	remakes  int
-	mayRun   bool
-	begun    bool
+	sends     int
+	declines  int
+	unreached int
+	remakes   int
+	mayRun    bool
+	begun     bool
 	// firstAfter is the time from the arrival to the first event.
 	firstAfter time.Duration
 	resume     string
@@ -197,12 +200,13 @@
 	}
 	patience = min(patience, r.route.Timeout)
 	r.deadline = now.Add(patience)
+	r.useful = now.Add(min(patience, r.route.GivenUpAfter()))
 	r.objective = now.Add(r.route.Objective - g.waited(r.route, a.Patience))
 	r.timeout = g.timers.After(patience-answerSlack, func() { g.timedOut(r) })
 	g.budget.request(now, r.service)
 	g.out.Event("arrived", "request", a.ID, "route", r.route.Name, "workspace", r.workspace(), "service", r.service, "version", g.catalog.Version, "patience", patience, "pieces", a.Pieces)
 	g.plan(r)
-	if need := g.shortestChain(r); need > patience {
+	if need := g.shortestChain(r); need > r.useful.Sub(now) {
 		g.answer(r, NotRun, 0, "the stages take longer than the caller waits")
 		return
 	}
--- a/kernel/gateway/stages.go
+++ b/kernel/gateway/stages.go
@@ -188,7 +188,7 @@
 		ResultBytes: s.stage.ResultBytes,
 		Readers:     r.readers(index),
 		Due:         due.Sub(now),
-		Deadline:    r.deadline.Sub(now),
+		Deadline:    r.useful.Sub(now) - answerEstimate - time.Duration(r.chainAfter(index))*g.callTime(s.stage.Service),
 		Prefer:      r.prefer,
 		Weight:      r.weight(),
 		Anew:        s.anew,
@@ -295,15 +295,21 @@
 	longest := time.Duration(0)
 	for i := range r.stages {
 		s := &r.stages[i]
-		b := g.batches(s.stage.Service)
-		if s.pieces == 0 || b == nil {
-			continue
+		if s.pieces > 0 {
+			longest = max(longest, time.Duration(1+r.chainAfter(i))*g.callTime(s.stage.Service))
 		}
-		longest = max(longest, time.Duration(1+r.chainAfter(i))*(b.CallTime+b.PieceTime))
 	}
 	return longest
 }
 
+// callTime is the time of a call for one piece of a service.
+func (g *Gateway) callTime(s ident.Service) time.Duration {
+	if b := g.batches(s); b != nil {
+		return b.CallTime + b.PieceTime
+	}
+	return 0
+}
+
 // lossOf is what a request is told that cannot be served any more.
 func (g *Gateway) lossOf(r *request) Answer {
 	if r.mayRun {
--- a/kernel/message/batching.go
+++ b/kernel/message/batching.go
@@ -30,6 +30,8 @@
 	Living int                    `json:"living,omitempty"`
 	// Batches tells of the services that the sender batches for.
 	Batches map[ident.Service]Batching `json:"batches,omitempty"`
+	// Unreached tells how long ago endpoints could not be reached.
+	Unreached map[ident.Endpoint]time.Duration `json:"unreached,omitempty"`
 	// Crashes are the latest crashes of endpoints and what they were running.
 	Crashes []Crash `json:"crashes,omitempty"`
 }
--- a/kernel/published/published.go
+++ b/kernel/published/published.go
@@ -5,6 +5,7 @@
 package published
 
 import (
+	"math"
 	"strings"
 	"time"
 
@@ -56,6 +57,9 @@
 	// Objective is the time to the answer, or to the first event, within
 	// which a request is on time.
 	Objective time.Duration
+	// LongestGap is the longest pause between two events of a stream within
+	// which it is on time; zero if the route does not say.
+	LongestGap time.Duration
 	// Priority ranks routes; 0 is the most urgent.
 	Priority int
 	// MaxAttempts bounds the endpoints that one request is sent to.
@@ -73,6 +77,25 @@
 	return r.Kind == Safe || r.Kind == Stream && r.Resumable
 }
 
+const (
+	// Callers abandon a stream that shows nothing for leastGap, gapObjectives
+	// times its objective or gapPauses times its longest gap, whichever is
+	// longest: the platform's callers do so.
+	leastGap      = 2 * time.Second
+	gapObjectives = 4
+	gapPauses     = 8
+	// noLimit stands for callers that wait as long as they said.
+	noLimit = time.Duration(math.MaxInt64)
+)
+
+// GivenUpAfter is how long callers wait for the first sign of an answer.
+func (r *Route) GivenUpAfter() time.Duration {
+	if r.Kind != Stream {
+		return noLimit
+	}
+	return max(leastGap, gapObjectives*r.Objective, gapPauses*r.LongestGap)
+}
+
 // Batches describes the stage endpoints of a service.
 type Batches struct {
 	// Slots is how many calls an endpoint works on at once.
