--- a/anvilcrossd/gatewayd/gatewayd.go
+++ b/anvilcrossd/gatewayd/gatewayd.go
@@ -149,7 +149,7 @@
 	d.owner = owner.NewOwner(owner.Config[gateway.Gateway]{Timers: timers, Kernel: gateway.NewGateway(gateway.Config{
 		Self: membership.Member{
 			Name:        s.Seat,
-			Address:     s.PeerListen,
+			Address:     s.Announce,
 			DataCentre:  s.DataCentre,
 			Incarnation: ident.Incarnation(rand.Uint64() >> 12),
 			Capacity:    s.Capacity(),
--- a/anvilcrossd/settings/gateway.go
+++ b/anvilcrossd/settings/gateway.go
@@ -20,9 +20,12 @@
 	// StopLimit bounds a planned stop.
 	StopLimit time.Duration
 
-	CallerListen  string
-	ReadyListen   string
-	PeerListen    string
+	CallerListen string
+	ReadyListen  string
+	PeerListen   string
+	// Announce is the address under which others reach PeerListen; the same
+	// one if it is not set.
+	Announce      string
 	MetricsListen string
 
 	PlatformAddress string
@@ -48,6 +51,7 @@
 		listenRule("callers", func(s *Gateway) *string { return &s.CallerListen }),
 		listenRule("ready", func(s *Gateway) *string { return &s.ReadyListen }),
 		listenRule("peers", func(s *Gateway) *string { return &s.PeerListen }),
+		announceRule(),
 		listenRule("metrics", func(s *Gateway) *string { return &s.MetricsListen }),
 		textRule("platform", "address", true, func(s *Gateway) *string { return &s.PlatformAddress }),
 		numberRule("memoryMegabytes", func(s *Gateway) *int { return &s.MemoryMegabytes }),
@@ -59,6 +63,12 @@
 	}
 }
 
+func announceRule() rule[Gateway] {
+	r := listenRule("announce", func(s *Gateway) *string { return &s.Announce })
+	r.required = false
+	return r
+}
+
 func fractionRule(section, key string, field func(*Gateway) *float64) rule[Gateway] {
 	return rule[Gateway]{section: section, key: key, apply: func(s *Gateway, text string) error {
 		f, err := strconv.ParseFloat(text, 64)
@@ -115,5 +125,8 @@
 	if err := parse(text, overrides, s, gatewayRules()); err != nil {
 		return nil, errors.Trace(err)
 	}
+	if s.Announce == "" {
+		s.Announce = s.PeerListen
+	}
 	return s, nil
 }
--- a/anvilload/command/command.go
+++ b/anvilload/command/command.go
@@ -19,6 +19,7 @@
 	Slopes slopes   `cmd:"" help:"Fit measurements and work them out at the target size."`
 	Load   load     `cmd:"" help:"Send open-loop load to one pipeline and measure attainment and cost."`
 	Site   siteDemo `cmd:"" help:"Run gateways before stand-ins of the users' services and check every answer."`
+	Soak   soakRun  `cmd:"" help:"Disturb gateways from outside by a seed and check the promises of the users' pages."`
 	Added  added    `cmd:"" help:"Measure the latency that the system adds over calling the endpoints directly."`
 }
 
--- a/anvilload/command/site.go
+++ b/anvilload/command/site.go
@@ -1,6 +1,7 @@
 package command
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -42,7 +43,7 @@
 	if err := os.MkdirAll(c.Directory, 0o750); err != nil {
 		return errors.Trace(err)
 	}
-	s, err := site.Start()
+	s, err := site.Start(site.Config{})
 	if err != nil {
 		return errors.Trace(err)
 	}
@@ -91,7 +92,7 @@
 		wait.Go(func() {
 			defer func() { <-places }()
 			request := client.NewRequest(route)
-			reply := client.Send(connections, f.Daemons[n%len(f.Daemons)].Callers, request)
+			reply := client.Send(context.Background(), connections, f.Daemons[n%len(f.Daemons)].Callers, request)
 			wrong := client.Check(request, reply)
 			mutex.Lock()
 			defer mutex.Unlock()
--- a/anvilload/fleet/fleet.go
+++ b/anvilload/fleet/fleet.go
@@ -34,6 +34,11 @@
 	Directory string
 	Count     int
 	Site      *site.Site
+	// Store and Announce return the addresses at which a daemon reaches the
+	// metadata store and is reached by others: those of proxies, for example.
+	// They may be nil.
+	Store    func(daemon string) (string, error)
+	Announce func(daemon, address string) (string, error)
 }
 
 // Daemon is one process of the fleet.
@@ -111,9 +116,20 @@
 		settings: filepath.Join(c.Directory, name+".ini"),
 		binary:   c.Binary,
 	}
+	store, announce := c.Site.Address(), peers[n]
+	if c.Store != nil {
+		if store, err = c.Store(name); err != nil {
+			return nil, errors.Trace(err)
+		}
+	}
+	if c.Announce != nil {
+		if announce, err = c.Announce(name, peers[n]); err != nil {
+			return nil, errors.Trace(err)
+		}
+	}
 	zones := site.Zones()
-	text := fmt.Sprintf("[instance]\nseat = %s\ndataCentre = %s\nseeds = %s\n[listen]\ncallers = %s\nready = %s\npeers = %s\nmetrics = %s\n[platform]\naddress = %s\n",
-		name, zones[n%len(zones)], strings.Join(peers[:min(len(peers), 3)], ","), own[0], own[1], peers[n], own[2], c.Site.Address())
+	text := fmt.Sprintf("[instance]\nseat = %s\ndataCentre = %s\nseeds = %s\n[listen]\ncallers = %s\nready = %s\npeers = %s\nannounce = %s\nmetrics = %s\n[platform]\naddress = %s\n",
+		name, zones[n%len(zones)], strings.Join(peers[:min(len(peers), 3)], ","), own[0], own[1], peers[n], announce, own[2], store)
 	return d, errors.Trace(os.WriteFile(d.settings, []byte(text), 0o600))
 }
 
--- a/anvilload/fleet/fleet_test.go
+++ b/anvilload/fleet/fleet_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -48,7 +49,7 @@
 
 func start(t *testing.T, count int) *running {
 	t.Helper()
-	s, err := site.Start()
+	s, err := site.Start(site.Config{})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -82,14 +83,14 @@
 
 func (r *running) wantWhole(d *Daemon, request client.Request) {
 	r.t.Helper()
-	if wrong := client.Check(request, client.Send(r.http, d.Callers, request)); wrong != "" {
+	if wrong := client.Check(request, client.Send(context.Background(), r.http, d.Callers, request)); wrong != "" {
 		r.t.Fatalf("%s at %s: %s", request.Route, d.Name, wrong)
 	}
 }
 
 func (r *running) wantStatus(d *Daemon, request client.Request, want int) client.Reply {
 	r.t.Helper()
-	reply := client.Send(r.http, d.Callers, request)
+	reply := client.Send(context.Background(), r.http, d.Callers, request)
 	if reply.Err != nil || reply.Status != want {
 		r.t.Fatalf("%s at %s: got status %d and error %v, want %d", request.Route, d.Name, reply.Status, reply.Err, want)
 	}
@@ -123,7 +124,7 @@
 				for range 4 {
 					wait.Go(func() {
 						request := client.NewRequest(route)
-						if wrong := client.Check(request, client.Send(r.http, d.Callers, request)); wrong != "" {
+						if wrong := client.Check(request, client.Send(context.Background(), r.http, d.Callers, request)); wrong != "" {
 							t.Errorf("%s at %s: %s", route, d.Name, wrong)
 						}
 						if runs := r.site.Ledger.Runs(request.ID); len(runs) != 1 {
@@ -258,7 +259,7 @@
 			m.SetFaults(worker.Faults{CutAfter: 7})
 			defer m.SetFaults(worker.Faults{})
 		}
-		if reply := client.Send(r.http, d.Callers, client.NewRequest("draft")); reply.Err == nil {
+		if reply := client.Send(context.Background(), r.http, d.Callers, client.NewRequest("draft")); reply.Err == nil {
 			t.Fatalf("the answer looks complete: status %d", reply.Status)
 		}
 	})
@@ -321,7 +322,7 @@
 	r.site.Store.SetDown(false)
 	r.eventually("the configuration of the outage is in force", 4*time.Second, func() bool {
 		for _, d := range r.fleet.Daemons {
-			if client.Send(r.http, d.Callers, client.NewRequest("lookup")).Status != http.StatusNotFound {
+			if client.Send(context.Background(), r.http, d.Callers, client.NewRequest("lookup")).Status != http.StatusNotFound {
 				return false
 			}
 		}
@@ -338,7 +339,7 @@
 		wait.Go(func() {
 			time.Sleep(time.Duration(n) * 40 * time.Millisecond)
 			request := client.NewRequest([]string{"verse", "draft", "order"}[n%3])
-			reply := client.Send(r.http, d.Callers, request)
+			reply := client.Send(context.Background(), r.http, d.Callers, request)
 			if wrong := client.Check(request, reply); wrong != "" && reply.Status != http.StatusServiceUnavailable {
 				t.Errorf("%s: %s", request.Route, wrong)
 			}
@@ -364,7 +365,7 @@
 		for range cap(results) {
 			go func() {
 				request := client.NewRequest("verse")
-				results <- client.Check(request, client.Send(r.http, other.Callers, request))
+				results <- client.Check(request, client.Send(context.Background(), r.http, other.Callers, request))
 			}()
 		}
 		time.Sleep(60 * time.Millisecond)
--- a/anvilstandin/client/client.go
+++ b/anvilstandin/client/client.go
@@ -3,6 +3,7 @@
 package client
 
 import (
+	"context"
 	"crypto/rand"
 	"encoding/hex"
 	"fmt"
@@ -60,16 +61,17 @@
 	Took time.Duration
 }
 
-// Send sends a request to an address and reads the whole answer.
-func Send(h *http.Client, address string, r Request) Reply {
+// Send sends a request to an address and reads the whole answer. The caller
+// leaves when the context ends.
+func Send(ctx context.Context, h *http.Client, address string, r Request) Reply {
 	begun := time.Now()
-	reply := send(h, address, r)
+	reply := send(ctx, h, address, r)
 	reply.Took = time.Since(begun)
 	return reply
 }
 
-func send(h *http.Client, address string, r Request) Reply {
-	request, err := http.NewRequest(r.Method, fmt.Sprintf("http://%s/%s/item", address, r.Route), strings.NewReader(r.Body))
+func send(ctx context.Context, h *http.Client, address string, r Request) Reply {
+	request, err := http.NewRequestWithContext(ctx, r.Method, fmt.Sprintf("http://%s/%s/item", address, r.Route), strings.NewReader(r.Body))
 	if err != nil {
 		return Reply{Err: err}
 	}
--- a/anvilstandin/site/site.go
+++ b/anvilstandin/site/site.go
@@ -25,8 +25,8 @@
 	Host = "site.example"
 )
 
-// workersOfKind is the number of workers of each service.
-const workersOfKind = 3
+// WorkersOfKind is the number of workers of each service.
+const WorkersOfKind = 3
 
 // Site is a running deployment.
 type Site struct {
@@ -38,11 +38,19 @@
 	Stages map[string]*worker.Stage
 	Models map[string]*worker.Model
 
+	config  Config
 	address string
 	servers []*http.Server
 	entries map[string]entry
 }
 
+// Config sets up a Site.
+type Config struct {
+	// Front returns the address under which a part is known, by its name and
+	// its real address: that of a proxy, for example. It may be nil.
+	Front func(name, address string) (string, error)
+}
+
 type entry struct {
 	Service  string `json:"service"`
 	Address  string `json:"address"`
@@ -55,8 +63,12 @@
 }
 
 // Start starts all parts on free ports of the loopback address.
-func Start() (*Site, error) {
+func Start(c Config) (*Site, error) {
+	if c.Front == nil {
+		c.Front = func(_, address string) (string, error) { return address, nil }
+	}
 	s := &Site{
+		config:  c,
 		Store:   metadata.NewStore(),
 		Ledger:  worker.NewLedger(),
 		Results: worker.NewResults(),
@@ -70,7 +82,7 @@
 		return nil, err
 	}
 	s.address = address
-	for n := range workersOfKind {
+	for n := range WorkersOfKind {
 		zone := Zones()[n%len(Zones())]
 		for _, service := range []string{"orders", "models", "registry", "planning"} {
 			if err := s.add(service, n, zone); err != nil {
@@ -118,6 +130,9 @@
 	if err != nil {
 		return err
 	}
+	if address, err = s.config.Front(name, address); err != nil {
+		return err
+	}
 	s.List(name, entry{Service: service, Address: address, Zone: zone, Version: "v1", Slots: 6, State: "ready", Sequence: 1, Born: time.Now().UnixMilli()})
 	return nil
 }
@@ -132,6 +147,19 @@
 	s.Store.Put("servers/"+name, value)
 }
 
+// SetFaults switches the faults of a worker of any kind.
+func (s *Site) SetFaults(name string, f worker.Faults) {
+	if w := s.Plain[name]; w != nil {
+		w.SetFaults(f)
+	}
+	if w := s.Stages[name]; w != nil {
+		w.SetFaults(f)
+	}
+	if w := s.Models[name]; w != nil {
+		w.SetFaults(f)
+	}
+}
+
 // Drain marks a worker as leaving.
 func (s *Site) Drain(name string) {
 	e := s.entries[name]
@@ -139,6 +167,13 @@
 	s.List(name, e)
 }
 
+// Restore marks a worker as ready again, under a new start.
+func (s *Site) Restore(name string) {
+	e := s.entries[name]
+	e.State, e.Born = "ready", time.Now().UnixMilli()
+	s.List(name, e)
+}
+
 // Configure publishes a configuration. The change edits it before.
 func (s *Site) Configure(version int, change func(map[string]any)) {
 	pieces := map[string]any{"slots": 1, "queue": 0, "batch": 8, "call-ms": 40.0, "item-ms": 2.0, "headroom-mb": 9.0, "handle-s": 4.0, "link-mbps": 10000}
--- a/anvilstandin/worker/model.go
+++ b/anvilstandin/worker/model.go
@@ -52,7 +52,7 @@
 			return
 		}
 	}
-	m.config.Ledger.Run(id, m.config.Name)
+	defer m.config.Ledger.Run(id, m.config.Name)()
 	m.stream(out, r, id)
 }
 
--- a/anvilstandin/worker/worker.go
+++ b/anvilstandin/worker/worker.go
@@ -9,33 +9,91 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
 )
 
+// Visit is one request's time at a worker.
+type Visit struct {
+	Worker string
+	At     time.Time
+	// Until is when the worker stopped working on it; zero while it does.
+	Until time.Time
+}
+
+// Record is what workers saw of one request.
+type Record struct {
+	// Arrivals are all visits, Runs those in which the worker began to work.
+	Arrivals []Visit
+	Runs     []Visit
+}
+
 // Ledger notes what workers ran.
 type Ledger struct {
 	mutex    sync.Mutex
-	runs     map[string][]string
+	records  map[string]*Record
 	problems []string
 }
 
 // NewLedger returns an empty ledger.
-func NewLedger() *Ledger { return &Ledger{runs: map[string][]string{}} }
+func NewLedger() *Ledger { return &Ledger{records: map[string]*Record{}} }
+
+func (l *Ledger) record(request string) *Record {
+	r := l.records[request]
+	if r == nil {
+		r = &Record{}
+		l.records[request] = r
+	}
+	return r
+}
+
+// Arrive notes that a request reached a worker.
+func (l *Ledger) Arrive(request, worker string) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	r := l.record(request)
+	r.Arrivals = append(r.Arrivals, Visit{Worker: worker, At: time.Now()})
+}
 
-// Run notes that a worker began to run a request.
-func (l *Ledger) Run(request, worker string) {
+// Run notes that a worker began to run a request, and returns what to call when
+// it stops.
+func (l *Ledger) Run(request, worker string) func() {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.runs[request] = append(l.runs[request], worker)
+	r := l.record(request)
+	n := len(r.Runs)
+	r.Runs = append(r.Runs, Visit{Worker: worker, At: time.Now()})
+	return func() {
+		l.mutex.Lock()
+		defer l.mutex.Unlock()
+		r.Runs[n].Until = time.Now()
+	}
 }
 
 // Runs returns the workers that ran a request.
 func (l *Ledger) Runs(request string) []string {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	return append([]string(nil), l.runs[request]...)
+	var workers []string
+	if r := l.records[request]; r != nil {
+		for _, v := range r.Runs {
+			workers = append(workers, v.Worker)
+		}
+	}
+	return workers
+}
+
+// Records returns a copy of all that was noted of requests.
+func (l *Ledger) Records() map[string]Record {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	all := make(map[string]Record, len(l.records))
+	for id, r := range l.records {
+		all[id] = Record{Arrivals: slices.Clone(r.Arrivals), Runs: slices.Clone(r.Runs)}
+	}
+	return all
 }
 
 // Problem notes something that must not happen.
@@ -117,6 +175,7 @@
 		out.WriteHeader(http.StatusMisdirectedRequest)
 		return false
 	}
+	w.config.Ledger.Arrive(id, w.config.Name)
 	if w.fault().Full {
 		out.Header().Set("Not-Executed", "1")
 		out.WriteHeader(http.StatusServiceUnavailable)
@@ -141,7 +200,7 @@
 	if err != nil || !w.admit(out, r) {
 		return
 	}
-	w.config.Ledger.Run(id, w.config.Name)
+	defer w.config.Ledger.Run(id, w.config.Name)()
 	time.Sleep(w.config.WorkTime)
 	f := w.fault()
 	if f.Broken {
--- a/kernel/gateway/choose.go
+++ b/kernel/gateway/choose.go
@@ -21,7 +21,7 @@
 	perCrossByte = 4.0 / 800_000
 	// perRunning is the cost of each request that runs at a model endpoint:
 	// it slows every token of the others.
-	perRunning = 4.0
+	perRunning = 1.0
 	// crossTrip is the cost of a request that crosses data centres: a round
 	// trip of about 7 ms.
 	crossTrip = 7.0
@@ -47,6 +47,14 @@
 	return id, tokens
 }
 
+// ownTokens returns the size of the prompt part that is the request's own.
+func (r *request) ownTokens() int {
+	if len(r.arrival.Prompt) == 0 {
+		return 0
+	}
+	return r.arrival.Prompt[len(r.arrival.Prompt)-1].Tokens
+}
+
 // homes returns the endpoint that is the home of a prompt part, and the homes
 // within each data centre, by rendezvous hashing with weights.
 func homes(part string, candidates []*endpoints.Endpoint, weights map[ident.DataCentre]float64) (*endpoints.Endpoint, map[ident.DataCentre]*endpoints.Endpoint) {
@@ -153,6 +161,7 @@
 			unread = centreHomeUnread
 		}
 		cost := unread*float64(tokens)*perToken + float64(total-resultBytes[e.DataCentre])*perCrossByte
+		cost += float64(e.Reading+e.ReadingElsewhere) * perToken
 		cost += perRunning*float64(e.Busy(now)) + failingCost*e.Failing*e.Failing
 		if e.Busy(now) >= max(e.Slots, 1) {
 			cost += float64(r.route.Objective / time.Millisecond)
