Follow the configuration's limit on headers, and keep ports of test daemons free

Cause: the limit on a caller's header was 16 KiB whatever the configuration said, so that a larger one would have refused proper requests. Change: the entry checks the size against the limits in force; test daemons get ports below those of outgoing connections. Not followed while it runs: the time for a header (net/http fixes it at start; 3 s, as the users' configurations say). Tests: a header that comes too slowly ends its connection.

--- a/anvilcrossd/entry/entry.go
+++ b/anvilcrossd/entry/entry.go
@@ -100,6 +100,10 @@
 	if s.config.Leaving() {
 		w.Header().Set("Connection", "close")
 	}
+	if limit := s.config.Limits().HeaderBytes; limit > 0 && headerBytes(r) > limit {
+		s.reject(w, r, http.StatusRequestHeaderFieldsTooLarge, "the header is too large")
+		return
+	}
 	body, status := s.readBody(w, r)
 	if status != 0 {
 		s.reject(w, r, status, "the body is too large, too slow or cut off")
@@ -129,6 +133,19 @@
 	}
 }
 
+// headerBytes returns the size of a request's header as it was sent, but for
+// optional spaces.
+func headerBytes(r *http.Request) int {
+	const separators = len(": \r\n")
+	size := len(r.Method) + len(r.RequestURI) + len(r.Proto) + separators + len("Host") + len(r.Host) + separators
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + len(value) + separators
+		}
+	}
+	return size
+}
+
 func (s *Server) reject(w http.ResponseWriter, r *http.Request, status int, reason string) {
 	s.config.Event("rejected", "status", status, "reason", reason, "method", r.Method)
 	s.config.Observe("rejected", 0)
--- a/anvilcrossd/gatewayd/gatewayd.go
+++ b/anvilcrossd/gatewayd/gatewayd.go
@@ -61,9 +61,13 @@
 	// memoryShare is the part of the allowed memory at which the runtime
 	// collects garbage harder.
 	memoryShare = 0.7
-	// headerTimeout and headerBytes hold before a configuration is known.
+	// headerTimeout bounds the reading of a header; the server cannot change it
+	// while it runs. The users' configurations have the same value.
 	headerTimeout = 3 * time.Second
-	headerBytes   = 16 << 10
+	// headerBytes holds before a configuration is known.
+	headerBytes = 16 << 10
+	// maxHeaderBytes bounds what the limits of a configuration can allow.
+	maxHeaderBytes = 1 << 20
 	// sweepPeriod is how often idle connections of callers are looked over.
 	sweepPeriod = time.Second
 )
@@ -230,7 +234,7 @@
 	callers := &http.Server{
 		Handler:           d.entry,
 		ReadHeaderTimeout: headerTimeout,
-		MaxHeaderBytes:    headerBytes,
+		MaxHeaderBytes:    maxHeaderBytes,
 		ConnState:         d.idle.changed,
 		ErrorLog:          newErrorLog(d.log),
 	}
--- a/anvilload/fleet/fleet.go
+++ b/anvilload/fleet/fleet.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -24,6 +25,11 @@
 	// stopLimit bounds a planned stop: the daemons' own limit and a margin.
 	stopLimit = 12 * time.Second
 	readyPoll = 50 * time.Millisecond
+	// firstPort and lastPort bound the ports of daemons, and maxPortTries the
+	// attempts to find free ones.
+	firstPort    = 10_000
+	lastPort     = 32_000
+	maxPortTries = 1000
 )
 
 // Config sets up a Fleet.
@@ -87,13 +93,18 @@
 	return f, nil
 }
 
-// freeAddresses returns loopback addresses that nobody listens on.
+// freeAddresses returns loopback addresses that nobody listens on. Their ports
+// lie below those that the system gives to outgoing connections, so that none of
+// these takes one while a daemon is down.
 func freeAddresses(count int) ([]string, error) {
 	var addresses []string
-	for range count {
-		l, err := net.Listen("tcp4", "127.0.0.1:0")
+	for tries := 0; len(addresses) < count; tries++ {
+		l, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort)))
 		if err != nil {
-			return nil, errors.Trace(err)
+			if tries > maxPortTries {
+				return nil, errors.Trace(err)
+			}
+			continue
 		}
 		defer func() { _ = l.Close() }()
 		addresses = append(addresses, l.Addr().String())
--- a/anvilload/fleet/fleet_test.go
+++ b/anvilload/fleet/fleet_test.go
@@ -187,6 +187,21 @@
 			t.Errorf("the inner request ran %d times", len(runs))
 		}
 	})
+	t.Run("a header that comes too slowly ends its connection", func(t *testing.T) {
+		connection, err := net.Dial("tcp4", d.Callers)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = connection.Close() }()
+		// The site allows three seconds; they are looked at each second.
+		_ = connection.SetDeadline(time.Now().Add(5 * time.Second))
+		if _, err := io.WriteString(connection, "POST /order/item HTTP/1.1\r\nHost: site"); err != nil {
+			t.Fatal(err)
+		}
+		if reply, err := io.ReadAll(connection); err != nil || len(reply) > 0 {
+			t.Fatalf("got %q and %v, want the connection closed", reply, err)
+		}
+	})
 	t.Run("half a request harms nobody", func(t *testing.T) {
 		exchange(t, d.Callers, "POST /order/item HTTP/1.1\r\nHost: site.example\r\nContent-Length: 100\r\n\r\nhalf")
 		r.wantWhole(d, client.NewRequest("order"))
