Let a soak run end with a calm after its last disturbance

Ruled out: the daemons (they stopped within their limit). Change: callers go on until the calm after the last disturbance is over. One batcher a service stays.

--- a/anvilload/soak/soak.go
+++ b/anvilload/soak/soak.go
@@ -87,7 +87,7 @@
 	}
 	plan := newPlan(c)
 	r.began = time.Now()
-	ctx, cancel := context.WithDeadline(context.Background(), r.began.Add(c.Length))
+	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var work, events sync.WaitGroup
 	for n := range c.Clients {
@@ -103,7 +103,10 @@
 		})
 	}
 	events.Wait()
+	// A planned stop can take longer than the plan: the calm follows the last one.
 	quiet := time.Now()
+	time.Sleep(max(time.Until(r.began.Add(c.Length)), calmEnd))
+	cancel()
 	work.Wait()
 	time.Sleep(settle)
 	r.mutex.Lock()
