Choose model endpoints by running requests only, and free inputs sooner

Inputs of stage calls were kept 120 ms after a call had begun, where room is short. The tokens of prompts being read, told by pings and weighed, are removed again: they moved prompts away from their homes for more than they spared.

--- a/kernel/batching/batching.go
+++ b/kernel/batching/batching.go
@@ -166,7 +166,7 @@
 	scarceShare = 0.5
 	// fetchTime is how long after the start of a call its inputs are expected
 	// to have been fetched: a full call's take about 20 ms on their links.
-	fetchTime = 120 * time.Millisecond
+	fetchTime = 70 * time.Millisecond
 	// usableRoom is the part of an endpoint's room that is booked: sizes of
 	// results are stated approximately, and a piece that finds no room loses a
 	// whole call, and often its inputs.
--- a/kernel/endpoints/endpoints.go
+++ b/kernel/endpoints/endpoints.go
@@ -58,10 +58,6 @@
 	// Elsewhere counts the requests that other instances have there, by
 	// their last pings.
 	Elsewhere int
-	// Reading and ReadingElsewhere are the prompt tokens of requests at the
-	// endpoint that have not begun to answer: own ones, and those of others.
-	Reading          int
-	ReadingElsewhere int
 	// Failing is the moving share of failed requests.
 	Failing float64
 	// Millis is the moving average of the time to the answer.
--- a/kernel/gateway/attempts.go
+++ b/kernel/gateway/attempts.go
@@ -54,10 +54,9 @@
 		return
 	}
 	r.attempts++
-	r.attempt = &attempt{id: r.attempts, endpoint: e.Name, started: now, reading: r.ownTokens()}
+	r.attempt = &attempt{id: r.attempts, endpoint: e.Name, started: now}
 	r.sends++
 	e.Running++
-	e.Reading += r.attempt.reading
 	g.armHedge(r, e)
 	g.out.Event("sent", "request", r.arrival.ID, "endpoint", e.Name, "endpointCentre", e.DataCentre, "busy", e.Busy(now), "after", now.Sub(r.started), "send", r.sends, "resume", r.resume)
 	g.out.Step(r.handle, Step{Send: &Send{
@@ -104,21 +103,11 @@
 	}
 	r.attempt = nil
 	g.timers.Stop(a.hedge)
-	g.hasRead(a)
 	if e := g.book.Lookup(a.endpoint); e != nil {
 		e.Running = max(e.Running-1, 0)
 	}
 }
 
-// hasRead takes in that an attempt's prompt does not occupy its endpoint any
-// more.
-func (g *Gateway) hasRead(a *attempt) {
-	if e := g.book.Lookup(a.endpoint); e != nil {
-		e.Reading = max(e.Reading-a.reading, 0)
-	}
-	a.reading = 0
-}
-
 // current returns the request if the attempt is its present one, else nil.
 func (g *Gateway) current(h Handle, id AttemptID) *request {
 	r := g.requests[h]
@@ -152,7 +141,6 @@
 		g.crashes.answered(e.Name)
 	}
 	r.attempt.begun = true
-	g.hasRead(r.attempt)
 }
 
 // Begun takes in that the first part of a stream went on to the caller: the
--- a/kernel/gateway/choose.go
+++ b/kernel/gateway/choose.go
@@ -15,9 +15,6 @@
 	// perToken is the cost of a prompt token that has to be read: endpoints
 	// read about 100 tokens in a millisecond.
 	perToken = 0.01
-	// perReading is the cost of a prompt token that is being read already: the
-	// request may wait for it, and its events do.
-	perReading = 0.003
 	// perCrossByte is the cost of a result byte that crosses data centres:
 	// 4 ms for a large result of 0.8 MB, by the ratio of the deployments'
 	// prices for results that cross and for tokens that are read again.
@@ -50,14 +47,6 @@
 	return id, tokens
 }
 
-// ownTokens returns the size of the prompt part that is the request's own.
-func (r *request) ownTokens() int {
-	if len(r.arrival.Prompt) == 0 {
-		return 0
-	}
-	return r.arrival.Prompt[len(r.arrival.Prompt)-1].Tokens
-}
-
 // homes returns the endpoint that is the home of a prompt part, and the homes
 // within each data centre, by rendezvous hashing with weights.
 func homes(part string, candidates []*endpoints.Endpoint, weights map[ident.DataCentre]float64) (*endpoints.Endpoint, map[ident.DataCentre]*endpoints.Endpoint) {
@@ -164,7 +153,6 @@
 			unread = centreHomeUnread
 		}
 		cost := unread*float64(tokens)*perToken + float64(total-resultBytes[e.DataCentre])*perCrossByte
-		cost += float64(e.Reading+e.ReadingElsewhere) * perReading
 		cost += perRunning*float64(e.Busy(now)) + failingCost*e.Failing*e.Failing
 		if e.Busy(now) >= max(e.Slots, 1) {
 			cost += float64(r.route.Objective / time.Millisecond)
--- a/kernel/gateway/gateway.go
+++ b/kernel/gateway/gateway.go
@@ -99,10 +99,10 @@
 	byID     map[ident.RequestID]*request
 	leaving  bool
 	leftAt   time.Time
-	// elsewhere holds the work at endpoints by member, and fleet the totals
-	// that a core member of a large fleet told.
-	elsewhere map[ident.Instance]map[ident.Endpoint]message.Work
-	fleet     map[ident.Endpoint]message.Work
+	// elsewhere holds the counts of running requests by member, and fleet the
+	// totals that a core member of a large fleet told.
+	elsewhere map[ident.Instance]map[ident.Endpoint]int
+	fleet     map[ident.Endpoint]int
 	fleetAt   time.Time
 	// told is the number of living instances by a core member's word.
 	told   int
@@ -146,7 +146,7 @@
 		requests:  map[Handle]*request{},
 		patience:  map[published.RouteName]time.Duration{},
 		byID:      map[ident.RequestID]*request{},
-		elsewhere: map[ident.Instance]map[ident.Endpoint]message.Work{},
+		elsewhere: map[ident.Instance]map[ident.Endpoint]int{},
 		claims:    map[ident.Service]time.Time{},
 		words:     map[ident.Instance]map[ident.Service]batcherWord{},
 		startedAt: c.Timers.Now(),
--- a/kernel/gateway/peers.go
+++ b/kernel/gateway/peers.go
@@ -15,10 +15,10 @@
 	// pongLife is how long an answer to pings is used for further ones: a core
 	// member of a large fleet gets hundreds of them a second.
 	pongLife = 50 * time.Millisecond
-	// fleetLife is how long a core member's word on the fleet's work is
+	// fleetLife is how long a core member's word on all running requests is
 	// believed.
 	fleetLife = 1500 * time.Millisecond
-	// maxCounts bounds the endpoints whose work is told.
+	// maxCounts bounds the endpoints whose running requests are told.
 	maxCounts = 128
 )
 
@@ -56,28 +56,28 @@
 	answer := *g.pong
 	answer.Members = g.members.Sightings(now, ping.Known)
 	if answer.Living > 0 && g.tellsFleet(now, ping.Member) {
-		answer.Fleet = busiest(g.fleetWork(now, answer.Work))
+		answer.Fleet = busiest(g.fleetRunning(now, answer.Running))
 	}
 	return message.Envelope{From: g.config.Self.Name, Incarnation: g.config.Self.Incarnation, Ping: &answer}
 }
 
 // tellsFleet reports whether this instance is the one that tells a member of
-// the fleet's work: the first of its data centre.
+// the requests that run in the fleet: the first of its data centre.
 func (g *Gateway) tellsFleet(now time.Time, to membership.Member) bool {
 	self := g.config.Self
 	return to.DataCentre == self.DataCentre && g.readers(now).Has(self.Name)
 }
 
 // busiest bounds the endpoints in one message.
-func busiest(work map[ident.Endpoint]message.Work) map[ident.Endpoint]message.Work {
-	if len(work) <= maxCounts {
-		return work
+func busiest(running map[ident.Endpoint]int) map[ident.Endpoint]int {
+	if len(running) <= maxCounts {
+		return running
 	}
-	names := value.SortedKeys(work)
-	slices.SortStableFunc(names, func(x, y ident.Endpoint) int { return cmp.Compare(work[y].Running, work[x].Running) })
-	kept := make(map[ident.Endpoint]message.Work, maxCounts)
+	names := value.SortedKeys(running)
+	slices.SortStableFunc(names, func(x, y ident.Endpoint) int { return cmp.Compare(running[y], running[x]) })
+	kept := make(map[ident.Endpoint]int, maxCounts)
 	for _, name := range names[:maxCounts] {
-		kept[name] = work[name]
+		kept[name] = running[name]
 	}
 	return kept
 }
@@ -91,7 +91,7 @@
 		AsOf:        g.records.AsOf(),
 		PlatformAge: g.contactAge(now),
 		Crashes:     g.crashes.latest(now),
-		Work:        g.ownWork(),
+		Running:     g.ownRunning(),
 		Batches:     g.ownBatching(now),
 		Unreached:   g.book.Unreached(now),
 	}
@@ -143,7 +143,7 @@
 		g.out.Event("memberReached", "member", p.Member.Name, "memberCentre", p.Member.DataCentre, "incarnation", p.Member.Incarnation)
 	}
 	g.members.Sighted(now, p.Members)
-	g.elsewhere[p.Member.Name] = p.Work
+	g.elsewhere[p.Member.Name] = p.Running
 	if p.Fleet != nil {
 		g.fleet, g.fleetAt = p.Fleet, now
 	}
@@ -168,47 +168,46 @@
 	g.reviewPieces(g.now())
 }
 
-// ownWork sums up this instance's requests by endpoint.
-func (g *Gateway) ownWork() map[ident.Endpoint]message.Work {
-	work := map[ident.Endpoint]message.Work{}
+// ownRunning counts this instance's requests by endpoint.
+func (g *Gateway) ownRunning() map[ident.Endpoint]int {
+	running := map[ident.Endpoint]int{}
 	for _, r := range g.requests {
-		if a := r.attempt; a != nil {
-			work[a.endpoint] = work[a.endpoint].Plus(message.Work{Running: 1, Reading: a.reading})
+		if r.attempt != nil {
+			running[r.attempt.endpoint]++
 		}
 	}
-	return work
+	return running
 }
 
-// fleetWork sums up the fleet's work by endpoint, as far as this instance has
-// heard of it.
-func (g *Gateway) fleetWork(now time.Time, own map[ident.Endpoint]message.Work) map[ident.Endpoint]message.Work {
-	total := map[ident.Endpoint]message.Work{}
-	add := func(work map[ident.Endpoint]message.Work) {
-		for e, w := range work {
-			total[e] = total[e].Plus(w)
+// fleetRunning counts the fleet's requests by endpoint, as far as this instance
+// has heard of them.
+func (g *Gateway) fleetRunning(now time.Time, own map[ident.Endpoint]int) map[ident.Endpoint]int {
+	total := map[ident.Endpoint]int{}
+	add := func(counts map[ident.Endpoint]int) {
+		for e, n := range counts {
+			total[e] += n
 		}
 	}
 	add(own)
-	for name, work := range g.elsewhere {
+	for name, counts := range g.elsewhere {
 		if g.members.Alive(now, name) {
-			add(work)
+			add(counts)
 		}
 	}
 	return total
 }
 
-// countElsewhere brings what other instances have at endpoints up to date.
+// countElsewhere brings the requests that other instances run up to date.
 func (g *Gateway) countElsewhere(now time.Time) {
-	own := g.ownWork()
+	own := g.ownRunning()
 	total := g.fleet
 	outside := g.members.Large() && !g.members.InCore(now, g.config.Self.Name)
 	if !outside || now.Sub(g.fleetAt) > fleetLife {
-		total = g.fleetWork(now, own)
+		total = g.fleetRunning(now, own)
 	}
 	for _, s := range value.SortedKeys(g.services()) {
 		for _, e := range g.book.Listed(s) {
-			e.Elsewhere = max(total[e.Name].Running-own[e.Name].Running, 0)
-			e.ReadingElsewhere = max(total[e.Name].Reading-own[e.Name].Reading, 0)
+			e.Elsewhere = max(total[e.Name]-own[e.Name], 0)
 		}
 	}
 }
--- a/kernel/gateway/request.go
+++ b/kernel/gateway/request.go
@@ -100,9 +100,6 @@
 	id       AttemptID
 	endpoint ident.Endpoint
 	started  time.Time
-	// reading is the number of the prompt's own tokens until the endpoint has
-	// read them.
-	reading int
 	// written is set once the first byte may have reached the endpoint.
 	written bool
 	// begun is set once the endpoint's answer was passed on in part.
--- a/kernel/message/batching.go
+++ b/kernel/message/batching.go
@@ -21,12 +21,13 @@
 	// PlatformAge is how long ago the sender itself heard from the platform;
 	// it is missing if it never has.
 	PlatformAge *time.Duration `json:"platformAge,omitempty"`
-	// Work is the sender's by endpoint.
-	Work map[ident.Endpoint]Work `json:"work,omitempty"`
-	// Fleet is the work of all instances, and Living their number; core members
-	// of a large fleet tell them, since the others do not hear from everybody.
-	Fleet  map[ident.Endpoint]Work `json:"fleet,omitempty"`
-	Living int                     `json:"living,omitempty"`
+	// Running counts the sender's requests by endpoint.
+	Running map[ident.Endpoint]int `json:"running,omitempty"`
+	// Fleet counts the requests of all instances, and Living the instances;
+	// core members of a large fleet tell them, since the others do not hear
+	// from everybody.
+	Fleet  map[ident.Endpoint]int `json:"fleet,omitempty"`
+	Living int                    `json:"living,omitempty"`
 	// Batches tells of the services that the sender batches for.
 	Batches map[ident.Service]Batching `json:"batches,omitempty"`
 	// Unreached tells how long ago endpoints could not be reached.
@@ -35,20 +36,6 @@
 	Crashes []Crash `json:"crashes,omitempty"`
 }
 
-// Work is what instances have at an endpoint.
-type Work struct {
-	// Running counts requests.
-	Running int `json:"running"`
-	// Reading is the number of prompt tokens of those that have not begun to
-	// answer.
-	Reading int `json:"reading,omitempty"`
-}
-
-// Plus adds work up.
-func (w Work) Plus(o Work) Work {
-	return Work{Running: w.Running + o.Running, Reading: w.Reading + o.Reading}
-}
-
 // Crash says that a content ran on an endpoint when that crashed. Its age is
 // told, since the times of day of instances differ.
 type Crash struct {
