Give each program that runs a fleet ports of its own

Ruled out: the five daemons that ran (no refusal after the planned stop). Change: ports come from a block by the program's process id; a daemon that ends at its start fails the run at once.

--- a/anvilload/fleet/fleet.go
+++ b/anvilload/fleet/fleet.go
@@ -25,10 +25,12 @@
 	// stopLimit bounds a planned stop: the daemons' own limit and a margin.
 	stopLimit = 12 * time.Second
 	readyPoll = 50 * time.Millisecond
-	// firstPort and lastPort bound the ports of daemons, and maxPortTries the
-	// attempts to find free ones.
+	// firstPort is the first port of daemons. Each program that runs a fleet
+	// takes its ports from one of several blocks, by its process id; maxPortTries
+	// bounds the attempts to find free ones.
 	firstPort    = 10_000
-	lastPort     = 32_000
+	portBlocks   = 40
+	blockPorts   = 550
 	maxPortTries = 1000
 )
 
@@ -98,8 +100,9 @@
 // these takes one while a daemon is down.
 func freeAddresses(count int) ([]string, error) {
 	var addresses []string
+	first := firstPort + os.Getpid()%portBlocks*blockPorts
 	for tries := 0; len(addresses) < count; tries++ {
-		l, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort)))
+		l, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", first+rand.IntN(blockPorts)))
 		if err != nil {
 			if tries > maxPortTries {
 				return nil, errors.Trace(err)
@@ -168,6 +171,12 @@
 func (d *Daemon) WaitReady() error {
 	deadline := time.Now().Add(readyLimit)
 	for time.Now().Before(deadline) {
+		select {
+		case err := <-d.ended:
+			d.ended <- err
+			return errors.Errorf("%s ended at once (%v); see %s", d.Name, err, d.Log)
+		default:
+		}
 		if client.Ready(d.ready) {
 			return nil
 		}
