--- a/anvilload/fleet/fleet.go
+++ b/anvilload/fleet/fleet.go
@@ -4,12 +4,12 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -95,6 +95,10 @@
 	return f, nil
 }
 
+// nextPort steps through the block, so that an address that was returned is not
+// returned again soon.
+var nextPort atomic.Int64
+
 // freeAddresses returns loopback addresses that nobody listens on. Their ports
 // lie below those that the system gives to outgoing connections, so that none of
 // these takes one while a daemon is down.
@@ -102,7 +106,7 @@
 	var addresses []string
 	first := firstPort + os.Getpid()%portBlocks*blockPorts
 	for tries := 0; len(addresses) < count; tries++ {
-		l, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", first+rand.IntN(blockPorts)))
+		l, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", first+int(nextPort.Add(1)%blockPorts)))
 		if err != nil {
 			if tries > maxPortTries {
 				return nil, errors.Trace(err)
