--- a/anvilcrossd/daemon/daemon.go
+++ b/anvilcrossd/daemon/daemon.go
@@ -124,7 +124,7 @@
 	// keepEndpoint and keepPeer are how long unused connections are kept: an
 	// instance calls the same endpoints all the time, but most peers rarely.
 	keepEndpoint = 30 * time.Second
-	keepPeer     = 5 * time.Second
+	keepPeer     = 1500 * time.Millisecond
 	// drainWait is how long a stopping instance goes on accepting requests
 	// while the balancer notices that it is not ready.
 	drainWait = 300 * time.Millisecond
