Prove that a reset new connection carried no order, and read one after the other

At a start all instances left the platform alone for 0.4 s, or read it all at once. Ruled out: endpoints that crash (they answered others at the time). Change: before a request that must not be lost goes out on a new connection, the client waits as long as the connect took and a millisecond: a reset that comes then proves that nothing was written, and another endpoint is tried. Instances that start together read the platform within 0.4 s one after the other, by their names, unless others send them the records first. Tests: an endpoint that resets new connections (the request had counted as may have run).

--- a/anvilcrossd/h1/h1.go
+++ b/anvilcrossd/h1/h1.go
@@ -35,6 +35,10 @@
 	// freshIdle is how long a connection may have been unused to carry a
 	// request that must not be lost in a close that crosses it.
 	freshIdle = time.Second
+	// settleTime is how much longer than the connect took a new connection is
+	// left alone before a request that must not be lost: an endpoint with too
+	// many connections resets it after one round trip.
+	settleTime = time.Millisecond
 	// maxIdle bounds the unused connections to one address.
 	maxIdle = 32
 	// smallBody is the size up to which a body is written before the answer
@@ -159,13 +163,23 @@
 	c.idle[address] = append(list, k)
 }
 
-func (c *Client) dial(ctx context.Context, address string) (*connection, error) {
+func (c *Client) dial(ctx context.Context, address string, fresh bool) (*connection, error) {
+	begun := time.Now()
 	n, err := c.dialer.DialContext(ctx, "tcp4", address)
 	if err != nil {
 		return nil, errors.Annotate(ErrUnreached, err.Error())
 	}
 	c.opened.Add(1)
-	return &connection{Conn: n, reader: bufio.NewReaderSize(n, bufferBytes)}, nil
+	k := &connection{Conn: n, reader: bufio.NewReaderSize(n, bufferBytes)}
+	if !fresh {
+		return k, nil
+	}
+	time.Sleep(time.Since(begun) + settleTime)
+	if !k.quiet() {
+		_ = k.Close()
+		return nil, errors.Annotate(ErrUnreached, "the new connection was reset")
+	}
+	return k, nil
 }
 
 // Response is an endpoint's answer. Body must be closed; the connection is
@@ -180,7 +194,7 @@
 	k := c.take(r.Address, r.Fresh)
 	if k == nil {
 		var err error
-		if k, err = c.dial(ctx, r.Address); err != nil {
+		if k, err = c.dial(ctx, r.Address, r.Fresh); err != nil {
 			return nil, err
 		}
 	}
--- a/anvilcrossd/h1/h1_test.go
+++ b/anvilcrossd/h1/h1_test.go
@@ -159,3 +159,28 @@
 	body, err := io.ReadAll(response.Body)
 	wantBody(t, string(body), err, "own")
 }
+
+// An endpoint with too many connections accepts a further one and resets it.
+func TestResetNewConnectionProvesNotRun(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_ = c.(*net.TCPConn).SetLinger(0)
+			_ = c.Close()
+		}
+	}()
+	for range 20 {
+		_, err := NewClient().Do(t.Context(), Request{Address: listener.Addr().String(), Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, Fresh: true})
+		if !Unreached(err) {
+			t.Fatalf("got %v, want a proof that nothing was written", err)
+		}
+	}
+}
--- a/anvilload/soak/soak_test.go
+++ b/anvilload/soak/soak_test.go
@@ -59,15 +59,8 @@
 func good(route string, when time.Duration) (sent, worker.Record) {
 	request := client.NewRequest(route)
 	request.Deadline = requestDeadline
-	body := worker.Body(request.ID, []byte(request.Body))
-	if request.Events > 0 {
-		body = ""
-		for n := range request.Events {
-			body += worker.Event(request.ID, n+1)
-		}
-	}
-	header := http.Header{"Response-Seal": {"seal"}, "Request-Id": {request.ID}}
-	s := sent{request: request, at: at(when), reply: client.Reply{Status: http.StatusOK, Body: body, Header: header, Took: 20 * time.Millisecond}}
+	s := sent{request: request, at: at(when), reply: client.Whole(request)}
+	s.reply.Took = 20 * time.Millisecond
 	visit := worker.Visit{Worker: "orders-0", At: at(when), Until: at(when + 20*time.Millisecond)}
 	return s, worker.Record{Arrivals: []worker.Visit{visit}, Runs: []worker.Visit{visit}}
 }
--- a/anvilstandin/client/client.go
+++ b/anvilstandin/client/client.go
@@ -100,6 +100,24 @@
 	return Reply{Status: response.StatusCode, Body: string(body), Header: response.Header, Err: err}
 }
 
+// body is the body of the whole answer to a request.
+func body(r Request) string {
+	if r.Events == 0 {
+		return worker.Body(r.ID, []byte(r.Body))
+	}
+	text := ""
+	for n := range r.Events {
+		text += worker.Event(r.ID, n+1)
+	}
+	return text
+}
+
+// Whole returns the whole answer to a request, as a caller gets it.
+func Whole(r Request) Reply {
+	header := http.Header{"Response-Seal": {worker.Seal("worker", r.ID)}, "Request-Id": {r.ID}}
+	return Reply{Status: http.StatusOK, Body: body(r), Header: header}
+}
+
 // Check returns what is wrong with a whole answer to a request, or nothing.
 func Check(r Request, reply Reply) string {
 	if reply.Err != nil {
@@ -108,13 +126,7 @@
 	if reply.Status != http.StatusOK {
 		return fmt.Sprintf("status %d: %s", reply.Status, strings.TrimSpace(reply.Body))
 	}
-	want := worker.Body(r.ID, []byte(r.Body))
-	if r.Events > 0 {
-		want = ""
-		for n := range r.Events {
-			want += worker.Event(r.ID, n+1)
-		}
-	}
+	want := body(r)
 	switch {
 	case reply.Body != want:
 		return fmt.Sprintf("body of %d bytes, want %d", len(reply.Body), len(want))
--- a/kernel/gateway/readers.go
+++ b/kernel/gateway/readers.go
@@ -25,7 +25,7 @@
 	nearLag = 150 * time.Millisecond
 	farLag  = 500 * time.Millisecond
 	// introduced is how long an instance that has just started leaves the
-	// platform to others: within it those that live send their records.
+	// platform to others at most: within it those that live send their records.
 	introduced = 400 * time.Millisecond
 	// nextReader is the time after which one more instance of each data centre
 	// reads when the readers are out of touch.
@@ -47,11 +47,10 @@
 // that the platform serves is soon among them, while an outage costs few calls.
 func (g *Gateway) Reads() bool {
 	now := g.now()
-	if g.catalog == nil && now.Sub(g.startedAt) < introduced {
-		// Living instances send what they know within this time.
-		return g.members.Known() > 1 && g.readers(now).Has(g.config.Self.Name)
+	if g.catalog == nil {
+		return now.Sub(g.startedAt) >= g.firstReading() || g.members.Known() > 1 && g.readers(now).Has(g.config.Self.Name)
 	}
-	if g.catalog == nil || g.readers(now).Has(g.config.Self.Name) {
+	if g.readers(now).Has(g.config.Self.Name) {
 		return true
 	}
 	stale := now.Sub(g.latestContact(now)) - g.staleAfter()
@@ -62,6 +61,15 @@
 	return stale >= time.Duration(rank)*nextReader
 }
 
+// firstReading is how long after its start an instance reads the platform if
+// nobody has sent it records: instances that start together read one after the
+// other, and the first ones tell the rest.
+func (g *Gateway) firstReading() time.Duration {
+	const parts = 1 << 16
+	part := ident.Score("firstReading", string(g.config.Self.Name)) % parts
+	return introduced * time.Duration(part) / parts
+}
+
 // latestContact is when a reader last heard from the platform, as far as this
 // instance knows.
 func (g *Gateway) latestContact(now time.Time) time.Time {
