Pass on all records above a revision, not only what was news to the reader

A reader passed on the records that were news to itself and said that they were all between two revisions; one that another data centre's reader had sent it before was left out, and the rest of its data centre took itself to be complete. Since the fleet has a core, no other reader fills that gap. Change: what is passed on is taken from the copy of the records, from the revision on that the reader had. Test: fails before (2 of 3 records).

--- a/kernel/gateway/reader_test.go
+++ b/kernel/gateway/reader_test.go
@@ -90,6 +90,27 @@
 			t.Fatalf("leaving %v, as of %d", e.Leaving, w.gateway.AsOf())
 		}
 	})
+	t.Run("what a reader knew already is passed on with the news", func(t *testing.T) {
+		// Seen on pelletier-jars-grown, hunt-ead6-3: a leaving endpoint got a
+		// request after 3.3 s. Another data centre's reader had sent its record.
+		w := configured(t)
+		w.hear("two", "east", 0)
+		first, second, third := listing("orders", 0), listing("orders", 1), listing("orders", 2)
+		second.Leaving = true
+		known := record(t, string(second.Name), 3, second)
+		w.gateway.HandlePeer(message.Envelope{From: "far", Records: &message.Records{Records: []replica.Record{known}, Base: 2, AsOf: 3}})
+		w.peers = nil
+		w.gateway.Watched([]replica.Record{record(t, string(first.Name), 2, first), known, record(t, string(third.Name), 4, third)}, 4)
+		for _, p := range w.peers {
+			if m := p.message.Records; m != nil && p.to.Name == "two" {
+				if len(m.Records) != 3 || m.Base != 1 || m.AsOf != 4 {
+					t.Fatalf("%d records from %d to %d, want all 3 from 1 to 4", len(m.Records), m.Base, m.AsOf)
+				}
+				return
+			}
+		}
+		t.Fatal("nothing was passed on")
+	})
 	t.Run("an older record changes nothing", func(t *testing.T) {
 		w := configured(t)
 		old := testCatalog(0)
--- a/kernel/gateway/readers.go
+++ b/kernel/gateway/readers.go
@@ -134,7 +134,7 @@
 	}
 	g.learn(news, source, g.doubt(now) > 0)
 	if len(news) > 0 {
-		g.spread(news, base)
+		g.spread(base)
 	}
 }
 
@@ -142,15 +142,13 @@
 // entries that only lapsed.
 func (g *Gateway) doubt(now time.Time) time.Duration { return max(g.doubtUntil.Sub(now), 0) }
 
-// spread passes news of the platform on at once, so that instances that do not
-// or cannot read it learn of changes in time. Each data centre has a reader of
-// its own; the rest of the fleet asks by its pings.
-func (g *Gateway) spread(news []replica.Record, base replica.Revision) {
-	if len(news) > maxRecords {
-		// The next pings ask for what they lack.
-		return
-	}
-	m := message.Records{Records: news, Base: base, AsOf: g.records.AsOf(), Doubt: g.doubt(g.now())}
+// spread passes all records above a revision on at once, so that instances that
+// do not or cannot read the platform learn of changes in time: also those that
+// were no news here, since a member of another data centre had sent them. Each
+// data centre has a reader of its own; the rest of the fleet asks by its pings.
+func (g *Gateway) spread(base replica.Revision) {
+	records, asOf := g.records.Since(base, maxRecords)
+	m := message.Records{Records: records, Base: base, AsOf: asOf, Doubt: g.doubt(g.now())}
 	now := g.now()
 	for _, name := range g.members.Living(now) {
 		near := g.members.DataCentre(name) == g.config.Self.DataCentre
