--- a/anvilload/fleet/fleet.go
+++ b/anvilload/fleet/fleet.go
@@ -95,6 +95,16 @@
 	return f, nil
 }
 
+// Build builds the daemon's program into a directory and returns its path.
+func Build(directory string) (string, error) {
+	binary := filepath.Join(directory, "anvilcrossd")
+	build := exec.Command("go", "build", "-buildvcs=false", "-o", binary, "anvilcross/anvilcrossd")
+	if output, err := build.CombinedOutput(); err != nil {
+		return "", errors.Annotatef(err, "building the daemon: %s", output)
+	}
+	return binary, nil
+}
+
 // nextPort steps through the block, so that an address that was returned is not
 // returned again soon.
 var nextPort atomic.Int64
--- a/anvilload/fleet/fleet_test.go
+++ b/anvilload/fleet/fleet_test.go
@@ -7,8 +7,6 @@
 	"net"
 	"net/http"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"strings"
 	"sync"
 	"syscall"
@@ -28,10 +26,8 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
-	binary = filepath.Join(directory, "anvilcrossd")
-	build := exec.Command("go", "build", "-buildvcs=false", "-o", binary, "anvilcross/anvilcrossd")
-	if output, err := build.CombinedOutput(); err != nil {
-		fmt.Fprintf(os.Stderr, "building the daemon: %v\n%s", err, output)
+	if binary, err = Build(directory); err != nil {
+		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
 	code := m.Run()
--- a/anvilload/soak/soak.go
+++ b/anvilload/soak/soak.go
@@ -5,6 +5,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -303,7 +304,7 @@
 	case pause:
 		err = d.Signal(syscall.SIGSTOP)
 		time.Sleep(e.length)
-		err = errors.Trace(cmpError(err, d.Signal(syscall.SIGCONT)))
+		err = cmp.Or(err, d.Signal(syscall.SIGCONT))
 	case kill:
 		err = d.Kill()
 		time.Sleep(e.length)
@@ -316,8 +317,8 @@
 		r.mutex.Lock()
 		r.starts[daemon]++
 		r.mutex.Unlock()
-		err = cmpError(err, d.Launch())
-		err = cmpError(err, d.WaitReady())
+		err = cmp.Or(err, d.Launch())
+		err = cmp.Or(err, d.WaitReady())
 	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
@@ -328,14 +329,6 @@
 	return true
 }
 
-// cmpError returns the first of two errors.
-func cmpError(first, second error) error {
-	if first != nil {
-		return first
-	}
-	return second
-}
-
 // disturbWorker carries out an event that concerns a worker.
 func (r *runner) disturbWorker(e event) {
 	services := map[kind][]string{
--- a/anvilload/soak/soak_test.go
+++ b/anvilload/soak/soak_test.go
@@ -4,12 +4,11 @@
 	"fmt"
 	"net/http"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"strings"
 	"testing"
 	"time"
 
+	"anvilcross/anvilload/fleet"
 	"anvilcross/anvilstandin/client"
 	"anvilcross/anvilstandin/worker"
 )
@@ -22,10 +21,8 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
-	binary = filepath.Join(directory, "anvilcrossd")
-	build := exec.Command("go", "build", "-buildvcs=false", "-o", binary, "anvilcross/anvilcrossd")
-	if output, err := build.CombinedOutput(); err != nil {
-		fmt.Fprintf(os.Stderr, "building the daemon: %v\n%s", err, output)
+	if binary, err = fleet.Build(directory); err != nil {
+		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
 	code := m.Run()
