End the platform outage of an instance that no longer reads

An instance that was cut off read the store itself, in vain. Back in touch it left the reading to the regular readers and so never saw the outage end. A removal that came as unconfirmed stayed unconfirmed for good, and the endpoint in use.

Ruled out: a late record (it was applied 7 ms after the acknowledgement).

Change: the gateway ends an outage when it no longer reads; the follower then reports its next outage anew.

Conclusion: the doubt about removals belongs to who reads; who does not read has to leave it to the readers.

--- a/anvilcrossd/metadata/metadata.go
+++ b/anvilcrossd/metadata/metadata.go
@@ -66,6 +66,8 @@
 	listed := false
 	for ctx.Err() == nil {
 		if !f.config.IsReader() {
+			// The kernel has ended the outage for an instance that does not read.
+			f.unavailable, f.retryPause = false, 0
 			sleep(ctx, readerCheckPeriod)
 			continue
 		}
--- a/kernel/gateway/gateway.go
+++ b/kernel/gateway/gateway.go
@@ -272,6 +272,7 @@
 // tick runs the periodic checks.
 func (g *Gateway) tick() {
 	now := g.now()
+	g.endForeignOutage()
 	for _, name := range g.directory.PurgeRemoved(now) {
 		g.out.LogEvent("endpointLapsed", "endpoint", name)
 	}
--- a/kernel/gateway/reader_test.go
+++ b/kernel/gateway/reader_test.go
@@ -197,6 +197,32 @@
 		tg.gateway.HandleChanges([]replica.Record{{Key: "orders-0", Revision: 6, Removed: true}}, 6)
 		tg.wantListed("orders-0", false)
 	})
+	// An instance that was cut off for a while had tried to read the platform
+	// itself. Back in touch it left that to the readers, but took the outage for
+	// unfinished and kept a removed endpoint for good (kalvo-pil-grown trouble-1,
+	// seed 1090617814259).
+	t.Run("an instance that has stopped reading leaves the outage to the readers", func(t *testing.T) {
+		tg := newConfiguredAs(t, "one")
+		others := []ident.Instance{"two", "three", "four", "five", "six", "seven", "eight"}
+		for _, name := range others {
+			tg.receivePing(name, "east", 0)
+		}
+		if tg.gateway.platformReaders(tg.timers.Now()).Has("one") {
+			t.Fatal("the instance is a regular reader")
+		}
+		tg.gateway.HandlePlatformUnavailable()
+		for range 4 {
+			tg.advance(time.Second)
+			for _, name := range others {
+				tg.receivePing(name, "east", 0)
+			}
+		}
+		gone := replica.Record{Key: "orders-0", Revision: 6, Removed: true}
+		tg.gateway.HandleMessage(message.Envelope{From: "two", Records: &message.Records{Records: []replica.Record{gone}, Base: 1, AsOf: 6, UnconfirmedFor: 1500 * time.Millisecond}})
+		tg.wantListed("orders-0", true)
+		tg.advance(2200 * time.Millisecond)
+		tg.wantListed("orders-0", false)
+	})
 	t.Run("the word of a member in touch ends a doubt", func(t *testing.T) {
 		tg := newConfigured(t)
 		gone := []replica.Record{{Key: "orders-0", Revision: 6, Removed: true}}
--- a/kernel/gateway/readers.go
+++ b/kernel/gateway/readers.go
@@ -155,6 +155,16 @@
 // counts as unconfirmed because of a platform outage; zero if it is certain.
 func (g *Gateway) outageWindow(now time.Time) time.Duration { return max(g.outageUntil.Sub(now), 0) }
 
+// endForeignOutage ends a platform outage for an instance that no longer reads
+// the platform. It read only while the regular readers had no contact, and will
+// not notice itself that the platform answers again.
+func (g *Gateway) endForeignOutage() {
+	if g.directory.PlatformUnavailable() && !g.ReadsPlatform() {
+		g.out.LogEvent("platformLeftToReaders", "members", g.AliveCount())
+		g.HandlePlatformAvailable()
+	}
+}
+
 // broadcastRecords sends all records above a revision to the alive members of
 // the own data centre and to the core members, so that instances that do not or
 // cannot read the platform learn of changes in time. This includes records that
