--- a/kernel/batching/batching.go
+++ b/kernel/batching/batching.go
@@ -1,7 +1,7 @@
 // Package batching groups pieces of stage work into calls to stage endpoints.
 // An endpoint works on one call at a time, a call can carry many pieces, and
 // each call has a fixed overhead. All instances therefore send the pieces of a
-// service to one instance, the service's batcher. The batcher tracks which
+// service to one instance, the batcher of its pool. The batcher tracks which
 // endpoints are idle and how much result capacity each has left, fills calls
 // by urgency, and retries pieces whose endpoint failed.
 package batching
@@ -109,9 +109,9 @@
 	// BatchProfile returns the batching parameters of a service's endpoints,
 	// or nil if they are no stage endpoints.
 	BatchProfile func(ident.Service) *published.BatchProfile
-	// QueueWait returns the estimated wait in the queue of a service, which
-	// may have its batcher on another instance.
-	QueueWait func(ident.Service) time.Duration
+	// QueueWait returns the estimated wait in the queue of a pool, which may
+	// have its batcher on another instance.
+	QueueWait func(ident.Pool) time.Duration
 	Output    Output
 }
 
@@ -119,7 +119,7 @@
 	// lingerTime is how long a call that is less than half full waits for more
 	// pieces: a third of the call overhead.
 	lingerTime = 80 * time.Millisecond
-	// minOrderInterval is the minimum time between two sorts of a service's
+	// minOrderInterval is the minimum time between two sorts of a pool's
 	// queue: small compared to a call.
 	minOrderInterval = 8 * time.Millisecond
 	// declinedBackoff is how long a full endpoint gets no calls: about half of
@@ -140,7 +140,7 @@
 	latencyRatioWeight = 0.4
 	// maxAttempts bounds the calls in which one piece is tried.
 	maxAttempts = 6
-	// maxWaitingPieces bounds the queue of one service.
+	// maxWaitingPieces bounds the queue of one pool.
 	maxWaitingPieces = 20000
 	// largeTransferBytes is the traffic between data centres that justifies
 	// moving a piece to another endpoint.
@@ -233,7 +233,7 @@
 
 // reservation is the capacity that one result takes at its endpoint.
 type reservation struct {
-	service     ident.Service
+	pool        ident.Pool
 	bytes       int
 	endpoint    ident.Endpoint
 	expiryTimer *timer.Timer
@@ -243,7 +243,7 @@
 // call is a running call.
 type call struct {
 	id           CallID
-	service      ident.Service
+	pool         ident.Pool
 	endpoint     ident.Endpoint
 	address      string
 	pieces       []*piece
@@ -276,7 +276,7 @@
 	return free
 }
 
-// queue holds the waiting pieces of one service.
+// queue holds the waiting pieces of one pool.
 type queue struct {
 	waiting     []*piece
 	lingerTimer *timer.Timer
@@ -293,11 +293,11 @@
 	bucket           int64
 }
 
-// Batcher queues the pieces of the services that this instance batches for and
+// Batcher queues the pieces of the pools that this instance batches for and
 // sends them to endpoints in calls. It is not safe for concurrent use.
 type Batcher struct {
 	config         Config
-	queues         map[ident.Service]*queue
+	queues         map[ident.Pool]*queue
 	pieces         map[message.PieceID]*piece
 	requests       map[ident.RequestID][]*piece
 	calls          map[CallID]*call
@@ -318,7 +318,7 @@
 func NewBatcher(c Config) *Batcher {
 	return &Batcher{
 		config:         c,
-		queues:         map[ident.Service]*queue{},
+		queues:         map[ident.Pool]*queue{},
 		pieces:         map[message.PieceID]*piece{},
 		requests:       map[ident.RequestID][]*piece{},
 		calls:          map[CallID]*call{},
@@ -330,9 +330,9 @@
 // Stats returns the current counts.
 func (b *Batcher) Stats() Stats { return b.stats }
 
-// WaitingCount returns the number of pieces in a service's queue.
-func (b *Batcher) WaitingCount(s ident.Service) int {
-	if q := b.queues[s]; q != nil {
+// WaitingCount returns the number of pieces in a pool's queue.
+func (b *Batcher) WaitingCount(pool ident.Pool) int {
+	if q := b.queues[pool]; q != nil {
 		return len(q.waiting)
 	}
 	return 0
@@ -340,11 +340,11 @@
 
 func (b *Batcher) now() time.Time { return b.config.Timers.Now() }
 
-func (b *Batcher) queue(s ident.Service) *queue {
-	q := b.queues[s]
+func (b *Batcher) queue(pool ident.Pool) *queue {
+	q := b.queues[pool]
 	if q == nil {
 		q = &queue{}
-		b.queues[s] = q
+		b.queues[pool] = q
 	}
 	return q
 }
@@ -364,7 +364,7 @@
 func (b *Batcher) Submit(from ident.Instance, s message.StageWork) {
 	now := b.now()
 	w := &work{StageWork: s, origin: from, dueAt: now.Add(s.TimeToDue), deadline: now.Add(s.TimeToDeadline), receivedAt: now, inputSizes: b.inputSizesOf(s)}
-	q := b.queue(s.Service)
+	q := b.queue(s.Pool())
 	for _, index := range s.Pieces {
 		id := message.PieceID{Request: s.Request, Stage: s.Stage, Piece: index}
 		if p := b.pieces[id]; p != nil && s.Recompute && p.state == pieceDone {
@@ -387,7 +387,7 @@
 		b.requests[id.Request] = append(b.requests[id.Request], p)
 		q.waiting = append(q.waiting, p)
 	}
-	b.Dispatch(s.Service)
+	b.Dispatch(s.Pool())
 }
 
 // drop removes a piece from the batcher's indexes, but not from its queue.
@@ -430,20 +430,20 @@
 	services := value.NewSet[ident.Service]()
 	for _, h := range handles {
 		if rv := b.releaseReservation(h); rv != nil {
-			services.Add(rv.service)
+			services.Add(rv.pool.Service)
 		}
 	}
 	for _, s := range services.Sorted() {
-		b.Dispatch(s)
+		b.DispatchService(s)
 	}
 }
 
 func (b *Batcher) cancelPieces(r message.StageRelease) {
-	q := b.queue(r.Service)
+	q := b.queue(r.Pool())
 	q.waiting = slices.DeleteFunc(q.waiting, func(p *piece) bool { return p.id.Request == r.Request })
 	for _, p := range slices.Clone(b.requests[r.Request]) {
 		// The origin releases the results that were reported to it.
-		if p.work.Service == r.Service {
+		if p.work.Pool() == r.Pool() {
 			b.drop(p)
 		}
 	}
@@ -489,23 +489,52 @@
 	b.config.Output.SendResults(p.work.origin, message.StageResults{Service: p.work.Service, Results: []message.PieceResult{{ID: p.id, Outcome: outcome, Handle: p.handle}}})
 }
 
-// Dispatch starts calls for a service while there are pieces and idle endpoints.
-func (b *Batcher) Dispatch(s ident.Service) {
-	q := b.queue(s)
-	profile := b.config.BatchProfile(s)
-	if profile == nil || len(q.waiting) == 0 || b.deferDispatch(s, q) {
+// DispatchService starts calls for the pools of a service that have waiting
+// pieces.
+func (b *Batcher) DispatchService(s ident.Service) {
+	for _, pool := range b.waitingPools() {
+		if pool.Service == s {
+			b.Dispatch(pool)
+		}
+	}
+}
+
+// DispatchAll starts calls for all pools that have waiting pieces.
+func (b *Batcher) DispatchAll() {
+	for _, pool := range b.waitingPools() {
+		b.Dispatch(pool)
+	}
+}
+
+// waitingPools returns the pools that have waiting pieces, in a fixed order.
+func (b *Batcher) waitingPools() []ident.Pool {
+	var pools []ident.Pool
+	for pool, q := range b.queues {
+		if len(q.waiting) > 0 {
+			pools = append(pools, pool)
+		}
+	}
+	slices.SortFunc(pools, ident.Pool.Compare)
+	return pools
+}
+
+// Dispatch starts calls for a pool while there are pieces and idle endpoints.
+func (b *Batcher) Dispatch(pool ident.Pool) {
+	q := b.queue(pool)
+	profile := b.config.BatchProfile(pool.Service)
+	if profile == nil || len(q.waiting) == 0 || b.deferDispatch(pool, q) {
 		return
 	}
-	b.orderWaiting(s, q, profile)
+	b.orderWaiting(pool, q, profile)
 	for len(q.waiting) > 0 {
-		idle, candidateCount := b.idleEndpoints(s, profile)
+		idle, candidateCount := b.idleEndpoints(pool, profile)
 		if len(idle) == 0 {
 			return
 		}
-		if b.shouldLinger(s, q, profile, len(idle), candidateCount) {
+		if b.shouldLinger(pool, q, profile, len(idle), candidateCount) {
 			return
 		}
-		if !b.formCall(s, q, profile, idle) {
+		if !b.formCall(pool, q, profile, idle) {
 			return
 		}
 	}
@@ -515,7 +544,7 @@
 // minOrderInterval ago, and schedules the next dispatch then. In a burst,
 // sorting would take most of the processing time, and waiting fills calls
 // better.
-func (b *Batcher) deferDispatch(s ident.Service, q *queue) bool {
+func (b *Batcher) deferDispatch(pool ident.Pool, q *queue) bool {
 	if q.orderTimer != nil {
 		return true
 	}
@@ -526,7 +555,7 @@
 	}
 	q.orderTimer = b.config.Timers.After(wait, func() {
 		q.orderTimer = nil
-		b.Dispatch(s)
+		b.Dispatch(pool)
 	})
 	return true
 }
--- a/kernel/batching/dispatch.go
+++ b/kernel/batching/dispatch.go
@@ -12,11 +12,20 @@
 	"anvilcross/kernel/value"
 )
 
+// candidates returns the endpoints of a pool that may get calls.
+func (b *Batcher) candidates(pool ident.Pool) []*endpoints.Endpoint {
+	candidates := b.config.Directory.Candidates(b.now(), pool.Service, nil)
+	if pool.DataCentre == "" {
+		return candidates
+	}
+	return slices.DeleteFunc(candidates, func(e *endpoints.Endpoint) bool { return e.DataCentre != pool.DataCentre })
+}
+
 // idleEndpoints returns the endpoints that can take a call now, and the number of
 // all candidates.
-func (b *Batcher) idleEndpoints(s ident.Service, profile *published.BatchProfile) ([]*endpoints.Endpoint, int) {
+func (b *Batcher) idleEndpoints(pool ident.Pool, profile *published.BatchProfile) ([]*endpoints.Endpoint, int) {
 	now := b.now()
-	candidates := b.config.Directory.Candidates(now, s, nil)
+	candidates := b.candidates(pool)
 	var idle []*endpoints.Endpoint
 	for _, e := range candidates {
 		es := b.endpointState(e.Name)
@@ -34,7 +43,7 @@
 // shouldLinger reports whether to wait for more pieces to fill a call, and
 // schedules the next dispatch then. Waiting pays when few endpoints are idle: a
 // small call would occupy one of them for the whole call overhead.
-func (b *Batcher) shouldLinger(s ident.Service, q *queue, profile *published.BatchProfile, idleCount, candidateCount int) bool {
+func (b *Batcher) shouldLinger(pool ident.Pool, q *queue, profile *published.BatchProfile, idleCount, candidateCount int) bool {
 	if 2*len(q.waiting) >= profile.MaxPiecesPerCall || 2*idleCount > candidateCount {
 		return false
 	}
@@ -51,7 +60,7 @@
 	if q.lingerTimer == nil {
 		q.lingerTimer = b.config.Timers.After(lingerLeft, func() {
 			q.lingerTimer = nil
-			b.Dispatch(s)
+			b.Dispatch(pool)
 		})
 	}
 	return true
@@ -59,7 +68,7 @@
 
 // formCall starts one call with the most urgent pieces that fit. It returns
 // false if no piece fits on any idle endpoint.
-func (b *Batcher) formCall(s ident.Service, q *queue, profile *published.BatchProfile, idle []*endpoints.Endpoint) bool {
+func (b *Batcher) formCall(pool ident.Pool, q *queue, profile *published.BatchProfile, idle []*endpoints.Endpoint) bool {
 	e := b.chooseEndpoint(q.waiting, profile, idle)
 	if e == nil {
 		return false
@@ -94,7 +103,7 @@
 		}
 	}
 	q.waiting = remaining
-	b.startCall(s, profile, e, es, pieces)
+	b.startCall(pool, e, es, pieces)
 	return true
 }
 
@@ -194,10 +203,11 @@
 	return false
 }
 
-func (b *Batcher) startCall(s ident.Service, profile *published.BatchProfile, e *endpoints.Endpoint, es *endpointState, pieces []*piece) {
+func (b *Batcher) startCall(pool ident.Pool, e *endpoints.Endpoint, es *endpointState, pieces []*piece) {
 	now := b.now()
 	b.lastCallID++
-	c := &call{id: b.lastCallID, service: s, endpoint: e.Name, address: e.Address, pieces: pieces, startedAt: now}
+	c := &call{id: b.lastCallID, pool: pool, endpoint: e.Name, address: e.Address, pieces: pieces, startedAt: now}
+	profile := b.config.BatchProfile(pool.Service)
 	c.expectedTime = profile.CallOverhead + time.Duration(len(pieces))*profile.TimePerPiece
 	items := make([]Item, len(pieces))
 	for i, p := range pieces {
@@ -207,11 +217,11 @@
 		es.reservedBytes += p.work.ResultBytes
 		items[i] = Item{ID: p.id, Remaining: p.work.deadline.Sub(now), PieceKey: p.work.PieceKey, Inputs: p.work.Inputs}
 	}
-	b.config.Output.LogEvent("stageCall", "call", c.id, "service", s, "endpoint", e.Name, "endpointCentre", e.DataCentre, "pieces", len(pieces), "waiting", len(b.queue(s).waiting), "booked", es.reservedBytes, "crossing", b.totalCrossDataCentreBytes(pieces, e.DataCentre), "oldest", now.Sub(pieces[0].submittedAt))
+	b.config.Output.LogEvent("stageCall", "call", c.id, "service", pool.Service, "endpoint", e.Name, "endpointCentre", e.DataCentre, "pieces", len(pieces), "waiting", len(b.queue(pool).waiting), "booked", es.reservedBytes, "crossing", b.totalCrossDataCentreBytes(pieces, e.DataCentre), "oldest", now.Sub(pieces[0].submittedAt))
 	es.runningCalls++
 	es.lastCallAt = now
 	b.calls[c.id] = c
-	b.recordStarted(b.queue(s), len(pieces))
+	b.recordStarted(b.queue(pool), len(pieces))
 	b.stats.Calls++
 	b.stats.Pieces += len(pieces)
 	overdueAfter := time.Duration(overdueFactor*float64(c.expectedTime)) + overdueSlack
@@ -253,7 +263,7 @@
 		es.unaccountedBytes = unaccounted
 		es.unaccountedUntil = b.now().Add(inspectInterval)
 	}
-	b.Dispatch(e.Service)
+	b.DispatchService(e.Service)
 }
 
 // notifyInputsFetched tells the origins of a running call's pieces that their
@@ -278,13 +288,13 @@
 // endpoint, and marks the endpoint as slow, so that it gets only probe calls.
 func (b *Batcher) handleOverdue(c *call) {
 	b.stats.Overdue++
-	b.config.Output.LogEvent("stageCallOverdue", "service", c.service, "endpoint", c.endpoint, "pieces", len(c.pieces), "expected", c.expectedTime)
+	b.config.Output.LogEvent("stageCallOverdue", "service", c.pool.Service, "endpoint", c.endpoint, "pieces", len(c.pieces), "expected", c.expectedTime)
 	es := b.endpointState(c.endpoint)
 	es.latencyRatio = max(es.latencyRatio, 2*slowLatencyRatio)
 	for _, p := range c.pieces {
 		b.requeue(p)
 	}
-	b.Dispatch(c.service)
+	b.Dispatch(c.pool)
 }
 
 // requeue puts a running piece back into the queue, unless it was cancelled.
@@ -299,7 +309,7 @@
 		return
 	}
 	p.state = pieceWaiting
-	q := b.queue(p.work.Service)
+	q := b.queue(p.work.Pool())
 	q.waiting = append(q.waiting, p)
 }
 
@@ -345,13 +355,13 @@
 		results[to].CapacityLow = capacityLow
 		b.config.Output.SendResults(to, *results[to])
 	}
-	b.Dispatch(c.service)
+	b.Dispatch(c.pool)
 }
 
 // isCapacityLow reports whether the endpoint of a call is short of result
 // capacity.
 func (b *Batcher) isCapacityLow(c *call) bool {
-	profile := b.config.BatchProfile(c.service)
+	profile := b.config.BatchProfile(c.pool.Service)
 	return profile != nil && float64(b.endpointState(c.endpoint).reservedBytes) > lowCapacityShare*float64(profile.ResultCapacityBytes)
 }
 
@@ -367,7 +377,7 @@
 			return
 		}
 		if p.state == pieceWaiting {
-			q := b.queue(c.service)
+			q := b.queue(p.work.Pool())
 			q.waiting = slices.DeleteFunc(q.waiting, func(o *piece) bool { return o == p })
 		}
 		p.state = pieceDone
@@ -403,7 +413,7 @@
 func addResult(results map[ident.Instance]*message.StageResults, p *piece, outcome message.PieceOutcome) {
 	r := results[p.work.origin]
 	if r == nil {
-		r = &message.StageResults{Service: p.work.Service}
+		r = &message.StageResults{Service: p.work.Service, PoolDataCentre: p.work.PoolDataCentre}
 		results[p.work.origin] = r
 	}
 	r.Results = append(r.Results, message.PieceResult{ID: p.id, Outcome: outcome, Handle: p.handle})
@@ -413,10 +423,10 @@
 // freed or expires.
 func (b *Batcher) reserve(c *call, p *piece, h message.ResultHandle) {
 	retention := time.Duration(0)
-	if profile := b.config.BatchProfile(c.service); profile != nil {
+	if profile := b.config.BatchProfile(c.pool.Service); profile != nil {
 		retention = profile.ResultRetention
 	}
-	rv := &reservation{service: c.service, bytes: p.work.ResultBytes, endpoint: c.endpoint, address: c.address}
+	rv := &reservation{pool: c.pool, bytes: p.work.ResultBytes, endpoint: c.endpoint, address: c.address}
 	b.endpointState(c.endpoint).reservedBytes += rv.bytes
 	b.reservations[h] = rv
 	rv.expiryTimer = b.config.Timers.After(retention+retentionMargin, func() {
@@ -424,7 +434,7 @@
 		if b.pieces[p.id] == p && p.handle == h {
 			b.drop(p)
 		}
-		b.Dispatch(c.service)
+		b.Dispatch(c.pool)
 	})
 }
 
@@ -439,12 +449,12 @@
 	now := b.now()
 	es := b.endpointState(c.endpoint)
 	e := b.config.Directory.Lookup(c.endpoint)
-	b.config.Output.LogEvent("stageCallFailed", "service", c.service, "endpoint", c.endpoint, "pieces", len(c.pieces), "failure", f, "detail", detail, "after", now.Sub(c.startedAt))
+	b.config.Output.LogEvent("stageCallFailed", "service", c.pool.Service, "endpoint", c.endpoint, "pieces", len(c.pieces), "failure", f, "detail", detail, "after", now.Sub(c.startedAt))
 	switch f {
 	case Declined:
 		b.stats.Declined++
 		es.pausedUntil = now.Add(declinedBackoff)
-		b.config.Timers.After(declinedBackoff, func() { b.Dispatch(c.service) })
+		b.config.Timers.After(declinedBackoff, func() { b.Dispatch(c.pool) })
 	case NotSent, Broken, Replaced:
 		b.stats.Broken++
 		if e != nil {
@@ -453,7 +463,7 @@
 			} else {
 				e.MarkUnreachable(now)
 			}
-			b.config.Timers.After(endpoints.BaseEjectionTime, func() { b.Dispatch(c.service) })
+			b.config.Timers.After(endpoints.BaseEjectionTime, func() { b.Dispatch(c.pool) })
 		}
 	}
 	for _, p := range c.pieces {
@@ -462,5 +472,5 @@
 		}
 		b.requeue(p)
 	}
-	b.Dispatch(c.service)
+	b.Dispatch(c.pool)
 }
--- a/kernel/batching/handover.go
+++ b/kernel/batching/handover.go
@@ -1,6 +1,7 @@
 package batching
 
 import (
+	"slices"
 	"time"
 
 	"anvilcross/kernel/ident"
@@ -8,10 +9,10 @@
 	"anvilcross/kernel/value"
 )
 
-// HandOver returns the waiting pieces of a service to their origins, because
+// HandOver returns the waiting pieces of a pool to their origins, because
 // another instance is its batcher now. Running calls are finished here.
-func (b *Batcher) HandOver(s ident.Service) {
-	q := b.queue(s)
+func (b *Batcher) HandOver(pool ident.Pool) {
+	q := b.queue(pool)
 	results := map[ident.Instance]*message.StageResults{}
 	for _, p := range q.waiting {
 		b.drop(p)
@@ -23,11 +24,21 @@
 	}
 }
 
-// ReservedBytes returns the result capacity reserved at each of a service's
+// Holds reports whether the batcher has any of the given pieces.
+func (b *Batcher) Holds(s message.StageWork) bool {
+	return slices.ContainsFunc(s.Pieces, func(piece int) bool {
+		return b.pieces[message.PieceID{Request: s.Request, Stage: s.Stage, Piece: piece}] != nil
+	})
+}
+
+// ReservedBytes returns the result capacity reserved at each of a pool's
 // endpoints, in bytes. Endpoints without reservations are left out.
-func (b *Batcher) ReservedBytes(s ident.Service) map[ident.Endpoint]int {
+func (b *Batcher) ReservedBytes(pool ident.Pool) map[ident.Endpoint]int {
 	reserved := map[ident.Endpoint]int{}
-	for _, e := range b.config.Directory.ByService(s) {
+	for _, e := range b.config.Directory.ByService(pool.Service) {
+		if pool.DataCentre != "" && e.DataCentre != pool.DataCentre {
+			continue
+		}
 		if es := b.endpointStates[e.Name]; es != nil && es.reservedBytes > 0 {
 			reserved[e.Name] = es.reservedBytes
 		}
--- a/kernel/batching/load_test.go
+++ b/kernel/batching/load_test.go
@@ -37,6 +37,9 @@
 	onRefused func(ident.RequestID, time.Duration)
 }
 
+// registryPool is the pool of all simulated endpoints.
+var registryPool = ident.Pool{Service: "registry"}
+
 var simulationStart = time.Unix(1_700_000_000, 0)
 
 func newSimulation(t *testing.T, count int) *simulation {
@@ -61,7 +64,7 @@
 		Timers:       s.timers,
 		Directory:    s.directory,
 		BatchProfile: func(ident.Service) *published.BatchProfile { return &s.profile },
-		QueueWait:    func(ident.Service) time.Duration { return s.downstreamWait },
+		QueueWait:    func(ident.Pool) time.Duration { return s.downstreamWait },
 		Output: Output{
 			StartCall:         s.run,
 			FreeResults:       func(string, []message.ResultHandle) {},
@@ -71,7 +74,7 @@
 			LogEvent:          func(string, ...any) {},
 		},
 	})
-	s.timers.Every(50*time.Millisecond, func() { s.batcher.Dispatch("registry") })
+	s.timers.Every(50*time.Millisecond, func() { s.batcher.Dispatch(registryPool) })
 	return s
 }
 
@@ -338,8 +341,8 @@
 		s.submit(ident.RequestID(fmt.Sprint(n)), urgent(1))
 	}
 	s.advance(100 * time.Millisecond)
-	waitingCount := s.batcher.WaitingCount("registry")
-	s.batcher.HandOver("registry")
+	waitingCount := s.batcher.WaitingCount(registryPool)
+	s.batcher.HandOver(registryPool)
 	if movedCount == 0 || movedCount != waitingCount {
 		t.Fatalf("%d pieces were returned, want all %d that waited", movedCount, waitingCount)
 	}
--- a/kernel/batching/order.go
+++ b/kernel/batching/order.go
@@ -44,16 +44,17 @@
 
 // mustHold reports whether a downstream stage of the piece is congested: the
 // result would only take up capacity and expire.
-func (b *Batcher) mustHold(p *piece, queueWaits map[ident.Service]time.Duration) bool {
+func (b *Batcher) mustHold(p *piece, queueWaits map[ident.Pool]time.Duration) bool {
 	maxWait := maxDownstreamWait + time.Duration(p.work.Weight*float64(extraDownstreamWait))
 	if p.late {
 		maxWait = maxLateDownstreamWait
 	}
 	for _, s := range p.work.DownstreamServices {
-		wait, known := queueWaits[s]
+		downstream := ident.Pool{Service: s, DataCentre: p.work.PoolDataCentre}
+		wait, known := queueWaits[downstream]
 		if !known {
-			wait = b.config.QueueWait(s)
-			queueWaits[s] = wait
+			wait = b.config.QueueWait(downstream)
+			queueWaits[downstream] = wait
 		}
 		if wait > maxWait {
 			return true
@@ -63,9 +64,9 @@
 }
 
 // EstimateQueueWait estimates how long a new piece waits in the queue of a
-// service that this instance batches for.
-func (b *Batcher) EstimateQueueWait(s ident.Service) time.Duration {
-	q, profile := b.queue(s), b.config.BatchProfile(s)
+// pool that this instance batches for.
+func (b *Batcher) EstimateQueueWait(pool ident.Pool) time.Duration {
+	q, profile := b.queue(pool), b.config.BatchProfile(pool.Service)
 	if profile == nil || len(q.waiting) == 0 {
 		return 0
 	}
@@ -75,7 +76,7 @@
 			eligible++
 		}
 	}
-	t := b.estimateCompletion(s, profile)
+	t := b.estimateCompletion(pool, profile)
 	queueWait := t.timeToFinish(eligible+1) - profile.CallOverhead
 	if rate := b.startRate(q); rate > 0 {
 		queueWait = max(queueWait, time.Duration(float64(eligible)/rate*float64(time.Second)))
@@ -114,11 +115,11 @@
 // of the lowest weight so far is moved to the end (the Moore-Hodgson algorithm).
 // It first drops expired pieces, and at the end refuses requests whose
 // pieces would not be done soon enough.
-func (b *Batcher) orderWaiting(s ident.Service, q *queue, profile *published.BatchProfile) {
+func (b *Batcher) orderWaiting(pool ident.Pool, q *queue, profile *published.BatchProfile) {
 	now := b.now()
 	b.dropExpired(q, now)
-	estimate := b.estimateCompletion(s, profile)
-	queueWaits := map[ident.Service]time.Duration{}
+	estimate := b.estimateCompletion(pool, profile)
+	queueWaits := map[ident.Pool]time.Duration{}
 	// withTarget holds the pieces that have a target and are not held back: those
 	// that are not late, and late ones with prior work. missesTarget holds the
 	// late pieces without prior work, which have no target, and further below the
@@ -162,7 +163,7 @@
 	for i, p := range missesTarget {
 		p.rank = missedTargetRank + time.Duration(i)*time.Millisecond
 	}
-	b.refuseMissed(s, q, missesTarget, len(meetsTarget), estimate)
+	b.refuseMissed(pool, q, missesTarget, len(meetsTarget), estimate)
 	slices.SortStableFunc(q.waiting, func(x, y *piece) int { return cmp.Compare(x.rank, y.rank) })
 }
 
@@ -171,7 +172,7 @@
 // missesTarget that would not be done within maxMissedCompletionTime or early
 // enough for the calls of downstream stages before the deadline, and late ones
 // that are held back.
-func (b *Batcher) refuseMissed(s ident.Service, q *queue, missesTarget []*piece, meetsTargetCount int, t completionEstimate) {
+func (b *Batcher) refuseMissed(pool ident.Pool, q *queue, missesTarget []*piece, meetsTargetCount int, t completionEstimate) {
 	now := b.now()
 	refused := value.NewSet[ident.RequestID]()
 	retryAfter := minBurstRetryAfter
@@ -209,7 +210,7 @@
 	for _, to := range value.SortedKeys(results) {
 		b.config.Output.SendResults(to, *results[to])
 	}
-	b.config.Output.LogEvent("piecesRefused", "service", s, "requests", len(refused), "timely", meetsTargetCount, "late", len(missesTarget), "retryAfter", retryAfter)
+	b.config.Output.LogEvent("piecesRefused", "service", pool.Service, "poolCentre", pool.DataCentre, "requests", len(refused), "timely", meetsTargetCount, "late", len(missesTarget), "retryAfter", retryAfter)
 }
 
 // retryOffset returns the extra delay for the retry of a refused request. It is
@@ -272,14 +273,14 @@
 	fullCallTime time.Duration
 }
 
-func (b *Batcher) estimateCompletion(s ident.Service, profile *published.BatchProfile) completionEstimate {
+func (b *Batcher) estimateCompletion(pool ident.Pool, profile *published.BatchProfile) completionEstimate {
 	now := b.now()
 	t := completionEstimate{piecesPerCall: max(profile.MaxPiecesPerCall, 1), fullCallTime: profile.CallOverhead + time.Duration(profile.MaxPiecesPerCall)*profile.TimePerPiece}
 	busyFor := map[ident.Endpoint]time.Duration{}
 	for _, c := range b.calls {
 		busyFor[c.endpoint] = max(busyFor[c.endpoint], c.startedAt.Add(c.expectedTime).Sub(now), 0)
 	}
-	for _, e := range b.config.Directory.Candidates(now, s, nil) {
+	for _, e := range b.candidates(pool) {
 		if b.endpointState(e.Name).latencyRatio <= slowLatencyRatio {
 			t.freeIn = append(t.freeIn, busyFor[e.Name])
 		}
--- a/kernel/endpoints/endpoints.go
+++ b/kernel/endpoints/endpoints.go
@@ -6,6 +6,7 @@
 package endpoints
 
 import (
+	"slices"
 	"time"
 
 	"anvilcross/kernel/ident"
@@ -94,6 +95,9 @@
 	byService map[ident.Service][]*Endpoint
 	byAddress map[string]*Endpoint
 	inOutage  bool
+	// partitioned holds the data centres that this instance can probably not
+	// reach.
+	partitioned value.Set[ident.DataCentre]
 	// graceEnd is when endpoints whose listings expired during the last
 	// platform outage that this instance observed have to be listed again; zero
 	// if there was no outage.
@@ -186,13 +190,14 @@
 		return nil
 	}
 	var purged []ident.Endpoint
-	for _, name := range value.SortedKeys(d.byName) {
-		if e := d.byName[name]; !e.unconfirmedRemovalAt.IsZero() {
+	for name, e := range d.byName {
+		if !e.unconfirmedRemovalAt.IsZero() {
 			delete(d.byName, name)
 			purged = append(purged, name)
 		}
 	}
 	if len(purged) > 0 {
+		slices.Sort(purged)
 		d.rebuildIndexes()
 	}
 	return purged
@@ -222,24 +227,34 @@
 
 // Candidates returns the endpoints of a service that may get new work: those that
 // are not leaving, excluded or ejected. Endpoints that only other instances could
-// not reach are returned if there are no others.
+// not reach, or that are in a partitioned data centre, are returned if there are
+// no others.
 func (d *Directory) Candidates(now time.Time, s ident.Service, excluded value.Set[ident.Endpoint]) []*Endpoint {
-	var usable, peerReported []*Endpoint
+	var usable, doubtful []*Endpoint
 	for _, e := range d.byService[s] {
 		switch {
 		case e.Leaving || excluded.Has(e.Name) || now.Before(e.ejectedUntil):
-		case now.Before(e.peerReportUntil):
-			peerReported = append(peerReported, e)
+		case now.Before(e.peerReportUntil) || d.partitioned.Has(e.DataCentre):
+			doubtful = append(doubtful, e)
 		default:
 			usable = append(usable, e)
 		}
 	}
 	if len(usable) == 0 {
-		return peerReported
+		return doubtful
 	}
 	return usable
 }
 
+// SetPartitioned sets the data centres that this instance can probably not
+// reach.
+func (d *Directory) SetPartitioned(dataCentres value.Set[ident.DataCentre]) {
+	d.partitioned = dataCentres
+}
+
+// InPartition reports whether an endpoint is in a partitioned data centre.
+func (d *Directory) InPartition(e *Endpoint) bool { return d.partitioned.Has(e.DataCentre) }
+
 // Ejected reports whether the endpoint gets no work because this or another
 // instance recently failed to reach it.
 func (e *Endpoint) Ejected(now time.Time) bool {
--- a/kernel/gateway/choose.go
+++ b/kernel/gateway/choose.go
@@ -98,22 +98,6 @@
 	return weights
 }
 
-// chooseStageDataCentre returns the data centre in which a request's stages
-// should run: that of the affinity endpoint of its prompt. It is empty if there
-// is no preference.
-func (g *Gateway) chooseStageDataCentre(r *request) ident.DataCentre {
-	if !r.route.CarriesPrompts {
-		return ""
-	}
-	prefix, _ := r.sharedPrefix()
-	candidates := g.directory.Candidates(g.now(), r.service, nil)
-	affinity, _ := affinityEndpoints(prefix, candidates, g.dataCentreWeights(r, candidates))
-	if affinity == nil {
-		return ""
-	}
-	return affinity.DataCentre
-}
-
 // chooseEndpoint returns the candidate endpoint with the lowest cost for a
 // request, or nil if there is none.
 func (g *Gateway) chooseEndpoint(r *request) *endpoints.Endpoint {
--- a/kernel/gateway/fleet_test.go
+++ b/kernel/gateway/fleet_test.go
@@ -40,38 +40,70 @@
 	// measuring is set while the bytes sent are counted.
 	measuring bool
 	calls     map[ident.Instance]int
+	// cutOff is the data centre that is partitioned from the others; empty if none is.
+	cutOff ident.DataCentre
+	// nextStep and startCall carry out the gateways' effects.
+	nextStep  func(ident.Instance, RequestHandle, Step)
+	startCall func(ident.Instance, batching.Call)
 }
 
 // newTestFleet starts the given numbers of instances with a strong link
 // (capacity 4) and with a weak one (capacity 1), spread over three data
 // centres.
 func newTestFleet(t *testing.T, strong, weak int) *testFleet {
+	t.Helper()
+	f := startTestFleet(t, strong, weak, []ident.DataCentre{"east", "west", "north"})
+	records := []replica.Record{testRecord(t, "catalog", 1, testCatalog(1))}
+	for _, s := range []ident.Service{"orders", "models", "registry", "planning"} {
+		for n := range 3 {
+			l := testListing(s, n)
+			records = append(records, testRecord(t, string(l.Name), 1, l))
+		}
+	}
+	f.publish(records)
+	return f
+}
+
+// publish gives all instances the platform's records.
+func (f *testFleet) publish(records []replica.Record) {
+	for _, name := range f.names {
+		f.gateways[name].HandleFullList(records, 1)
+	}
+}
+
+// centreOf returns the data centre of an instance.
+func (f *testFleet) centreOf(name ident.Instance) ident.DataCentre {
+	if g := f.gateways[name]; g != nil {
+		return g.config.Self.DataCentre
+	}
+	return ""
+}
+
+// partitioned reports whether two data centres are cut off from each other.
+func (f *testFleet) partitioned(x, y ident.DataCentre) bool {
+	return f.cutOff != "" && x != y && (x == f.cutOff || y == f.cutOff)
+}
+
+// startTestFleet starts instances without a configuration, spread over the given
+// data centres.
+func startTestFleet(t *testing.T, strong, weak int, centres []ident.DataCentre) *testFleet {
 	t.Helper()
 	f := &testFleet{t: t, timers: timer.NewScheduler(timer.Config{Start: testStart}), gateways: map[ident.Instance]*Gateway{}, byAddress: map[string]ident.Instance{}, down: map[ident.Instance]bool{}, sent: map[ident.Instance]int{}, received: map[ident.Instance]int{}, calls: map[ident.Instance]int{}}
-	centres := []ident.DataCentre{"east", "west", "north"}
+	f.nextStep = func(ident.Instance, RequestHandle, Step) {}
+	f.startCall = func(name ident.Instance, _ batching.Call) { f.calls[name]++ }
 	for n := range strong + weak {
 		name := ident.Instance(fmt.Sprintf("weak-%03d", n))
 		capacity := 1.0
 		if n < strong {
 			name, capacity = ident.Instance(fmt.Sprintf("strong-%03d", n)), 4.0
 		}
-		m := membership.Member{Name: name, Address: string(name) + ":1", DataCentre: centres[n%3], Incarnation: 1, Capacity: capacity}
+		m := membership.Member{Name: name, Address: string(name) + ":1", DataCentre: centres[n%len(centres)], Incarnation: 1, Capacity: capacity}
 		f.names = append(f.names, name)
 		f.byAddress[m.Address] = name
 		f.gateways[name] = f.newGateway(m, uint64(n))
 		// Instances do not start at exactly the same time.
 		f.advance(time.Millisecond)
 	}
-	records := []replica.Record{testRecord(t, "catalog", 1, testCatalog(1))}
-	for _, s := range []ident.Service{"orders", "models", "registry", "planning"} {
-		for n := range 3 {
-			l := testListing(s, n)
-			records = append(records, testRecord(t, string(l.Name), 1, l))
-		}
-	}
-	for _, name := range f.names {
-		f.gateways[name].HandleFullList(records, 1)
-	}
 	return f
 }
 
@@ -84,11 +116,11 @@
 		Timers:       f.timers,
 		DecodeRecord: decodeTestRecord,
 		Output: Output{
-			NextStep:        func(RequestHandle, Step) {},
+			NextStep:        func(h RequestHandle, s Step) { f.nextStep(m.Name, h, s) },
 			CancelAttempt:   func(RequestHandle) {},
 			SendToPeer:      func(to membership.PeerAddress, e message.Envelope) { f.send(m.Name, f.byAddress[to.Address], e) },
 			LogEvent:        func(string, ...any) {},
-			StartCall:       func(batching.Call) { f.calls[m.Name]++ },
+			StartCall:       func(c batching.Call) { f.startCall(m.Name, c) },
 			InspectEndpoint: func(ident.Endpoint, string) {},
 			FreeResults:     func(string, []message.ResultHandle) {},
 		},
@@ -102,7 +134,7 @@
 		return
 	}
 	f.sent[from] += f.messageBytes(e)
-	if f.down[to] || f.gateways[to] == nil {
+	if f.down[to] || f.gateways[to] == nil || f.partitioned(f.centreOf(from), f.centreOf(to)) {
 		f.timers.After(linkTimeout, func() { f.gateways[from].HandlePeerFailure(to, "silent") })
 		return
 	}
@@ -150,7 +182,7 @@
 	views := map[ident.Instance]int{}
 	for _, name := range f.names {
 		if !f.down[name] {
-			views[f.gateways[name].batcherOf(s)]++
+			views[f.gateways[name].batcherOf(ident.Pool{Service: s})]++
 		}
 	}
 	return views
--- a/kernel/gateway/gateway.go
+++ b/kernel/gateway/gateway.go
@@ -125,15 +125,22 @@
 	// cachedPong is the latest answer to a ping; it is reused for pongCacheTTL.
 	cachedPong   *message.Ping
 	cachedPongAt time.Time
-	// batcherCache holds the instance that batches for a service. It is cleared
+	// batcherCache holds the instance that batches for a pool. It is cleared
 	// on each tick and when one of its inputs changes.
-	batcherCache map[ident.Service]ident.Instance
+	batcherCache map[ident.Pool]ident.Instance
+	// redirects holds the batchers that other instances named for pools.
+	redirects map[ident.Pool]redirect
+	// partitioned holds the data centres that this instance can probably not
+	// reach.
+	partitioned value.Set[ident.DataCentre]
+	// poolCache holds the division into pools; nil when it has to be computed.
+	poolCache *poolMap
 	// laggingPeers holds the members that lack records this instance has.
 	laggingPeers map[ident.Instance]peerLag
-	// batchingSince holds the services that this instance batches for, and
+	// batchingSince holds the pools that this instance batches for, and
 	// batcherStatuses what other members last reported of theirs.
-	batchingSince   map[ident.Service]time.Time
-	batcherStatuses map[ident.Instance]map[ident.Service]receivedStatus
+	batchingSince   map[ident.Pool]time.Time
+	batcherStatuses map[ident.Instance]map[ident.Pool]receivedStatus
 	startedAt       time.Time
 	// platformContacts holds when each instance last read from the platform.
 	platformContacts map[ident.Instance]platformContact
@@ -148,7 +155,7 @@
 // results to compute again.
 type Counters struct {
 	Arrived, Relayed, Retried, Resumed, CallersLeft, TimedOut, Refused, MayHaveRun int
-	PiecesResubmitted, PiecesMoved, Recomputes, RecordsRejected                    int
+	PiecesResubmitted, PiecesMoved, PiecesRedirected, Recomputes, RecordsRejected  int
 }
 
 // NewGateway returns a gateway without a configuration and starts its timers.
@@ -165,12 +172,14 @@
 		longestTimeout:   map[published.RouteName]time.Duration{},
 		requestsByID:     map[ident.RequestID]*request{},
 		peerRequests:     map[ident.Instance]map[ident.Endpoint]int{},
-		batchingSince:    map[ident.Service]time.Time{},
-		batcherStatuses:  map[ident.Instance]map[ident.Service]receivedStatus{},
+		batchingSince:    map[ident.Pool]time.Time{},
+		batcherStatuses:  map[ident.Instance]map[ident.Pool]receivedStatus{},
 		startedAt:        c.Timers.Now(),
 		platformContacts: map[ident.Instance]platformContact{},
-		batcherCache:     map[ident.Service]ident.Instance{},
+		batcherCache:     map[ident.Pool]ident.Instance{},
 		laggingPeers:     map[ident.Instance]peerLag{},
+		redirects:        map[ident.Pool]redirect{},
+		partitioned:      value.NewSet[ident.DataCentre](),
 	}
 	g.retryBudget = newRetryBudget(c.Retry)
 	g.crashes = newCrashTracker()
@@ -279,13 +288,11 @@
 	if g.catalog == nil {
 		return
 	}
+	g.poolCache = nil
 	clear(g.batcherCache)
+	g.updatePartitions(now)
 	g.updatePeerRequests(now)
-	for _, s := range value.SortedKeys(g.catalog.Services) {
-		if g.batcher.WaitingCount(s) > 0 {
-			g.batcher.Dispatch(s)
-		}
-	}
+	g.batcher.DispatchAll()
 	g.updateBatchingClaims(now)
 	g.resubmitLostPieces(now)
 	g.crashes.expireBrokenExchanges(now)
@@ -335,8 +342,9 @@
 			g.directory.Remove(g.now(), decoded.Endpoint, unconfirmed)
 		}
 	}
+	g.poolCache = nil
 	for _, s := range changedServices.Sorted() {
-		g.batcher.Dispatch(s)
+		g.batcher.DispatchService(s)
 	}
 }
 
--- a/kernel/gateway/peers.go
+++ b/kernel/gateway/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -98,6 +99,7 @@
 		OwnRequests:         g.countOwnRequests(),
 		BatcherStatuses:     g.ownBatcherStatus(now),
 		RecentlyUnreachable: g.directory.RecentlyUnreachable(now),
+		LostDataCentres:     g.members.NoticedPartitions(),
 	}
 }
 
@@ -131,7 +133,7 @@
 	case m.Records != nil:
 		g.handleRecords(m.From, *m.Records)
 	case m.StageWork != nil:
-		g.batcher.Submit(m.From, *m.StageWork)
+		g.handleStageWork(m.From, *m.StageWork)
 	case m.StageResults != nil:
 		g.handleResults(*m.StageResults)
 	case m.StageReservations != nil:
@@ -149,6 +151,8 @@
 	if g.members.RecordPing(now, p.Member, p.Leaving) {
 		g.out.LogEvent("memberReached", "member", p.Member.Name, "memberCentre", p.Member.DataCentre, "incarnation", p.Member.Incarnation)
 	}
+	g.members.RecordPartitions(now, p.Member, p.LostDataCentres)
+	g.updatePartitions(now)
 	g.members.MergeGossip(now, p.Members)
 	g.peerRequests[p.Member.Name] = p.OwnRequests
 	if p.FleetRequests != nil {
@@ -172,10 +176,49 @@
 	}
 	g.members.MarkUnreachable(g.now(), name)
 	delete(g.peerRequests, name)
+	g.updatePartitions(g.now())
 	clear(g.batcherCache)
 	g.resubmitLostPieces(g.now())
 }
 
+// updatePartitions passes on which data centres cannot be reached, and logs
+// changes.
+func (g *Gateway) updatePartitions(now time.Time) {
+	partitioned := g.members.PartitionedDataCentres(now)
+	if maps.Equal(partitioned, g.partitioned) {
+		return
+	}
+	for _, dataCentre := range partitioned.Sorted() {
+		if !g.partitioned.Has(dataCentre) {
+			g.out.LogEvent("dataCentreLost", "centre", dataCentre)
+		}
+	}
+	for _, dataCentre := range g.partitioned.Sorted() {
+		if !partitioned.Has(dataCentre) {
+			g.out.LogEvent("dataCentreReached", "centre", dataCentre)
+		}
+	}
+	g.partitioned = partitioned
+	g.directory.SetPartitioned(partitioned)
+	clear(g.batcherCache)
+	if g.members.InCore(now, g.config.Self.Name) {
+		g.announcePartitions(now)
+	}
+}
+
+// announcePartitions pings the members of the own data centre, so that they know
+// at once which other data centres cannot be reached. Core members ping and are
+// pinged more often than others, so they notice it first.
+func (g *Gateway) announcePartitions(now time.Time) {
+	g.cachedPong = nil
+	p := g.newPing(now)
+	for _, name := range g.members.RankedLocalMembers(now, "partition") {
+		if name != g.config.Self.Name {
+			g.sendToMember(name, message.Envelope{Ping: &p})
+		}
+	}
+}
+
 // countOwnRequests counts the requests that this instance has running at each
 // endpoint.
 func (g *Gateway) countOwnRequests() map[ident.Endpoint]int {
--- /dev/null
+++ b/kernel/gateway/pools.go
@@ -0,0 +1,176 @@
+package gateway
+
+import (
+	"slices"
+	"time"
+
+	"anvilcross/kernel/ident"
+	"anvilcross/kernel/published"
+	"anvilcross/kernel/value"
+)
+
+const (
+	// minPoolEndpoints is the average number of endpoints that a service must
+	// have in each data centre for the fleet to be divided into pools. Fewer fill
+	// their calls less evenly than those of all data centres together.
+	minPoolEndpoints = 5.5
+	// awayPenalty is the queue wait that is accepted in a request's home data
+	// centre: elsewhere, its shared prompt part is read again, and its results
+	// may cross data centres.
+	awayPenalty = 250 * time.Millisecond
+	// sampledCentres is the number of other data centres that are compared with
+	// the home. Instances hear of queue waits with a delay, so if all chose the
+	// shortest queue, they would overload it together.
+	sampledCentres = 2
+)
+
+// poolMap holds the stage endpoints that are listed, by service and data centre.
+type poolMap struct {
+	// divided is set if each data centre's endpoints form a pool of their own.
+	divided bool
+	counts  map[ident.Service]map[ident.DataCentre]int
+}
+
+// pools returns the division of the stage endpoints into pools. It is computed
+// from the published configuration and listings only, so that instances agree.
+func (g *Gateway) pools() *poolMap {
+	if g.poolCache == nil {
+		g.poolCache = g.computePools()
+	}
+	return g.poolCache
+}
+
+func (g *Gateway) computePools() *poolMap {
+	p := &poolMap{counts: map[ident.Service]map[ident.DataCentre]int{}}
+	if g.catalog == nil {
+		return p
+	}
+	fewest := 0.0
+	for _, s := range value.SortedKeys(g.catalog.Services) {
+		if g.batchProfile(s) == nil {
+			continue
+		}
+		counts := map[ident.DataCentre]int{}
+		total := 0
+		for _, e := range g.directory.ByService(s) {
+			counts[e.DataCentre]++
+			total++
+		}
+		average := float64(total) / float64(max(len(counts), 1))
+		if len(p.counts) == 0 || average < fewest {
+			fewest = average
+		}
+		p.counts[s] = counts
+	}
+	p.divided = fewest >= minPoolEndpoints
+	return p
+}
+
+// list returns all pools in a fixed order.
+func (p *poolMap) list() []ident.Pool {
+	var pools []ident.Pool
+	for s, counts := range p.counts {
+		if !p.divided {
+			pools = append(pools, ident.Pool{Service: s})
+			continue
+		}
+		for dataCentre := range counts {
+			pools = append(pools, ident.Pool{Service: s, DataCentre: dataCentre})
+		}
+	}
+	slices.SortFunc(pools, ident.Pool.Compare)
+	return pools
+}
+
+// poolOf returns the pool that computes a service's pieces for requests whose
+// stages run in a data centre.
+func (g *Gateway) poolOf(s ident.Service, dataCentre ident.DataCentre) ident.Pool {
+	if !g.pools().divided {
+		return ident.Pool{Service: s}
+	}
+	return ident.Pool{Service: s, DataCentre: dataCentre}
+}
+
+// stageServices returns the services of a request's stages with pieces.
+func (r *request) stageServices() []ident.Service {
+	services := value.NewSet[ident.Service]()
+	for i := range r.stages {
+		if r.stages[i].pieceCount > 0 {
+			services.Add(r.stages[i].stage.Service)
+		}
+	}
+	return services.Sorted()
+}
+
+// servingCentres returns the data centres that can run all stages of a request
+// and whose batchers are alive.
+func (g *Gateway) servingCentres(services []ident.Service) []ident.DataCentre {
+	centres := value.NewSet[ident.DataCentre]()
+	for dataCentre := range g.pools().counts[services[0]] {
+		serves := !slices.ContainsFunc(services, func(s ident.Service) bool {
+			return g.pools().counts[s][dataCentre] == 0 || g.batcherOf(g.poolOf(s, dataCentre)) == ""
+		})
+		if serves {
+			centres.Add(dataCentre)
+		}
+	}
+	return centres.Sorted()
+}
+
+// chooseStageDataCentre returns the data centre in which a request's stages
+// should run: that of the affinity endpoint of its prompt, its home. It is empty
+// if there is no preference. If each data centre has its own pools, it may be
+// another one that is less busy, and is empty only if none can run the stages.
+func (g *Gateway) chooseStageDataCentre(r *request) ident.DataCentre {
+	home := g.homeDataCentre(r)
+	services := r.stageServices()
+	if !g.pools().divided || len(services) == 0 {
+		return home
+	}
+	serving := g.servingCentres(services)
+	best, bestWait := ident.DataCentre(""), time.Duration(0)
+	consider := func(dataCentre ident.DataCentre, penalty time.Duration) {
+		wait := penalty
+		for _, s := range services {
+			wait += g.queueWait(g.poolOf(s, dataCentre))
+		}
+		if best == "" || wait < bestWait {
+			best, bestWait = dataCentre, wait
+		}
+	}
+	if at := slices.Index(serving, home); at >= 0 {
+		consider(home, 0)
+		serving = slices.Delete(serving, at, at+1)
+	}
+	for range min(sampledCentres, len(serving)) {
+		at := g.random.IntN(len(serving))
+		consider(serving[at], awayPenalty)
+		serving = slices.Delete(serving, at, at+1)
+	}
+	return best
+}
+
+// homeDataCentre returns the data centre of the affinity endpoint of a request's
+// prompt, or else that of this instance if pools are divided.
+func (g *Gateway) homeDataCentre(r *request) ident.DataCentre {
+	if r.route.CarriesPrompts {
+		prefix, _ := r.sharedPrefix()
+		candidates := g.directory.Candidates(g.now(), r.service, nil)
+		if affinity, _ := affinityEndpoints(prefix, candidates, g.dataCentreWeights(r, candidates)); affinity != nil {
+			return affinity.DataCentre
+		}
+	}
+	if g.pools().divided {
+		return g.config.Self.DataCentre
+	}
+	return ""
+}
+
+// batchProfile returns the batching parameters of a service's endpoints, or nil
+// if the service is unknown or has no stage endpoints.
+func (g *Gateway) batchProfile(s ident.Service) *published.BatchProfile {
+	if g.catalog == nil || g.catalog.Services[s] == nil {
+		return nil
+	}
+	return g.catalog.Services[s].BatchProfile
+}
--- a/kernel/gateway/request.go
+++ b/kernel/gateway/request.go
@@ -143,7 +143,9 @@
 	// recompute is set if results were lost that the batcher may still take for
 	// existing.
 	recompute bool
-	// batcher and batcherIncarnation name the process that has the pieces.
+	// pool is where the pieces were last submitted; batcher and
+	// batcherIncarnation name the process that has them.
+	pool               ident.Pool
 	batcher            ident.Instance
 	batcherIncarnation ident.Incarnation
 	submittedAt        time.Time
@@ -239,6 +241,10 @@
 	g.retryBudget.countRequest(now, r.service)
 	g.out.LogEvent("arrived", "request", incoming.ID, "route", r.route.Name, "workspace", r.workspaceName(), "service", r.service, "version", g.catalog.Version, "patience", timeout, "pieces", incoming.PieceCounts)
 	g.setUpStages(r)
+	if len(r.stageServices()) > 0 && g.pools().divided && r.preferredDataCentre == "" {
+		g.answer(r, NotRun, busyRetryAfter, "no data centre within reach can run the stages")
+		return
+	}
 	if need := g.minStageTime(r); need > r.abandonAt.Sub(now) {
 		g.answer(r, NotRun, 0, "the stages take longer than the caller waits")
 		return
--- a/kernel/gateway/stage_test.go
+++ b/kernel/gateway/stage_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"anvilcross/kernel/batching"
+	"anvilcross/kernel/ident"
 	"anvilcross/kernel/membership"
 	"anvilcross/kernel/message"
 )
@@ -137,7 +138,7 @@
 		tg.gateway.recomputeResults(r, []int{0})
 		tg.peers = nil
 		r.stages[0].batcher, r.stages[0].submitted = "two", false
-		tg.gateway.batcherCache["registry"] = "two"
+		tg.gateway.batcherCache[ident.Pool{Service: "registry"}] = "two"
 		tg.gateway.advance(r)
 		for _, p := range tg.peers {
 			if p.message.StageWork != nil {
--- a/kernel/gateway/stages.go
+++ b/kernel/gateway/stages.go
@@ -181,7 +181,8 @@
 	now := g.now()
 	s.submitted = true
 	s.submittedAt = now
-	s.batcher = g.batcherOf(s.stage.Service)
+	s.pool = g.poolOf(s.stage.Service, r.preferredDataCentre)
+	s.batcher = g.batcherOf(s.pool)
 	s.batcherIncarnation = g.members.Incarnation(s.batcher)
 	var pieces []int
 	for i, h := range s.handles {
@@ -191,8 +192,10 @@
 	}
 	dueAt := r.dueAt.Add(-firstEventEstimate - time.Duration(r.downstreamDepth(index))*stageTimeEstimate)
 	w := message.StageWork{
+		Redirected:          g.redirectedTo(now, s.pool) == s.batcher,
 		Request:             r.incoming.ID,
 		Service:             s.stage.Service,
+		PoolDataCentre:      s.pool.DataCentre,
 		Stage:               index,
 		Pieces:              pieces,
 		ResultBytes:         s.stage.ResultBytes,
@@ -235,11 +238,12 @@
 
 // handleResults handles a batcher's report on the outcomes of pieces.
 func (g *Gateway) handleResults(m message.StageResults) {
+	g.recordRedirect(m)
 	affected := map[RequestHandle]*request{}
 	for _, p := range m.Results {
 		r := g.requestsByID[p.ID.Request]
 		if r == nil || p.ID.Stage >= len(r.stages) || p.ID.Piece >= r.stages[p.ID.Stage].pieceCount {
-			g.freeUnneededResult(m.Service, p)
+			g.freeUnneededResult(m, p)
 			continue
 		}
 		s := &r.stages[p.ID.Stage]
@@ -247,7 +251,7 @@
 		case message.PieceDone:
 			if s.handles[p.ID.Piece] != "" || s.released {
 				if s.handles[p.ID.Piece] != p.Handle {
-					g.freeUnneededResult(m.Service, p)
+					g.freeUnneededResult(m, p)
 				}
 				continue
 			}
@@ -334,11 +338,12 @@
 }
 
 // freeUnneededResult frees a result that no request of this instance needs.
-func (g *Gateway) freeUnneededResult(s ident.Service, p message.PieceResult) {
+func (g *Gateway) freeUnneededResult(m message.StageResults, p message.PieceResult) {
 	if p.Handle == "" {
 		return
 	}
-	g.sendToMember(g.batcherOf(s), message.Envelope{StageRelease: &message.StageRelease{Service: s, Request: p.ID.Request, Handles: []message.ResultHandle{p.Handle}}})
+	batcher := g.batcherOf(ident.Pool{Service: m.Service, DataCentre: m.PoolDataCentre})
+	g.sendToMember(batcher, message.Envelope{StageRelease: &message.StageRelease{Service: m.Service, PoolDataCentre: m.PoolDataCentre, Request: p.ID.Request, Handles: []message.ResultHandle{p.Handle}}})
 }
 
 // recomputeResults marks the lost results of stages for computing again, and
@@ -367,7 +372,7 @@
 			s := &r.stages[index]
 			for i, h := range s.handles {
 				e := g.directory.ByAddress(batching.EndpointAddress(h))
-				if h == "" || pass == 0 && !s.released && e != nil && !e.Ejected(now) {
+				if h == "" || pass == 0 && !s.released && e != nil && !e.Ejected(now) && !g.directory.InPartition(e) {
 					continue
 				}
 				dropped = true
@@ -422,7 +427,7 @@
 // if cancelPieces is set.
 func (g *Gateway) releaseStage(r *request, s *stageState, cancelPieces bool) {
 	s.released = true
-	m := message.StageRelease{Service: s.stage.Service, Request: r.incoming.ID, CancelPieces: cancelPieces}
+	m := message.StageRelease{Service: s.stage.Service, PoolDataCentre: s.pool.DataCentre, Request: r.incoming.ID, CancelPieces: cancelPieces}
 	for _, h := range s.handles {
 		if h != "" {
 			m.Handles = append(m.Handles, h)
@@ -430,7 +435,7 @@
 	}
 	batcher := s.batcher
 	if !g.members.Alive(g.now(), batcher) {
-		batcher = g.batcherOf(s.stage.Service)
+		batcher = g.batcherOf(s.pool)
 	}
 	g.sendToMember(batcher, message.Envelope{StageRelease: &m})
 }
@@ -457,8 +462,47 @@
 					clear(s.inputsFetched)
 				}
 				g.out.LogEvent("piecesResubmitted", "request", r.incoming.ID, "stage", i, "pieces", s.missingCount, "batcher", s.batcher, "lost", lost, "replaced", replaced, "age", now.Sub(s.submittedAt))
+				if g.stagesUnreachable(r) {
+					g.moveStages(r)
+					break
+				}
 				g.submitStage(r, i)
 			}
 		}
 	}
 }
+
+// stagesUnreachable reports whether the data centre in which a request's stages
+// run cannot be reached.
+func (g *Gateway) stagesUnreachable(r *request) bool {
+	return g.pools().divided && (g.members.Partitioned(g.now(), r.preferredDataCentre) || g.batcherOf(g.poolOf(r.stages[0].stage.Service, r.preferredDataCentre)) == "")
+}
+
+// moveStages runs a request's stages in another data centre, because the present
+// one cannot be reached. Results there are computed again.
+func (g *Gateway) moveStages(r *request) {
+	from := r.preferredDataCentre
+	r.preferredDataCentre = g.chooseStageDataCentre(r)
+	g.out.LogEvent("stagesMoved", "request", r.incoming.ID, "from", from, "to", r.preferredDataCentre, "after", g.now().Sub(r.arrivedAt))
+	if r.preferredDataCentre == "" {
+		g.answer(r, g.failureAnswer(r), busyRetryAfter, "no data centre within reach can run the stages")
+		return
+	}
+	for i := range r.stages {
+		s := &r.stages[i]
+		if s.released || s.pieceCount == 0 {
+			continue
+		}
+		s.submitted = false
+		clear(s.inputsFetched)
+		for piece, h := range s.handles {
+			e := g.directory.ByAddress(batching.EndpointAddress(h))
+			if h != "" && (e == nil || g.directory.InPartition(e)) {
+				s.handles[piece] = ""
+				s.missingCount++
+				s.recompute = true
+			}
+		}
+	}
+	g.advance(r)
+}
--- a/kernel/membership/membership.go
+++ b/kernel/membership/membership.go
@@ -128,6 +128,14 @@
 	rotatedAt time.Time
 	leaving   bool
 
+	// links holds what is known of the connection to each other data centre.
+	links map[ident.DataCentre]*centreLink
+	// probedAt is when members of partitioned data centres were last pinged.
+	probedAt time.Time
+
+	// names caches the names of the known members, sorted; nil when it has to be
+	// computed.
+	names []ident.Instance
 	// core caches the core members; nil when it has to be recomputed.
 	core         []ident.Instance
 	coreCachedAt time.Time
@@ -138,7 +146,7 @@
 	// Instances start their rotations at different positions, so that they do
 	// not all ping the same member at once.
 	first := ident.HashPair("turn", string(c.Self.Name)) % rotationStarts
-	return &Table{config: c, members: map[ident.Instance]*memberState{}, pingCursor: int(first), entryCursor: int(first)}
+	return &Table{config: c, members: map[ident.Instance]*memberState{}, links: map[ident.DataCentre]*centreLink{}, pingCursor: int(first), entryCursor: int(first)}
 }
 
 // SetSeeds replaces the seed addresses.
@@ -173,11 +181,15 @@
 	if m.Name == t.config.Self.Name {
 		return false
 	}
+	if t.link(m.DataCentre).recordSign(now) {
+		t.core = nil
+	}
 	k := t.members[m.Name]
 	changed := k == nil || k.Incarnation != m.Incarnation || now.Sub(k.lastSeenAt) > t.reachableFor()
 	if k == nil {
 		k = &memberState{}
 		t.members[m.Name] = k
+		t.names = nil
 	}
 	if changed || k.leaving != leaving {
 		t.core = nil
@@ -200,6 +212,7 @@
 		if k == nil {
 			k = &memberState{Member: g.Member}
 			t.members[g.Name] = k
+			t.names = nil
 		}
 		k.lastMentionedAt = now
 		at := now.Add(-g.Age)
@@ -215,6 +228,7 @@
 	if k := t.members[name]; k != nil {
 		k.lastSeenAt, k.unreachableAt = time.Time{}, now
 		t.core = nil
+		t.link(k.DataCentre).recordUnreachable(now, name)
 	}
 }
 
@@ -224,7 +238,14 @@
 		return true
 	}
 	k := t.members[name]
-	return k != nil && now.Sub(k.lastSeenAt) <= t.reachableFor()
+	return k != nil && now.Sub(k.lastSeenAt) <= t.reachableFor() && !t.Partitioned(now, k.DataCentre)
+}
+
+// UnreachableSince reports whether a message to a member could not be delivered
+// after the given time.
+func (t *Table) UnreachableSince(name ident.Instance, since time.Time) bool {
+	k := t.members[name]
+	return k == nil || k.unreachableAt.After(since)
 }
 
 // Alive reports whether a member is reachable and not leaving.
@@ -256,17 +277,27 @@
 	return Member{}
 }
 
+// sortedNames returns the names of the known members, sorted. The caller must
+// not modify the result.
+func (t *Table) sortedNames() []ident.Instance {
+	if t.names == nil {
+		t.names = value.SortedKeys(t.members)
+	}
+	return t.names
+}
+
 // AliveMembers returns the names of the own instance and of the members that are
 // alive, sorted.
 func (t *Table) AliveMembers(now time.Time) []ident.Instance {
-	names := []ident.Instance{t.config.Self.Name}
-	for name := range t.members {
+	self := t.config.Self.Name
+	names := make([]ident.Instance, 0, len(t.members)+1)
+	for _, name := range t.sortedNames() {
 		if t.Alive(now, name) {
 			names = append(names, name)
 		}
 	}
-	slices.Sort(names)
-	return names
+	at, _ := slices.BinarySearch(names, self)
+	return slices.Insert(names, at, self)
 }
 
 // sortByRank returns the members sorted by capacity class, highest first, and
@@ -338,11 +369,18 @@
 	return slices.Contains(t.Core(now), name)
 }
 
-// Owner returns the core member with the highest rank for a key, or the own
-// instance if there is no core member.
-func (t *Table) Owner(now time.Time, key string) ident.Instance {
+// Owner returns the core member with the highest rank for a key, in the given
+// data centre unless that is empty. If there is none, it returns the own
+// instance or, for another data centre than the own, an empty name.
+func (t *Table) Owner(now time.Time, key string, in ident.DataCentre) ident.Instance {
 	core := t.Core(now)
+	if in != "" {
+		core = slices.DeleteFunc(slices.Clone(core), func(name ident.Instance) bool { return t.DataCentre(name) != in })
+	}
 	if len(core) == 0 {
+		if in != "" && in != t.config.Self.DataCentre {
+			return ""
+		}
 		return t.config.Self.Name
 	}
 	return t.sortByRank(core, key)[0]
@@ -394,7 +432,7 @@
 // name.
 func (t *Table) AllAddresses() []PeerAddress {
 	var all []PeerAddress
-	for _, name := range value.SortedKeys(t.members) {
+	for _, name := range t.sortedNames() {
 		all = append(all, PeerAddress{Name: name, Address: t.members[name].Address})
 	}
 	return all
@@ -414,7 +452,7 @@
 	fullMesh := !t.IsLarge()
 	var targets, nonCore []PeerAddress
 	addresses := value.NewSet(t.config.Self.Address)
-	for _, name := range value.SortedKeys(t.members) {
+	for _, name := range t.sortedNames() {
 		k := t.members[name]
 		addresses.Add(k.Address)
 		address := PeerAddress{Name: name, Address: k.Address}
@@ -433,6 +471,7 @@
 			targets = append(targets, nonCore[t.pingCursor%len(nonCore)])
 		}
 	}
+	targets = append(targets, t.probeTargets(now)...)
 	for _, seed := range t.config.Seeds {
 		if !addresses.Has(seed) {
 			targets = append(targets, PeerAddress{Address: seed})
@@ -447,6 +486,7 @@
 	for name, k := range t.members {
 		if now.Sub(k.lastMentionedAt) > forgetAfter {
 			delete(t.members, name)
+			t.names = nil
 		}
 	}
 }
@@ -474,7 +514,7 @@
 			}
 		}
 	}
-	names := value.SortedKeys(t.members)
+	names := t.sortedNames()
 	for range names {
 		if len(entries) == limit {
 			break
--- a/kernel/message/gateway.go
+++ b/kernel/message/gateway.go
@@ -29,11 +29,13 @@
 	// since other members do not get pings from all instances.
 	FleetRequests map[ident.Endpoint]int `json:"fleet,omitempty"`
 	AliveCount    int                    `json:"living,omitempty"`
-	// BatcherStatuses holds the services that the sender batches for.
-	BatcherStatuses map[ident.Service]BatcherStatus `json:"batches,omitempty"`
+	// BatcherStatuses holds the pools that the sender batches for.
+	BatcherStatuses map[ident.Pool]BatcherStatus `json:"batches,omitempty"`
 	// RecentlyUnreachable is how long ago the sender or an instance that told it
 	// failed to reach each endpoint.
 	RecentlyUnreachable map[ident.Endpoint]time.Duration `json:"unreached,omitempty"`
+	// LostDataCentres holds the data centres that the sender itself cannot reach.
+	LostDataCentres []ident.DataCentre `json:"lostCentres,omitempty"`
 	// CrashReports holds reports of the latest crashes of endpoints, one for each
 	// content that was running.
 	CrashReports []CrashReport `json:"crashes,omitempty"`
@@ -49,11 +51,11 @@
 	Age      time.Duration  `json:"age"`
 }
 
-// BatcherStatus is the state of a service that the sender batches for.
+// BatcherStatus is the state of a pool that the sender batches for.
 type BatcherStatus struct {
-	// QueueWait is the estimated wait of a new piece in the service's queue.
+	// QueueWait is the estimated wait of a new piece in the pool's queue.
 	QueueWait time.Duration `json:"wait"`
-	// Tenure is how long the sender has batched for the service.
+	// Tenure is how long the sender has batched for the pool.
 	Tenure time.Duration `json:"tenure"`
 }
 
@@ -82,12 +84,15 @@
 
 // StageWork asks a batcher to have pieces of one stage of a request computed.
 type StageWork struct {
-	Request  ident.RequestID `json:"request"`
-	Service  ident.Service   `json:"service"`
-	Stage    int             `json:"stage"`
-	Pieces   []int           `json:"pieces"`
-	PieceKey string          `json:"key,omitempty"`
-	Inputs   []ResultHandle  `json:"inputs,omitempty"`
+	Request ident.RequestID `json:"request"`
+	Service ident.Service   `json:"service"`
+	// PoolDataCentre restricts the endpoints to those of one data centre; empty
+	// if any endpoint of the service may compute the pieces.
+	PoolDataCentre ident.DataCentre `json:"poolCentre,omitempty"`
+	Stage          int              `json:"stage"`
+	Pieces         []int            `json:"pieces"`
+	PieceKey       string           `json:"key,omitempty"`
+	Inputs         []ResultHandle   `json:"inputs,omitempty"`
 	// ResultBytes is the approximate size of one result.
 	ResultBytes int `json:"resultBytes"`
 	// Consumers is how often each result will be fetched, and InputBytes the
@@ -115,11 +120,19 @@
 	Recovering bool `json:"begun,omitempty"`
 	// Weight is the importance of the request when not all can be on time.
 	Weight float64 `json:"weight"`
+	// Redirected is set if another instance named the receiver as the pool's
+	// batcher. The receiver must not redirect the pieces again.
+	Redirected bool `json:"redirected,omitempty"`
 	// PreferredDataCentre is the data centre where the results will probably be
 	// used.
 	PreferredDataCentre ident.DataCentre `json:"prefer,omitempty"`
 }
 
+// Pool returns the pool whose endpoints compute the pieces.
+func (w StageWork) Pool() ident.Pool {
+	return ident.Pool{Service: w.Service, DataCentre: w.PoolDataCentre}
+}
+
 // PieceOutcome is the outcome of a piece that was submitted to a batcher.
 type PieceOutcome string
 
@@ -131,7 +144,7 @@
 	PieceExpired PieceOutcome = "late"
 	// PieceInputGone means that an input no longer exists.
 	PieceInputGone PieceOutcome = "inputGone"
-	// PieceMoved means that the piece has to be sent to the service's new batcher.
+	// PieceMoved means that the piece has to be sent to the pool's new batcher.
 	PieceMoved PieceOutcome = "moved"
 	// PieceRefused means that the piece was not started, since it could not be
 	// done in time to be useful.
@@ -154,18 +167,23 @@
 // StageResults reports the outcomes of pieces to the instance that submitted
 // them. One StageWork may be answered by several of them.
 type StageResults struct {
-	Service ident.Service `json:"service"`
+	Service        ident.Service    `json:"service"`
+	PoolDataCentre ident.DataCentre `json:"poolCentre,omitempty"`
 	// CapacityLow is set while the endpoint is short of result capacity. Results
 	// should then be freed as soon as they have been fetched.
-	CapacityLow bool          `json:"scarce,omitempty"`
-	Results     []PieceResult `json:"results"`
+	CapacityLow bool `json:"scarce,omitempty"`
+	// Batcher is the instance to which moved pieces have to be sent, as far as
+	// the sender knows; it may be empty.
+	Batcher ident.Instance `json:"batcher,omitempty"`
+	Results []PieceResult  `json:"results"`
 }
 
-// StageReservations tells the new batcher of a service how many bytes of result
+// StageReservations tells the new batcher of a pool how many bytes of result
 // capacity the sender, its previous batcher, has reserved at each endpoint.
 type StageReservations struct {
-	Service       ident.Service          `json:"service"`
-	ReservedBytes map[ident.Endpoint]int `json:"booked"`
+	Service        ident.Service          `json:"service"`
+	PoolDataCentre ident.DataCentre       `json:"poolCentre,omitempty"`
+	ReservedBytes  map[ident.Endpoint]int `json:"booked"`
 }
 
 // StageInputsFetched tells that pieces are being computed and that their inputs
@@ -175,10 +193,16 @@
 }
 
 // StageRelease frees results of a request and, if CancelPieces is set, cancels
-// its pieces at the service.
+// its pieces at the pool.
 type StageRelease struct {
-	Service      ident.Service   `json:"service"`
-	Request      ident.RequestID `json:"request"`
-	CancelPieces bool            `json:"withdrawn,omitempty"`
-	Handles      []ResultHandle  `json:"handles,omitempty"`
+	Service        ident.Service    `json:"service"`
+	PoolDataCentre ident.DataCentre `json:"poolCentre,omitempty"`
+	Request        ident.RequestID  `json:"request"`
+	CancelPieces   bool             `json:"withdrawn,omitempty"`
+	Handles        []ResultHandle   `json:"handles,omitempty"`
+}
+
+// Pool returns the pool that has the pieces.
+func (r StageRelease) Pool() ident.Pool {
+	return ident.Pool{Service: r.Service, DataCentre: r.PoolDataCentre}
 }
