Bound what an endpoint may send that is no answer

A response above 16 MiB was cut there and relayed with a length of its own, as complete. A stream without a length that ended in the middle of an event was relayed as complete.

Ruled out: chunk sizes, chunk extensions and trailers; the library bounds them (tests hold it so).

Change: 64 KiB before the body; 0.5 s for the body of a response to another request; a response is buffered up to 1 MiB, 32 MiB for the instance, and what is larger is relayed while it is read, with its own length, and broken off if it breaks off. A large response that has begun to reach the caller isn't retried.

--- a/anvilcrossd/entry/entry.go
+++ b/anvilcrossd/entry/entry.go
@@ -9,7 +9,6 @@
 	"io"
 	"net"
 	"net/http"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,8 +28,6 @@
 	maxQueuedSteps = 16
 	// bodyTimeout limits the time to read a request's body.
 	bodyTimeout = 10 * time.Second
-	// maxResponseBytes limits a response that is buffered before it is relayed.
-	maxResponseBytes = 16 << 20
 )
 
 // Config sets up a Server.
@@ -62,6 +59,7 @@
 // Server is the HTTP handler for the callers' requests.
 type Server struct {
 	config         Config
+	buffers        bufferPool
 	lastHandle     atomic.Uint64
 	mutex          sync.Mutex
 	activeRequests map[gateway.RequestHandle]*activeRequest
@@ -296,7 +294,7 @@
 	defer func() { _ = response.Body.Close() }()
 	head := platform.ReadResponseHead(response.Response)
 	if !head.Usable {
-		_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxResponseBytes))
+		discard(response)
 		c.reportFailure(send, head.Failure, "", response.Status)
 		return ""
 	}
@@ -312,41 +310,3 @@
 func (c *callerExchange) reportFailure(send *gateway.Send, f gateway.AttemptFailure, lastEventID, detail string) {
 	c.withGateway(func(g *gateway.Gateway) { g.HandleFailure(c.active.handle, send.Attempt, f, lastEventID, detail) })
 }
-
-// relayBuffered relays a response once it has been read completely, so that an
-// incomplete one can still be retried. Like attempt, it returns the outcome or
-// an empty string.
-func (c *callerExchange) relayBuffered(send *gateway.Send, response *h1.Response, errorResponse bool) string {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
-	if c.request.Context().Err() != nil {
-		return c.handleCallerLeft()
-	}
-	if err != nil {
-		c.reportFailure(send, gateway.Broken, "", err.Error())
-		return ""
-	}
-	if c.headSent {
-		// An earlier attempt has streamed part of a response, which this error
-		// response cannot continue: the caller must see that it is incomplete.
-		c.reportFailure(send, gateway.InvalidResponse, "", response.Status)
-		return ""
-	}
-	if errorResponse {
-		retried := false
-		c.withGateway(func(g *gateway.Gateway) { retried = g.RetryErrorResponse(c.active.handle, send.Attempt) })
-		if retried {
-			return ""
-		}
-	}
-	platform.CopyResponseHeader(c.writer, response.Response)
-	c.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	c.writer.WriteHeader(response.StatusCode)
-	_, err = c.writer.Write(body)
-	if err != nil {
-		return c.handleCallerLeft()
-	}
-	c.withGateway(func(g *gateway.Gateway) {
-		g.HandleDelivery(c.active.handle, send.Attempt, gateway.Delivery{Status: response.StatusCode})
-	})
-	return relayed
-}
--- a/anvilcrossd/entry/stream.go
+++ b/anvilcrossd/entry/stream.go
@@ -27,6 +27,10 @@
 
 var errEventTooLong = errors.New("an event is too long")
 
+// errEventCutOff is the error of a stream without a length that ends in the
+// middle of an event: nothing else shows that it is incomplete.
+var errEventCutOff = errors.New("the connection ended in the middle of an event")
+
 // next returns the bytes of the next complete event. At the end of the stream
 // it returns io.EOF and any bytes after the last complete event.
 func (e *eventReader) next() ([]byte, error) {
@@ -66,6 +70,9 @@
 		if c.request.Context().Err() != nil {
 			return c.handleCallerLeft()
 		}
+		if err == io.EOF && len(event) > 0 && !response.Delimited() {
+			err = errEventCutOff
+		}
 		if err != nil && err != io.EOF {
 			c.reportFailure(send, gateway.Broken, lastEventID, err.Error())
 			return ""
--- a/anvilcrossd/h1/h1.go
+++ b/anvilcrossd/h1/h1.go
@@ -45,6 +45,12 @@
 	// response is read: it fits the send window. A larger one is written
 	// concurrently.
 	smallBodyBytes = 8 << 10
+	// maxHeadBytes limits the bytes that are read before the body of the response:
+	// its head, 1xx responses and responses to other requests.
+	maxHeadBytes = 64 << 10
+	// skipTimeout limits the time for reading the body of a response to another
+	// request.
+	skipTimeout = 500 * time.Millisecond
 	// maxResponseHeads limits the response heads that are read for one request,
 	// including 1xx responses and responses to other requests.
 	maxResponseHeads = 3
@@ -81,6 +87,10 @@
 	// connection that the endpoint cannot be closing: one that was in use lately,
 	// or a new one that the endpoint has not reset.
 	AvoidStale bool
+	// SingleUse is set if the request needs a connection of its own, because its
+	// response does not tell which request it belongs to: a late copy of an earlier
+	// response could be taken for it.
+	SingleUse bool
 	// MatchesResponse reports whether a response belongs to this request; if it
 	// is nil, every response does.
 	MatchesResponse func(*http.Response) bool
@@ -89,9 +99,38 @@
 	MayWrite func() bool
 }
 
+// errHeadTooLong is the error of reading more than maxHeadBytes before a body.
+var errHeadTooLong = errors.New("the endpoint sent too many bytes before the body of a response")
+
+// limitedSource reads from a connection. Its limit bounds what the parser of a
+// response head keeps in memory.
+type limitedSource struct {
+	conn    net.Conn
+	limited bool
+	// remaining is the number of bytes that may still be read if limited is set.
+	remaining int
+}
+
+func (s *limitedSource) limit(n int) { s.limited, s.remaining = true, n }
+
+func (s *limitedSource) unlimit() { s.limited = false }
+
+func (s *limitedSource) Read(p []byte) (int, error) {
+	if !s.limited {
+		return s.conn.Read(p)
+	}
+	if s.remaining <= 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := s.conn.Read(p[:min(len(p), s.remaining)])
+	s.remaining -= n
+	return n, err
+}
+
 // connection is a connection to an endpoint with its read buffer.
 type connection struct {
 	net.Conn
+	source    *limitedSource
 	reader    *bufio.Reader
 	idleSince time.Time
 	// idleTimeout is how long the connection may stay idle.
@@ -186,7 +225,8 @@
 		return nil, errors.Annotate(ErrNotSent, err.Error())
 	}
 	c.opened.Add(1)
-	k := &connection{Conn: n, reader: bufio.NewReaderSize(n, bufferBytes)}
+	source := &limitedSource{conn: n}
+	k := &connection{Conn: n, source: source, reader: bufio.NewReaderSize(source, bufferBytes)}
 	if !detectReset {
 		return k, nil
 	}
@@ -202,13 +242,21 @@
 // reused if the body was read to its end.
 type Response struct {
 	*http.Response
+	exchange *exchange
 }
 
+// Abort closes the connection, which interrupts the reading of the body. It may
+// be called while another goroutine reads.
+func (r *Response) Abort() { _ = r.exchange.connection.Close() }
+
 // Do sends a request and returns the response, whose body is read from the
 // connection. The end of the context interrupts the reading of the body too.
 // Use NotSent to tell whether an error proves that the request was not written.
 func (c *Client) Do(ctx context.Context, r Request) (*Response, error) {
-	k := c.takeIdle(r.Address, r.AvoidStale)
+	var k *connection
+	if !r.SingleUse {
+		k = c.takeIdle(r.Address, r.AvoidStale)
+	}
 	if k == nil {
 		var err error
 		if k, err = c.dial(ctx, r.Address, r.AvoidStale); err != nil {
@@ -270,6 +318,7 @@
 			x.writeResult <- err
 		}()
 	}
+	x.connection.source.limit(maxHeadBytes)
 	for range maxResponseHeads {
 		response, err := http.ReadResponse(x.connection.reader, &http.Request{Method: x.request.Method})
 		if err != nil {
@@ -279,15 +328,24 @@
 			continue
 		}
 		if x.request.MatchesResponse == nil || x.request.MatchesResponse(response) {
+			x.connection.source.unlimit()
 			return x.wrapResponse(response), nil
 		}
-		if _, err := io.Copy(io.Discard, response.Body); err != nil || response.Close {
+		if err := x.skipBody(response); err != nil || response.Close {
 			return nil, errors.New("the connection ended after a response to another request")
 		}
 	}
 	return nil, errors.New("too many responses to other requests")
 }
 
+// skipBody reads the body of a response to another request to its end.
+func (x *exchange) skipBody(response *http.Response) error {
+	expiry := time.AfterFunc(skipTimeout, func() { _ = x.connection.Close() })
+	defer expiry.Stop()
+	_, err := io.Copy(io.Discard, response.Body)
+	return errors.Trace(err)
+}
+
 // encodeHead returns the request line and the header fields.
 func (x *exchange) encodeHead() []byte {
 	var b bytes.Buffer
@@ -319,12 +377,21 @@
 		// The response came before the request body was written: the endpoint
 		// may still expect the rest of it.
 	}
-	delimited := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
-	x.reusable = x.reusable && delimited && !response.Close && x.connection.idleTimeout > 0
+	x.reusable = x.reusable && !x.request.SingleUse && delimited(response) && !response.Close && x.connection.idleTimeout > 0
 	response.Body = &responseBody{ReadCloser: response.Body, exchange: x}
-	return &Response{Response: response}
+	return &Response{Response: response, exchange: x}
+}
+
+// delimited reports whether a response has a length or is sent in chunks, so that
+// its end does not depend on that of the connection.
+func delimited(response *http.Response) bool {
+	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
 }
 
+// Delimited reports whether the end of the body is known from the response itself
+// and not from the end of the connection.
+func (r *Response) Delimited() bool { return delimited(r.Response) }
+
 // parseIdleTimeout returns how long the connection may stay idle: the
 // endpoint's Keep-Alive timeout minus idleTimeoutMargin, or defaultIdleTimeout.
 func parseIdleTimeout(response *http.Response) time.Duration {
--- a/anvilcrossd/h1/h1_test.go
+++ b/anvilcrossd/h1/h1_test.go
@@ -100,6 +100,22 @@
 			t.Fatalf("%d connections, want 2", c.OpenedConnections())
 		}
 	})
+	t.Run("a late copy of an answer cannot reach a request with its own connection", func(t *testing.T) {
+		address, _ := startEndpoint(t, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst")
+		c := NewClient()
+		for range 2 {
+			response, err := c.Do(t.Context(), Request{Address: address, Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}, SingleUse: true})
+			if err != nil {
+				t.Fatal(err)
+			}
+			body, err := io.ReadAll(response.Body)
+			wantBody(t, string(body), err, "first")
+			_ = response.Body.Close()
+		}
+		if c.OpenedConnections() != 2 {
+			t.Fatalf("%d connections, want 2", c.OpenedConnections())
+		}
+	})
 	t.Run("an answer that ends early is no whole answer", func(t *testing.T) {
 		address, _ := startEndpoint(t, "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 9\r\n\r\nown")
 		if body, err := get(NewClient(), address, "a"); err == nil {
--- a/kernel/gateway/attempts.go
+++ b/kernel/gateway/attempts.go
@@ -170,6 +170,15 @@
 	}
 }
 
+// HandlePartialRelay is called when the beginning of a response other than a
+// stream has been relayed before the response was complete. The request cannot be
+// sent again then.
+func (g *Gateway) HandlePartialRelay(h RequestHandle, id AttemptID) {
+	if r := g.requestOfAttempt(h, id); r != nil {
+		r.firstEventSent = true
+	}
+}
+
 // RetryErrorResponse sends a request again whose endpoint responded with an
 // error of its own, if the route, the number of attempts and the retry budget
 // allow it. It returns false if the entry server has to relay the response
@@ -279,7 +288,7 @@
 		r.declines++
 		return r.declines <= maxDeclinedAttempts && g.retryBudget.tryTake(g.now(), r.service, g.AliveCount())
 	}
-	if !r.route.Repeatable() || r.sends >= r.route.MaxAttempts {
+	if !r.route.Repeatable() || r.sends >= r.route.MaxAttempts || r.firstEventSent && r.route.Kind != published.Stream {
 		return false
 	}
 	if !r.deadline.After(g.now()) {
--- a/kernel/gateway/outcome_test.go
+++ b/kernel/gateway/outcome_test.go
@@ -134,3 +134,17 @@
 		tg.wantAnswer(tg.sendRequest("/order/", func(c *CallerRequest) { c.Key = "other" }), UnknownKey)
 	})
 }
+
+// A response that breaks off after a part of it has reached the caller must not
+// be followed by that of another endpoint.
+func TestPartlyRelayedResponseIsNotRetried(t *testing.T) {
+	tg := newConfigured(t)
+	h := tg.sendRequest("/lookup/", nil)
+	s := tg.wantSend(h)
+	tg.mustBeginWrite(h, s)
+	tg.gateway.HandleResponseHead(h, s.Attempt, false, endpoints.Load{})
+	tg.gateway.HandlePartialRelay(h, s.Attempt)
+	tg.gateway.HandleFailure(h, s.Attempt, Broken, "", "reset")
+	tg.wantAnswer(h, BrokenOff)
+	tg.wantSteps(h, 2)
+}
--- a/kernel/gateway/request.go
+++ b/kernel/gateway/request.go
@@ -183,6 +183,8 @@
 	unsentAttempts int
 	recomputes     int
 	mayHaveRun     bool
+	// firstEventSent is set once the caller has received the beginning of a
+	// response: the first event of a stream, or a part of a large response.
 	firstEventSent bool
 	// timeToFirstEvent is the time from the request's arrival to the first
 	// event of its stream.
