Take no late copy of a stage reply for the reply to another call

Cause: replies of stage endpoints name no request. A second copy of a reply that arrives when the connection is in use again was taken for the next one: the batcher's test showed the first request's result given to the second.

Change: each stage call has a connection of its own; a reply with another number of items than the call, or with results that are known already, counts as none.

Cost: one connection for each call.

Ruled out: ids on stage calls (the endpoints echo none that we know of).

--- a/anvilcrossd/stagecall/stagecall.go
+++ b/anvilcrossd/stagecall/stagecall.go
@@ -70,7 +70,7 @@
 }
 
 func (c *Client) runCall(ctx context.Context, call batching.Call) {
-	response, err := c.send(ctx, call.Address, platform.EncodeStageCall(call))
+	response, err := c.send(ctx, call.Address, platform.EncodeStageCall(call), true)
 	if err != nil {
 		failure := batching.Broken
 		if h1.NotSent(err) {
@@ -98,14 +98,17 @@
 	c.config.OnReply(call.ID, reply)
 }
 
-func (c *Client) send(ctx context.Context, address string, call platform.HTTPCall) (*h1.Response, error) {
+// send sends a call. The reply to one with singleUse has a connection of its own,
+// so that it cannot be the late copy of another one.
+func (c *Client) send(ctx context.Context, address string, call platform.HTTPCall, singleUse bool) (*h1.Response, error) {
 	response, err := c.config.HTTPClient.Do(ctx, h1.Request{
-		Address: address,
-		Method:  call.Method,
-		Target:  call.Path,
-		Host:    address,
-		Header:  call.Header,
-		Body:    call.Body,
+		Address:   address,
+		Method:    call.Method,
+		Target:    call.Path,
+		Host:      address,
+		Header:    call.Header,
+		Body:      call.Body,
+		SingleUse: singleUse,
 	})
 	return response, errors.Trace(err)
 }
@@ -131,13 +134,13 @@
 	c.mutex.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), shortCallTimeout)
 	defer cancel()
-	response, err := c.send(ctx, address, platform.EncodeFreeCall(handles))
+	response, err := c.send(ctx, address, platform.EncodeFreeCall(handles), false)
 	if err != nil {
 		// The endpoint frees the results by itself when their retention ends.
 		c.config.LogEvent("freeFailed", "address", address, "results", len(handles), "reason", err)
 		return
 	}
-	_, _ = io.Copy(io.Discard, response.Body)
+	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxReplyBytes))
 	_ = response.Body.Close()
 	if response.StatusCode != http.StatusOK {
 		c.config.LogEvent("freeFailed", "address", address, "results", len(handles), "reason", response.Status)
@@ -162,7 +165,7 @@
 }
 
 func (c *Client) readFreeCapacityBytes(ctx context.Context, address string) (int, error) {
-	response, err := c.send(ctx, address, platform.EncodeReportCall())
+	response, err := c.send(ctx, address, platform.EncodeReportCall(), false)
 	if err != nil {
 		return 0, errors.Trace(err)
 	}
--- a/kernel/batching/dispatch.go
+++ b/kernel/batching/dispatch.go
@@ -331,8 +331,12 @@
 	return c
 }
 
-// HandleReply handles the reply to a call.
+// HandleReply handles the reply to a call. A reply to another call counts as none.
 func (b *Batcher) HandleReply(id CallID, r Reply) {
+	if c := b.calls[id]; c != nil && !b.answers(c, r) {
+		b.HandleCallFailure(id, Broken, "the reply belongs to another call")
+		return
+	}
 	c := b.endCall(id)
 	if c == nil {
 		return
@@ -344,11 +348,7 @@
 	}
 	results := map[ident.Instance]*message.StageResults{}
 	for i, p := range c.pieces {
-		item := ReplyItem{Outcome: ItemFailed}
-		if i < len(r.Items) {
-			item = r.Items[i]
-		}
-		b.handleItem(c, p, item, results)
+		b.handleItem(c, p, r.Items[i], results)
 	}
 	capacityLow := b.isCapacityLow(c)
 	for _, to := range value.SortedKeys(results) {
@@ -358,6 +358,18 @@
 	b.Dispatch(c.pool)
 }
 
+// answers reports whether a reply can be that to a call. An endpoint may send a
+// second copy of a reply, which arrives in place of the next one: it then has
+// another number of items, or results that are known already.
+func (b *Batcher) answers(c *call, r Reply) bool {
+	if len(r.Items) != len(c.pieces) {
+		return false
+	}
+	return !slices.ContainsFunc(r.Items, func(item ReplyItem) bool {
+		return item.Outcome == ItemDone && (item.Handle == "" || b.reservations[item.Handle] != nil)
+	})
+}
+
 // isCapacityLow reports whether the endpoint of a call is short of result
 // capacity.
 func (b *Batcher) isCapacityLow(c *call) bool {
