--- a/anvilcrossd/gatewayd/metrics.go
+++ b/anvilcrossd/gatewayd/metrics.go
@@ -72,6 +72,7 @@
 		gauges["pieces_resubmitted"] = float64(c.PiecesResubmitted)
 		gauges["pieces_moved"] = float64(c.PiecesMoved)
 		gauges["pieces_redirected"] = float64(c.PiecesRedirected)
+		gauges["messages_rejected"] = float64(c.MessagesRejected)
 		gauges["inputs_remade"] = float64(c.Recomputes)
 		gauges["records_rejected"] = float64(c.RecordsRejected)
 		gauges["stage_calls"] = float64(b.Calls)
--- a/anvilcrossd/owner/owner.go
+++ b/anvilcrossd/owner/owner.go
@@ -35,20 +35,27 @@
 }
 
 // WithKernel advances the timers and calls f with the kernel, under the lock. f
-// must neither block nor call WithKernel.
+// must neither block nor call WithKernel. The lock is released also if f panics,
+// since the HTTP server recovers panics of its handlers.
 func (o *Owner[T]) WithKernel(f func(*T)) {
+	if !o.callLocked(f) {
+		return
+	}
+	select {
+	case o.wake <- struct{}{}:
+	default:
+	}
+}
+
+// callLocked calls f under the lock. It returns true if a timer is due before Run
+// wakes up.
+func (o *Owner[T]) callLocked(f func(*T)) bool {
 	o.mutex.Lock()
+	defer o.mutex.Unlock()
 	o.timers.Advance(time.Now())
 	f(o.kernel)
 	next, ok := o.timers.NextDue()
-	earlier := ok && next.Before(o.wakeAt)
-	o.mutex.Unlock()
-	if earlier {
-		select {
-		case o.wake <- struct{}{}:
-		default:
-		}
-	}
+	return ok && next.Before(o.wakeAt)
 }
 
 // Run advances the timers until the stop channel is closed.
--- a/anvilcrossd/peer/peer.go
+++ b/anvilcrossd/peer/peer.go
@@ -36,6 +36,8 @@
 	// of a link limits their rate less.
 	maxPostsPerPeer = 2
 	maxBodyBytes    = 4 << 20
+	// maxReasonBytes bounds the part of an error response that is kept for the log.
+	maxReasonBytes = 200
 	// defaultPostTimeout is meant for links with a delay of milliseconds.
 	defaultPostTimeout = 2 * time.Second
 )
@@ -231,13 +233,17 @@
 		return errors.Trace(err)
 	}
 	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode >= http.StatusMultipleChoices {
+		reason, _ := io.ReadAll(io.LimitReader(response.Body, maxReasonBytes))
+		return errors.Errorf("the peer rejected %d messages: %s: %s", len(batch), response.Status, bytes.TrimSpace(reason))
+	}
 	return errors.Trace(m.receiveReply(response))
 }
 
 // receiveReply handles the messages in the response to a batch.
 func (m *Mesh) receiveReply(response *http.Response) error {
 	if m.config.BuildReply == nil || response.StatusCode != http.StatusOK {
-		_, err := io.Copy(io.Discard, response.Body)
+		_, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxBodyBytes))
 		return errors.Trace(err)
 	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxBodyBytes))
--- a/anvilcrossd/peer/peer_test.go
+++ b/anvilcrossd/peer/peer_test.go
@@ -5,8 +5,11 @@
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
+	"time"
 
+	"anvilcross/anvilcrossd/link"
 	"anvilcross/kernel/claim"
 	"anvilcross/kernel/ident"
 	"anvilcross/kernel/message"
@@ -55,3 +58,30 @@
 		t.Errorf("a broken batch: status %d, %d messages", status, received)
 	}
 }
+
+// A batch that the receiver rejects has not been delivered. The sender reports it
+// with the reason.
+func TestRejectedBatchIsReported(t *testing.T) {
+	receiver := httptest.NewServer(NewMesh(Config{SigningKey: []byte("right"), HandleMessage: func(message.Envelope) {}}).Handler())
+	defer receiver.Close()
+	failures := make(chan string, 1)
+	transport := link.NewTransport(link.Config{})
+	sender := NewMesh(Config{
+		SigningKey:      []byte("wrong"),
+		LocalTransport:  transport,
+		RemoteTransport: transport,
+		OnSendFailure:   func(to ident.Instance, reason string) { failures <- string(to) + ": " + reason },
+	})
+	sender.SendToAddress(receiver.Listener.Addr().String(), message.Envelope{From: "a", To: "b"})
+	select {
+	case failure := <-failures:
+		if !strings.HasPrefix(failure, "b: ") || !strings.Contains(failure, "wrong signature") {
+			t.Fatalf("reported %q, want the receiver and the reason", failure)
+		}
+	case <-time.After(5 * time.Second):
+		t.Fatal("the rejected batch was not reported")
+	}
+	if sender.DroppedMessages() != 1 {
+		t.Fatalf("%d messages count as dropped, want 1", sender.DroppedMessages())
+	}
+}
--- a/kernel/gateway/gateway.go
+++ b/kernel/gateway/gateway.go
@@ -156,6 +156,7 @@
 type Counters struct {
 	Arrived, Relayed, Retried, Resumed, CallersLeft, TimedOut, Refused, MayHaveRun int
 	PiecesResubmitted, PiecesMoved, PiecesRedirected, Recomputes, RecordsRejected  int
+	MessagesRejected                                                               int
 }
 
 // NewGateway returns a gateway without a configuration and starts its timers.
--- a/kernel/gateway/peers.go
+++ b/kernel/gateway/peers.go
@@ -125,8 +125,14 @@
 	}
 }
 
-// HandleMessage handles a message from another instance.
+// HandleMessage handles a message from another instance. It logs and ignores one
+// that has invalid values.
 func (g *Gateway) HandleMessage(m message.Envelope) {
+	if err := m.CheckGateway(); err != nil {
+		g.counters.MessagesRejected++
+		g.out.LogEvent("messageRejected", "member", m.From, "incarnation", m.Incarnation, "reason", err)
+		return
+	}
 	switch {
 	case m.Ping != nil:
 		g.handlePing(*m.Ping)
--- /dev/null
+++ b/kernel/message/valid.go
@@ -0,0 +1,69 @@
+package message
+
+import (
+	"slices"
+
+	"github.com/juju/errors"
+)
+
+// maxPiecesPerMessage limits the pieces that one message names.
+const maxPiecesPerMessage = 20_000
+
+// CheckGateway returns an error if a message of package gateway has values that
+// no instance sends, for which its handlers are not prepared.
+func (e Envelope) CheckGateway() error {
+	switch {
+	case e.Ping != nil:
+		return e.Ping.check()
+	case e.StageWork != nil:
+		return e.StageWork.check()
+	case e.StageResults != nil:
+		for _, r := range e.StageResults.Results {
+			if err := r.ID.check(); err != nil {
+				return err
+			}
+		}
+	case e.StageInputsFetched != nil:
+		for _, id := range e.StageInputsFetched.Pieces {
+			if err := id.check(); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (p *Ping) check() error {
+	for _, m := range p.Members {
+		if m.Age < 0 {
+			return errors.Errorf("negative age of member %q", m.Name)
+		}
+	}
+	for e, n := range p.OwnRequests {
+		if n < 0 {
+			return errors.Errorf("negative number of requests at endpoint %q", e)
+		}
+	}
+	return nil
+}
+
+func (w *StageWork) check() error {
+	switch {
+	case w.Stage < 0:
+		return errors.Errorf("request %q: negative stage", w.Request)
+	case len(w.Pieces) > maxPiecesPerMessage:
+		return errors.Errorf("request %q: %d pieces", w.Request, len(w.Pieces))
+	case len(w.Pieces) > 0 && slices.Min(w.Pieces) < 0:
+		return errors.Errorf("request %q: negative piece", w.Request)
+	case w.ResultBytes < 0 || w.InputBytes < 0 || w.Consumers < 0:
+		return errors.Errorf("request %q: negative size", w.Request)
+	}
+	return nil
+}
+
+func (id PieceID) check() error {
+	if id.Stage < 0 || id.Piece < 0 {
+		return errors.Errorf("request %q: negative stage or piece", id.Request)
+	}
+	return nil
+}
