--- a/anvilcross/command/ask.go
+++ b/anvilcross/command/ask.go
@@ -57,13 +57,15 @@
 	return errors.Trace(err)
 }
 
-// requestID returns a ticket, the given id or a random one. If the instance
-// refuses to issue a ticket, it returns an empty id without an error.
+// requestID returns a ticket, the given id or a random one.
 func (a *ask) requestID(client *http.Client) (ident.RequestID, error) {
 	if a.Ticket {
 		tickets, err := instance.RequestTickets(client, a.Address, a.Key, 1)
-		if err != nil || len(tickets) == 0 {
-			return "", errors.Annotate(err, "--ticket: cannot get a ticket")
+		if err != nil {
+			return "", errors.Annotatef(err, "--ticket: cannot get a ticket from %s", a.Address)
+		}
+		if len(tickets) == 0 {
+			return "", errors.Errorf("--ticket: %s returned no ticket", a.Address)
 		}
 		return tickets[0], nil
 	}
--- a/anvilcrossd/eventlog/eventlog.go
+++ b/anvilcrossd/eventlog/eventlog.go
@@ -63,6 +63,15 @@
 		l.dropped.Add(1)
 		return
 	}
+	select {
+	case l.queue <- l.formatLine(name, fields):
+	default:
+		l.dropped.Add(1)
+	}
+}
+
+// formatLine returns the line of an event that happens now.
+func (l *Log) formatLine(name string, fields []any) []byte {
 	var b bytes.Buffer
 	b.WriteString("time=")
 	b.WriteString(time.Now().UTC().Format("2006-01-02T15:04:05.000Z"))
@@ -71,11 +80,7 @@
 	b.Write(l.encodedFields)
 	writePairs(&b, fields)
 	b.WriteByte('\n')
-	select {
-	case l.queue <- b.Bytes():
-	default:
-		l.dropped.Add(1)
-	}
+	return b.Bytes()
 }
 
 // DroppedLines returns the number of lines dropped since the start.
@@ -106,7 +111,7 @@
 	reportedDrops := int64(0)
 	for line := range l.queue {
 		if dropped := l.dropped.Load(); dropped > reportedDrops {
-			line = append(line, []byte("event=linesDropped"+string(l.encodedFields)+" total="+strconv.FormatInt(dropped, 10)+"\n")...)
+			line = append(line, l.formatLine("linesDropped", []any{"total", dropped})...)
 			reportedDrops = dropped
 		}
 		// An error is ignored: there is no other place to report it.
--- a/anvilload/fleet/fleet.go
+++ b/anvilload/fleet/fleet.go
@@ -88,6 +88,7 @@
 	for n := range c.Count {
 		d, err := newDaemon(c, n, peerAddresses)
 		if err != nil {
+			f.Stop()
 			return nil, errors.Trace(err)
 		}
 		f.Daemons = append(f.Daemons, d)
--- a/anvilload/soak/soak.go
+++ b/anvilload/soak/soak.go
@@ -126,7 +126,8 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.history.startedAt, r.history.endedAt, r.history.eventsEnd = r.startedAt, time.Now(), eventsEnd
-	r.history.workerRecords, r.history.problems = r.site.Recorder.Records(), r.site.Recorder.Problems()
+	r.history.workerRecords = r.site.Recorder.Records()
+	r.history.problems = append(r.history.problems, r.site.Recorder.Problems()...)
 	return r.buildReport(plan), nil
 }
 
--- a/kernel/node/handover.go
+++ b/kernel/node/handover.go
@@ -216,8 +216,11 @@
 		return
 	}
 	if m.Refused {
+		// The next successor needs all parts, also those that this one has
+		// acknowledged before.
 		h.refusedBy.Add(from)
 		h.successor = ""
+		h.acknowledgedParts = value.NewSet[int]()
 		return
 	}
 	h.acknowledgedParts.Add(m.Part)
--- a/kernel/node/handover_test.go
+++ b/kernel/node/handover_test.go
@@ -9,6 +9,7 @@
 	"anvilcross/kernel/ident"
 	"anvilcross/kernel/message"
 	"anvilcross/kernel/timer"
+	"anvilcross/kernel/value"
 )
 
 // TestRepeatedHandOverIsNotRefused guards against a second owner of the same
@@ -49,3 +50,29 @@
 		t.Error("a stopping instance accepted a new hand-over")
 	}
 }
+
+// A receiver that begins to stop may refuse the second part of a hand-over whose
+// first part it has acknowledged. The next successor must get both.
+func TestRefusedHandOverStartsAnew(t *testing.T) {
+	var sent []message.HandOver
+	n := NewNode(Config{
+		Seat: "a-1", DataCentre: "a", Random: rand.New(rand.NewPCG(1, 1)),
+		Timers: timer.NewScheduler(timer.Config{Start: time.Unix(0, 0)}),
+		Output: Output{LogEvent: func(Event) {}, SendToPeer: func(e message.Envelope) {
+			if e.HandOver != nil {
+				sent = append(sent, *e.HandOver)
+			}
+		}},
+	})
+	n.handOver = &handOver{
+		done: func() {}, successor: "a-2", refusedBy: value.NewSet[ident.Instance](), acknowledgedParts: value.NewSet[int](),
+		parts: []message.HandOver{{Part: 1, PartCount: 2}, {Part: 2, PartCount: 2}},
+	}
+	n.handleHandOverAck("a-2", message.HandOverAck{Part: 1})
+	n.handleHandOverAck("a-2", message.HandOverAck{Refused: true})
+	n.handOver.successor = "a-3"
+	n.sendHandOver()
+	if len(sent) != 2 {
+		t.Fatalf("the next successor got %d parts, want 2", len(sent))
+	}
+}
