Survey the endpoints' result capacity when a batcher begins

Change: a batcher that begins asks the endpoints of its pool for their free capacity, and those with unknown results again each 250 ms until the retention ends.

--- a/kernel/batching/batching.go
+++ b/kernel/batching/batching.go
@@ -157,6 +157,10 @@
 	// inspectInterval is the minimum time between two inspections of an endpoint
 	// without result capacity: its reports are about 100 ms old.
 	inspectInterval = 300 * time.Millisecond
+	// surveyInterval is the time between two inspections of an endpoint that has
+	// results of an earlier batcher, less than inspectInterval, for which a report
+	// is valid.
+	surveyInterval = 250 * time.Millisecond
 	// rateBuckets and rateBucketWidth define the window over which started
 	// pieces are counted.
 	rateBuckets     = 10
--- a/kernel/batching/dispatch.go
+++ b/kernel/batching/dispatch.go
@@ -244,6 +244,37 @@
 	b.config.Output.InspectEndpoint(c.endpoint, c.address)
 }
 
+// Survey asks the endpoints of a pool for their free result capacity, because
+// this instance begins to batch for it: results of which it does not know take
+// capacity until their retention ends. Endpoints that have such results are asked
+// again.
+func (b *Batcher) Survey(pool ident.Pool) {
+	profile := b.config.BatchProfile(pool.Service)
+	if profile == nil {
+		return
+	}
+	for _, e := range b.candidates(pool) {
+		b.config.Output.InspectEndpoint(e.Name, e.Address)
+	}
+	b.repeatSurvey(pool, b.now().Add(profile.ResultRetention+retentionMargin))
+}
+
+// repeatSurvey asks the endpoints with unknown results again at intervals, until
+// the given time.
+func (b *Batcher) repeatSurvey(pool ident.Pool, until time.Time) {
+	b.config.Timers.After(surveyInterval, func() {
+		if !b.now().Before(until) {
+			return
+		}
+		for _, e := range b.candidates(pool) {
+			if b.endpointState(e.Name).unaccountedBytes > 0 {
+				b.config.Output.InspectEndpoint(e.Name, e.Address)
+			}
+		}
+		b.repeatSurvey(pool, until)
+	})
+}
+
 // HandleInspection handles an endpoint's report of its free result capacity,
 // which is an upper bound. Capacity that the reservations here do not explain
 // counts as taken for inspectInterval.
@@ -259,8 +290,8 @@
 	es := b.endpointState(name)
 	unaccounted := max(profile.ResultCapacityBytes-freeBytes-es.reservedBytes, 0)
 	b.config.Output.LogEvent("roomInspected", "endpoint", name, "free", freeBytes, "booked", es.reservedBytes, "foreign", unaccounted)
+	es.unaccountedBytes = unaccounted
 	if unaccounted > 0 {
-		es.unaccountedBytes = unaccounted
 		es.unaccountedUntil = b.now().Add(inspectInterval)
 	}
 	b.DispatchService(e.Service)
--- a/kernel/gateway/batchers.go
+++ b/kernel/gateway/batchers.go
@@ -173,6 +173,7 @@
 			g.batchingSince[pool] = now
 			clear(g.batcherCache)
 			g.out.LogEvent("batchingBegun", "service", pool.Service, "poolCentre", pool.DataCentre, "members", g.AliveCount())
+			g.batcher.Survey(pool)
 		case batcher != g.config.Self.Name && claimed:
 			delete(g.batchingSince, pool)
 			clear(g.batcherCache)
