Give starting instances the records, so that few list the platform

Cause: every instance that started listed the platform itself (kernel: 177 of 200 that start at once, 30 of 30 that restart among others): one with few known members takes itself for the reader of its data centre; records beyond the first 200, the configuration among them, waited for the next ping; and an instance that had not heard of any reader yet took that for an outage.

Change: an instance without a configuration waits up to 1.2 s for a member that has records; all of them are sent at once; a reader's silence counts from the own start; the first reading is spread over 500 ms (400 before).

--- a/kernel/gateway/fleet_test.go
+++ b/kernel/gateway/fleet_test.go
@@ -45,6 +45,8 @@
 	// nextStep and startCall carry out the gateways' effects.
 	nextStep  func(ident.Instance, RequestHandle, Step)
 	startCall func(ident.Instance, batching.Call)
+	// onStart is called for each instance that start starts.
+	onStart func(ident.Instance)
 }
 
 // newTestFleet starts the given numbers of instances with a strong link
@@ -87,10 +89,24 @@
 // startTestFleet starts instances without a configuration, spread over the given
 // data centres.
 func startTestFleet(t *testing.T, strong, weak int, centres []ident.DataCentre) *testFleet {
+	t.Helper()
+	f := newIdleFleet(t)
+	f.start(strong, weak, centres)
+	return f
+}
+
+// newIdleFleet returns a fleet without instances.
+func newIdleFleet(t *testing.T) *testFleet {
 	t.Helper()
 	f := &testFleet{t: t, timers: timer.NewScheduler(timer.Config{Start: testStart}), gateways: map[ident.Instance]*Gateway{}, byAddress: map[string]ident.Instance{}, down: map[ident.Instance]bool{}, sent: map[ident.Instance]int{}, received: map[ident.Instance]int{}, calls: map[ident.Instance]int{}}
 	f.nextStep = func(ident.Instance, RequestHandle, Step) {}
 	f.startCall = func(name ident.Instance, _ batching.Call) { f.calls[name]++ }
+	f.onStart = func(ident.Instance) {}
+	return f
+}
+
+// start starts instances, spread over the given data centres.
+func (f *testFleet) start(strong, weak int, centres []ident.DataCentre) {
 	for n := range strong + weak {
 		name := ident.Instance(fmt.Sprintf("weak-%03d", n))
 		capacity := 1.0
@@ -101,10 +117,10 @@
 		f.names = append(f.names, name)
 		f.byAddress[m.Address] = name
 		f.gateways[name] = f.newGateway(m, uint64(n))
+		f.onStart(name)
 		// Instances do not start at exactly the same time.
 		f.advance(time.Millisecond)
 	}
-	return f
 }
 
 func (f *testFleet) newGateway(m membership.Member, seed uint64) *Gateway {
--- a/kernel/gateway/gateway.go
+++ b/kernel/gateway/gateway.go
@@ -135,6 +135,9 @@
 	partitioned value.Set[ident.DataCentre]
 	// poolCache holds the division into pools; nil when it has to be computed.
 	poolCache *poolMap
+	// recordsOfferedAt is when a member first reported that it has records, while
+	// this instance has none.
+	recordsOfferedAt time.Time
 	// laggingPeers holds the members that lack records this instance has.
 	laggingPeers map[ident.Instance]peerLag
 	// batchingSince holds the pools that this instance batches for, and
--- a/kernel/gateway/peers.go
+++ b/kernel/gateway/peers.go
@@ -171,6 +171,9 @@
 	g.crashes.mergeReports(now, p.CrashReports)
 	g.recordBatcherStatus(now, p.Member.Name, p.BatcherStatuses)
 	g.recordContact(now, p.Member.Name, p.PlatformContactAge)
+	if p.AsOf > 0 && g.recordsOfferedAt.IsZero() {
+		g.recordsOfferedAt = now
+	}
 	g.sendMissingRecords(now, p.Member, p.AsOf)
 }
 
--- a/kernel/gateway/readers.go
+++ b/kernel/gateway/readers.go
@@ -29,7 +29,10 @@
 	// maxFirstReadDelay is the longest time that an instance waits after its
 	// start before it reads the platform itself: within it, alive instances
 	// send it their records.
-	maxFirstReadDelay = 400 * time.Millisecond
+	maxFirstReadDelay = 500 * time.Millisecond
+	// maxOfferWait is how long an instance without a configuration waits for the
+	// records of another one that has some before it reads the platform itself.
+	maxOfferWait = 1200 * time.Millisecond
 	// extraReaderInterval is the interval at which one more instance of each
 	// data centre starts to read while the readers have no contact with the
 	// platform.
@@ -55,7 +58,7 @@
 func (g *Gateway) ReadsPlatform() bool {
 	now := g.now()
 	if g.catalog == nil {
-		return now.Sub(g.startedAt) >= g.firstReadDelay() || g.members.KnownCount() > 1 && g.platformReaders(now).Has(g.config.Self.Name)
+		return now.Sub(g.startedAt) >= g.firstReadDelay() && !g.expectsRecords(now)
 	}
 	if g.platformReaders(now).Has(g.config.Self.Name) {
 		return true
@@ -68,6 +71,12 @@
 	return overdue >= time.Duration(rank)*extraReaderInterval
 }
 
+// expectsRecords reports whether another instance, which has records, will soon
+// send them to this one.
+func (g *Gateway) expectsRecords(now time.Time) bool {
+	return !g.recordsOfferedAt.IsZero() && now.Sub(g.recordsOfferedAt) < maxOfferWait
+}
+
 // firstReadDelay returns how long after its start this instance reads the
 // platform if no other instance has sent it records. The delay depends on the
 // instance's name, so that of several that start together the first ones to
@@ -79,7 +88,8 @@
 }
 
 // latestReaderContact returns the time of the latest contact that any reader
-// has reported; zero if there is none.
+// has reported, or that of this instance's start if none has: readers need a
+// while to report to a new instance.
 func (g *Gateway) latestReaderContact(now time.Time) time.Time {
 	var latest time.Time
 	for name := range g.platformReaders(now) {
@@ -87,6 +97,9 @@
 			latest = c.at
 		}
 	}
+	if latest.IsZero() {
+		return g.startedAt
+	}
 	return latest
 }
 
@@ -245,7 +258,13 @@
 	// The message takes a while to arrive, so the delay starts again before the
 	// next one.
 	g.laggingPeers[m.Name] = peerLag{asOf: peerRevision, since: now}
-	records, asOf := g.records.ChangesSince(peerRevision, maxRecordsPerMessage)
-	missing := message.Records{Records: records, Base: peerRevision, AsOf: asOf, UnconfirmedFor: g.outageWindow(now)}
-	g.sendToMember(m.Name, message.Envelope{Records: &missing})
+	for base := peerRevision; base < g.records.AsOf(); {
+		records, asOf := g.records.ChangesSince(base, maxRecordsPerMessage)
+		missing := message.Records{Records: records, Base: base, AsOf: asOf, UnconfirmedFor: g.outageWindow(now)}
+		g.sendToMember(m.Name, message.Envelope{Records: &missing})
+		if asOf <= base {
+			return
+		}
+		base = asOf
+	}
 }
