Let a data centre's pool without endpoints look busy

Cause, by reading the diff: a pool all of whose endpoints are down has an empty queue, so that requests preferred it (TestPoolWithoutEndpointsIsNotAttractive: 0 s before); and endpoints that another instance reported as unreachable were left out of a pool even if it had no others, since those of other data centres counted.

Change: such a pool reports a queue wait of 10 s; the choice among doubtful endpoints is made within the pool.

--- a/kernel/batching/dispatch.go
+++ b/kernel/batching/dispatch.go
@@ -14,11 +14,7 @@
 
 // candidates returns the endpoints of a pool that may get calls.
 func (b *Batcher) candidates(pool ident.Pool) []*endpoints.Endpoint {
-	candidates := b.config.Directory.Candidates(b.now(), pool.Service, nil)
-	if pool.DataCentre == "" {
-		return candidates
-	}
-	return slices.DeleteFunc(candidates, func(e *endpoints.Endpoint) bool { return e.DataCentre != pool.DataCentre })
+	return b.config.Directory.PoolCandidates(b.now(), pool)
 }
 
 // idleEndpoints returns the endpoints that can take a call now, and the number of
--- a/kernel/batching/load_test.go
+++ b/kernel/batching/load_test.go
@@ -468,3 +468,19 @@
 		t.Fatalf("recomputed: %v, after %v", computed, at.Sub(simulationStart))
 	}
 }
+
+// All endpoints of one data centre's pool crash at once. New requests must see
+// that it is not the shortest queue, though it is empty.
+func TestPoolWithoutEndpointsIsNotAttractive(t *testing.T) {
+	s := newSimulation(t, 3)
+	pool := ident.Pool{Service: "registry", DataCentre: "east"}
+	if wait := s.batcher.EstimateQueueWait(pool); wait != 0 {
+		t.Fatalf("an idle pool reports a queue wait of %v", wait)
+	}
+	for _, e := range s.directory.ByService("registry") {
+		e.MarkUnreachable(s.timers.Now())
+	}
+	if wait := s.batcher.EstimateQueueWait(pool); wait < time.Second {
+		t.Fatalf("a pool without endpoints reports a queue wait of %v", wait)
+	}
+}
--- a/kernel/batching/order.go
+++ b/kernel/batching/order.go
@@ -38,6 +38,9 @@
 	// goldenRatio is the step between retries in units of retrySpread. Its
 	// multiples modulo 1 are evenly distributed for any number of callers.
 	goldenRatio = 0.618034
+	// noEndpointWait is the queue wait of a data centre's pool none of whose endpoints
+	// can get work: longer than usual waits, so that requests go elsewhere.
+	noEndpointWait = 10 * time.Second
 	// heldRank is the rank of pieces that must not start now, behind all others.
 	heldRank = 2 * time.Hour
 )
@@ -67,7 +70,13 @@
 // pool that this instance batches for.
 func (b *Batcher) EstimateQueueWait(pool ident.Pool) time.Duration {
 	q, profile := b.queue(pool), b.config.BatchProfile(pool.Service)
-	if profile == nil || len(q.waiting) == 0 {
+	if profile == nil {
+		return 0
+	}
+	if pool.DataCentre != "" && len(b.candidates(pool)) == 0 {
+		return noEndpointWait
+	}
+	if len(q.waiting) == 0 {
 		return 0
 	}
 	eligible := 0
--- a/kernel/endpoints/endpoints.go
+++ b/kernel/endpoints/endpoints.go
@@ -230,8 +230,27 @@
 // not reach, or that are in a partitioned data centre, are returned if there are
 // no others.
 func (d *Directory) Candidates(now time.Time, s ident.Service, excluded value.Set[ident.Endpoint]) []*Endpoint {
+	return d.filterCandidates(now, d.byService[s], excluded)
+}
+
+// PoolCandidates returns the endpoints of a pool that may get new work, by the same
+// rules as Candidates.
+func (d *Directory) PoolCandidates(now time.Time, pool ident.Pool) []*Endpoint {
+	if pool.DataCentre == "" {
+		return d.Candidates(now, pool.Service, nil)
+	}
+	var members []*Endpoint
+	for _, e := range d.byService[pool.Service] {
+		if e.DataCentre == pool.DataCentre {
+			members = append(members, e)
+		}
+	}
+	return d.filterCandidates(now, members, nil)
+}
+
+func (d *Directory) filterCandidates(now time.Time, all []*Endpoint, excluded value.Set[ident.Endpoint]) []*Endpoint {
 	var usable, doubtful []*Endpoint
-	for _, e := range d.byService[s] {
+	for _, e := range all {
 		switch {
 		case e.Leaving || excluded.Has(e.Name) || now.Before(e.ejectedUntil):
 		case now.Before(e.peerReportUntil) || d.partitioned.Has(e.DataCentre):
