Move the stages of a request whose freed results are needed again

Cause, by reading the diff: where the results of a first stage had been freed and those of the next were in a data centre that was cut off, nothing asked for the first stage again, and the request waited until its deadline (TestStagesMoveWithFreedResults fails before).

Change: dropped results take the freed ones they are computed from with them, as for other losses; the move has a file of its own. An instance that has read the store once leaves it to the regular readers, whether it held a configuration or not (TestPlatformReaders, failing first).

--- /dev/null
+++ b/kernel/gateway/move.go
@@ -0,0 +1,57 @@
+package gateway
+
+import (
+	"slices"
+
+	"anvilcross/kernel/batching"
+	"anvilcross/kernel/message"
+)
+
+// stagesUnreachable reports whether the data centre in which a request's stages
+// run cannot be reached.
+func (g *Gateway) stagesUnreachable(r *request) bool {
+	return g.pools().divided && (g.members.Partitioned(g.now(), r.preferredDataCentre) || g.batcherOf(g.poolOf(r.stages[0].stage.Service, r.preferredDataCentre)) == "")
+}
+
+// moveStages runs a request's stages in another data centre, because the present
+// one cannot be reached. Results there are computed again.
+func (g *Gateway) moveStages(r *request) {
+	from := r.preferredDataCentre
+	r.preferredDataCentre = g.chooseStageDataCentre(r)
+	g.out.LogEvent("stagesMoved", "request", r.incoming.ID, "from", from, "to", r.preferredDataCentre, "after", g.now().Sub(r.arrivedAt))
+	if r.preferredDataCentre == "" {
+		g.answer(r, g.failureAnswer(r), busyRetryAfter, "no data centre within reach can run the stages")
+		return
+	}
+	g.dropPartitionedResults(r)
+	g.advance(r)
+}
+
+// dropPartitionedResults drops the results that cannot be reached, and withdraws
+// the outstanding pieces. Results that have been freed are dropped too if pieces
+// that need them have to be computed.
+func (g *Gateway) dropPartitionedResults(r *request) {
+	for i := range r.stages {
+		s := &r.stages[i]
+		if s.released || s.pieceCount == 0 {
+			continue
+		}
+		s.submitted = false
+		clear(s.inputsFetched)
+		if slices.ContainsFunc(s.handles, g.inPartition) {
+			g.dropLostResults(r, []int{i})
+		}
+	}
+	for i := range r.stages {
+		if s := &r.stages[i]; s.missingCount > 0 && !s.released {
+			g.dropLostResults(r, r.releasedStages(s.stage.DependsOn))
+		}
+	}
+}
+
+// inPartition reports whether a result is held where this instance cannot reach
+// it.
+func (g *Gateway) inPartition(h message.ResultHandle) bool {
+	e := g.directory.ByAddress(batching.EndpointAddress(h))
+	return h != "" && (e == nil || g.directory.InPartition(e))
+}
--- a/kernel/gateway/partition_test.go
+++ b/kernel/gateway/partition_test.go
@@ -227,3 +227,55 @@
 		})
 	}
 }
+
+// The data centre in which a request's stages run is cut off after the results of
+// the first stage have been freed. Both stages must run elsewhere.
+func TestStagesMoveWithFreedResults(t *testing.T) {
+	tg := newConfigured(t)
+	var records []replica.Record
+	for _, s := range []ident.Service{"registry", "planning"} {
+		for n := range 24 {
+			l := testListing(s, n)
+			records = append(records, testRecord(t, string(l.Name), 2, l))
+		}
+	}
+	tg.gateway.HandleChanges(records, 2)
+	tg.advance(100 * time.Millisecond)
+	h := tg.sendRequest("/verse/", func(c *CallerRequest) { c.PieceCounts = []int{1, 2} })
+	r := tg.gateway.requests[h]
+	if !tg.gateway.pools().divided || r.preferredDataCentre != "east" {
+		t.Fatalf("the stages run in %q, want this instance's own data centre", r.preferredDataCentre)
+	}
+	tg.advance(200 * time.Millisecond)
+	tg.finishCalls(1)
+	tg.advance(200 * time.Millisecond)
+	tg.finishCalls(1)
+	tg.advance(time.Millisecond)
+	for _, name := range []ident.Instance{"far-1", "far-2", "far-3"} {
+		tg.receivePing(name, "west", 0)
+	}
+	r.preferredDataCentre = "west"
+	first, second := &r.stages[0], &r.stages[1]
+	first.handles[0], first.missingCount, first.released, first.submitted = "registry-1:80/x", 0, true, true
+	second.handles[0], second.handles[1], second.missingCount, second.submitted = "planning-1:80/y", "", 1, true
+	r.attempt = nil
+	second.batcher, second.batcherIncarnation, second.submittedAt = "far-1", 1, tg.timers.Now()
+	tg.advance(signOutdated)
+	tg.calls = nil
+	for _, name := range []ident.Instance{"far-1", "far-2"} {
+		tg.gateway.HandlePeerFailure(name, "silent")
+	}
+	sends := len(tg.steps[h])
+	tg.advance(300 * time.Millisecond)
+	tg.finishCalls(1)
+	tg.advance(300 * time.Millisecond)
+	tg.finishCalls(1)
+	tg.advance(time.Millisecond)
+	if s := tg.wantSend(h); len(tg.steps[h]) != sends+1 || len(s.Inputs) != 2 {
+		t.Fatalf("the model endpoint gets %d inputs, want 2", len(s.Inputs))
+	}
+}
+
+// signOutdated is longer than the time for which a sign of life outweighs
+// failed deliveries.
+const signOutdated = 700 * time.Millisecond
--- a/kernel/gateway/reader_test.go
+++ b/kernel/gateway/reader_test.go
@@ -42,6 +42,19 @@
 			t.Fatal("the instance does not read the platform")
 		}
 	})
+	t.Run("an instance that has read a store without a configuration leaves it to the readers", func(t *testing.T) {
+		tg := newTestGateway(t)
+		receiveSevenPings(tg, 0)
+		tg.gateway.HandleFullList(nil, 5)
+		tg.advance(maxFirstReadDelay)
+		receiveSevenPings(tg, 0)
+		if tg.gateway.platformReaders(tg.timers.Now()).Has("one") {
+			t.Fatal("the instance is a regular reader")
+		}
+		if tg.gateway.ReadsPlatform() {
+			t.Fatal("the instance goes on reading the platform")
+		}
+	})
 	t.Run("an outage turns few instances into readers at a time", func(t *testing.T) {
 		for _, c := range []struct {
 			age         time.Duration
--- a/kernel/gateway/readers.go
+++ b/kernel/gateway/readers.go
@@ -57,7 +57,7 @@
 // calls in an outage.
 func (g *Gateway) ReadsPlatform() bool {
 	now := g.now()
-	if g.catalog == nil {
+	if g.catalog == nil && g.records.AsOf() == 0 {
 		return now.Sub(g.startedAt) >= g.firstReadDelay() && !g.expectsRecords(now)
 	}
 	if g.platformReaders(now).Has(g.config.Self.Name) {
--- a/kernel/gateway/stages.go
+++ b/kernel/gateway/stages.go
@@ -471,38 +471,3 @@
 		}
 	}
 }
-
-// stagesUnreachable reports whether the data centre in which a request's stages
-// run cannot be reached.
-func (g *Gateway) stagesUnreachable(r *request) bool {
-	return g.pools().divided && (g.members.Partitioned(g.now(), r.preferredDataCentre) || g.batcherOf(g.poolOf(r.stages[0].stage.Service, r.preferredDataCentre)) == "")
-}
-
-// moveStages runs a request's stages in another data centre, because the present
-// one cannot be reached. Results there are computed again.
-func (g *Gateway) moveStages(r *request) {
-	from := r.preferredDataCentre
-	r.preferredDataCentre = g.chooseStageDataCentre(r)
-	g.out.LogEvent("stagesMoved", "request", r.incoming.ID, "from", from, "to", r.preferredDataCentre, "after", g.now().Sub(r.arrivedAt))
-	if r.preferredDataCentre == "" {
-		g.answer(r, g.failureAnswer(r), busyRetryAfter, "no data centre within reach can run the stages")
-		return
-	}
-	for i := range r.stages {
-		s := &r.stages[i]
-		if s.released || s.pieceCount == 0 {
-			continue
-		}
-		s.submitted = false
-		clear(s.inputsFetched)
-		for piece, h := range s.handles {
-			e := g.directory.ByAddress(batching.EndpointAddress(h))
-			if h != "" && (e == nil || g.directory.InPartition(e)) {
-				s.handles[piece] = ""
-				s.missingCount++
-				s.recompute = true
-			}
-		}
-	}
-	g.advance(r)
-}
