--- a/kernel/gateway/reader_test.go
+++ b/kernel/gateway/reader_test.go
@@ -46,7 +46,10 @@
 		tg := newTestGateway(t)
 		receiveSevenPings(tg, 0)
 		tg.gateway.HandleFullList(nil, 5)
-		tg.advance(maxFirstReadDelay)
+		for range 3 {
+			receiveSevenPings(tg, 0)
+			tg.advance(500 * time.Millisecond)
+		}
 		receiveSevenPings(tg, 0)
 		if tg.gateway.platformReaders(tg.timers.Now()).Has("one") {
 			t.Fatal("the instance is a regular reader")
