Redirect only the pieces of senders that accept it

Cause, by reading the diff: an instance of an earlier version knows no redirect. It would send returned pieces back at once, and so on at the speed of the link, for as long as both versions run and their views differ.

Change: a submission says that it may be redirected; one of an earlier version doesn't, nor one to a batcher that another instance named.

Test: TestOnlyThoseWhoAcceptItAreRedirected.

--- a/kernel/gateway/agreement_test.go
+++ b/kernel/gateway/agreement_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -59,8 +60,8 @@
 	for _, p := range tg.peers {
 		if p.message.StageWork != nil && p.to.Name == "three" {
 			submissions++
-			if !p.message.StageWork.Redirected {
-				t.Error("the submission does not say that the receiver was named as the batcher")
+			if p.message.StageWork.AcceptsRedirect {
+				t.Error("the submission to the named batcher may be redirected again")
 			}
 		}
 	}
@@ -68,3 +69,19 @@
 		t.Fatalf("%d submissions to the named batcher, want 1", submissions)
 	}
 }
+
+// Instances of an earlier version send returned pieces back at once. While some of
+// them run, their pieces are accepted by whoever gets them.
+func TestOnlyThoseWhoAcceptItAreRedirected(t *testing.T) {
+	for _, accepts := range []bool{true, false} {
+		t.Run(fmt.Sprint(accepts), func(t *testing.T) {
+			tg := newConfigured(t)
+			tg.receivePing("two", "west", 0)
+			tg.gateway.batcherCache[ident.Pool{Service: "registry"}] = "two"
+			tg.gateway.HandleMessage(message.Envelope{From: "three", Incarnation: 1, StageWork: &message.StageWork{Request: "r", Service: "registry", Pieces: []int{0}, ResultBytes: 1, TimeToDue: time.Second, TimeToDeadline: time.Second, Weight: 1, AcceptsRedirect: accepts}})
+			if redirected := tg.gateway.Counters().PiecesRedirected == 1; redirected != accepts {
+				t.Fatalf("the pieces were redirected: %v, want %v", redirected, accepts)
+			}
+		})
+	}
+}
--- a/kernel/gateway/batchers.go
+++ b/kernel/gateway/batchers.go
@@ -76,11 +76,11 @@
 }
 
 // handleStageWork queues pieces for the calls of a pool. If another instance
-// batches for the pool, the pieces are returned with its name instead, so that
-// no two instances send calls to the same endpoints.
+// batches for the pool and the sender accepts it, the pieces are returned with its
+// name instead, so that no two instances send calls to the same endpoints.
 func (g *Gateway) handleStageWork(from ident.Instance, w message.StageWork) {
 	batcher := g.batcherOf(w.Pool())
-	if batcher == "" || batcher == g.config.Self.Name || w.Redirected || g.batcher.Holds(w) {
+	if batcher == "" || batcher == g.config.Self.Name || !w.AcceptsRedirect || g.batcher.Holds(w) {
 		g.batcher.Submit(from, w)
 		return
 	}
--- a/kernel/gateway/stages.go
+++ b/kernel/gateway/stages.go
@@ -192,7 +192,7 @@
 	}
 	dueAt := r.dueAt.Add(-firstEventEstimate - time.Duration(r.downstreamDepth(index))*stageTimeEstimate)
 	w := message.StageWork{
-		Redirected:          g.redirectedTo(now, s.pool) == s.batcher,
+		AcceptsRedirect:     g.redirectedTo(now, s.pool) != s.batcher,
 		Request:             r.incoming.ID,
 		Service:             s.stage.Service,
 		PoolDataCentre:      s.pool.DataCentre,
--- a/kernel/message/gateway.go
+++ b/kernel/message/gateway.go
@@ -123,9 +123,10 @@
 	Recovering bool `json:"begun,omitempty"`
 	// Weight is the importance of the request when not all can be on time.
 	Weight float64 `json:"weight"`
-	// Redirected is set if another instance named the receiver as the pool's
-	// batcher. The receiver must not redirect the pieces again.
-	Redirected bool `json:"redirected,omitempty"`
+	// AcceptsRedirect is set if the receiver may return the pieces with the name of
+	// the pool's batcher. It is not if another instance has named the receiver, nor
+	// by earlier versions, which would send them back at once.
+	AcceptsRedirect bool `json:"acceptsRedirect,omitempty"`
 	// PreferredDataCentre is the data centre where the results will probably be
 	// used.
 	PreferredDataCentre ident.DataCentre `json:"prefer,omitempty"`
