Log why an instance reads the store, whether a removal is unconfirmed, and count records

The three hypotheses look alike in the logs so far. Now a copy that is not complete shows as another platform_records at the same platform_revision, an instance that reads too late as platformReading cause=noContact with the age of the readers' contact, and a removal that waits for confirmation as endpointRemoved unconfirmed=true.

No decision changes: ReadsPlatform gives the same answers by way of the cause. Tests of kernel/gateway and kernel/replica pass.

--- a/anvilcrossd/gatewayd/metrics.go
+++ b/anvilcrossd/gatewayd/metrics.go
@@ -61,6 +61,7 @@
 		gauges["in_flight"] = float64(g.InFlight())
 		gauges["members"] = float64(g.AliveCount())
 		gauges["platform_revision"] = float64(g.AsOf())
+		gauges["platform_records"] = float64(g.RecordCount())
 		gauges["arrived"] = float64(c.Arrived)
 		gauges["relayed"] = float64(c.Relayed)
 		gauges["retried"] = float64(c.Retried)
--- a/kernel/gateway/gateway.go
+++ b/kernel/gateway/gateway.go
@@ -152,7 +152,9 @@
 	// outageUntil is the time until which removals that this instance reads are
 	// unconfirmed: an outage of the platform may have caused them.
 	outageUntil time.Time
-	counters    Counters
+	// loggedReading is the cause of reading the platform that was last logged.
+	loggedReading readingCause
+	counters      Counters
 }
 
 // Counters holds the gateway's totals since the process started. Each is
@@ -185,6 +187,7 @@
 		batcherCache:     map[ident.Pool]ident.Instance{},
 		laggingPeers:     map[ident.Instance]peerLag{},
 		redirects:        map[ident.Pool]redirect{},
+		loggedReading:    noReading,
 		partitioned:      value.NewSet[ident.DataCentre](),
 	}
 	g.retryBudget = newRetryBudget(c.Retry)
@@ -247,6 +250,10 @@
 // records.
 func (g *Gateway) AsOf() replica.Revision { return g.records.AsOf() }
 
+// RecordCount returns the number of the platform's records that this instance has.
+// It is the same at all instances that have them up to the same revision.
+func (g *Gateway) RecordCount() int { return g.records.Count() }
+
 // BeginShutdown starts a graceful shutdown: the instance is no longer ready,
 // and other instances take over the batching for its services.
 func (g *Gateway) BeginShutdown() {
@@ -287,6 +294,7 @@
 // tick runs the periodic checks.
 func (g *Gateway) tick() {
 	now := g.now()
+	g.logReading(now)
 	g.endForeignOutage()
 	for _, name := range g.directory.PurgeRemoved(now) {
 		g.out.LogEvent("endpointLapsed", "endpoint", name)
@@ -343,7 +351,7 @@
 		case decoded.Endpoint != "" && r.Removed:
 			if e := g.directory.Lookup(decoded.Endpoint); e != nil {
 				g.crashes.recordEndpointGone(g.now(), e.Name, e.Service)
-				g.out.LogEvent("endpointRemoved", "endpoint", decoded.Endpoint, "revision", r.Revision, "source", source)
+				g.out.LogEvent("endpointRemoved", "endpoint", decoded.Endpoint, "revision", r.Revision, "source", source, "unconfirmed", unconfirmed)
 			}
 			g.directory.Remove(g.now(), decoded.Endpoint, unconfirmed)
 		}
--- a/kernel/gateway/readers.go
+++ b/kernel/gateway/readers.go
@@ -49,26 +49,59 @@
 	known bool
 }
 
+// readingCause is why an instance reads the platform.
+type readingCause string
+
+// The causes. An instance outside them does not read.
+const (
+	noReading readingCause = "none"
+	// firstReading is that of an instance that has no records yet.
+	firstReading readingCause = "noRecords"
+	// regularReading is that of the instances that read the platform for the
+	// others.
+	regularReading readingCause = "regular"
+	// extraReading is that of further instances while no regular reader has
+	// contact with the platform.
+	extraReading readingCause = "noContact"
+)
+
 // ReadsPlatform reports whether this instance reads the platform. One instance
 // of each data centre does, and at least minReaders in all; the others get the
 // records from them. While no reader has contact with the platform, one more
 // instance of each data centre reads too after every extraReaderInterval. That
 // soon includes one that the platform serves, if there is any, and costs few
 // calls in an outage.
-func (g *Gateway) ReadsPlatform() bool {
-	now := g.now()
+func (g *Gateway) ReadsPlatform() bool { return g.readingCause(g.now()) != noReading }
+
+func (g *Gateway) readingCause(now time.Time) readingCause {
 	if g.catalog == nil && g.records.AsOf() == 0 {
-		return now.Sub(g.startedAt) >= g.firstReadDelay() && !g.expectsRecords(now)
+		if now.Sub(g.startedAt) >= g.firstReadDelay() && !g.expectsRecords(now) {
+			return firstReading
+		}
+		return noReading
 	}
 	if g.platformReaders(now).Has(g.config.Self.Name) {
-		return true
+		return regularReading
 	}
 	overdue := now.Sub(g.latestReaderContact(now)) - g.maxReaderContactAge()
 	if overdue < 0 {
-		return false
+		return noReading
 	}
 	rank := slices.Index(g.members.RankedLocalMembers(now, "reader"), g.config.Self.Name)
-	return overdue >= time.Duration(rank)*extraReaderInterval
+	if overdue >= time.Duration(rank)*extraReaderInterval {
+		return extraReading
+	}
+	return noReading
+}
+
+// logReading logs when this instance begins or ceases to read the platform.
+func (g *Gateway) logReading(now time.Time) {
+	cause := g.readingCause(now)
+	if cause == g.loggedReading {
+		return
+	}
+	g.loggedReading = cause
+	g.out.LogEvent("platformReading", "cause", cause, "readerContactAge", now.Sub(g.latestReaderContact(now)), "asOf", g.records.AsOf())
 }
 
 // expectsRecords reports whether another instance, which has records, will soon
--- a/kernel/replica/replica.go
+++ b/kernel/replica/replica.go
@@ -45,6 +45,17 @@
 // AsOf returns the revision up to which the copy is complete.
 func (s *Store) AsOf() Revision { return s.asOf }
 
+// Count returns the number of records, without removals.
+func (s *Store) Count() int {
+	count := 0
+	for _, e := range s.entries {
+		if !e.record.Removed {
+			count++
+		}
+	}
+	return count
+}
+
 // Apply stores the records whose revision is higher than the stored one and
 // returns them. With them the copy is complete up to the revision asOf.
 func (s *Store) Apply(now time.Time, records []Record, asOf Revision) []Record {
