Pass on the removals that came before a full list

Cause: an instance that lists the store cannot see the removals before its list, since a list has no removed records. It still told members behind it "all changes from N to M", without these removals. They took themselves for complete and kept the endpoint; nobody sent it again. The same way back: a record from before the list was taken for news by the copy that was made from the list. The class: a claim of completeness that goes back further than the copy knows.

At the instances that failed the revision equals the store's, they read nothing, and their copy has the record as alive. Ruled out for these: a late reader (revision behind), an unconfirmed removal (no endpointRemoved line).

Change: a copy knows since which revision it has all removals. To a member that is further behind it also sends the keys of all records, and the member drops the others. A copy that has received only a part claims nothing. Records up to the revision to which a copy is complete are no news to it. Removals that are purged after a minute are covered by the same revision. Why it works: what the sender cannot say by changes it says by the whole set of keys.

Looked for elsewhere: purged removals (same rule now); claim.SeatMemory carries CompleteSince already; configurations of kernel/node are whole documents or differences between two named revisions.

Size: the keys are 9 KB for 383 endpoints, sent to starting instances and after a list only.

--- a/kernel/gateway/fleet_test.go
+++ b/kernel/gateway/fleet_test.go
@@ -161,9 +161,14 @@
 		Timers:       f.timers,
 		DecodeRecord: decodeTestRecord,
 		Output: Output{
-			NextStep:        func(h RequestHandle, s Step) { f.nextStep(m.Name, h, s) },
-			CancelAttempt:   func(RequestHandle) {},
-			SendToPeer:      func(to membership.PeerAddress, e message.Envelope) { f.send(m.Name, f.byAddress[to.Address], e) },
+			NextStep:      func(h RequestHandle, s Step) { f.nextStep(m.Name, h, s) },
+			CancelAttempt: func(RequestHandle) {},
+			SendToPeer: func(to membership.PeerAddress, e message.Envelope) {
+				// The timers of an ended process go on.
+				if f.gateways[m.Name].config.Self.Incarnation == m.Incarnation {
+					f.send(m.Name, f.byAddress[to.Address], e)
+				}
+			},
 			LogEvent:        func(string, ...any) {},
 			StartCall:       func(c batching.Call) { f.startCall(m.Name, c) },
 			InspectEndpoint: func(ident.Endpoint, string) {},
--- a/kernel/gateway/readers.go
+++ b/kernel/gateway/readers.go
@@ -218,9 +218,8 @@
 // receivers may lack them. The rest of the fleet is served by the reader of its
 // own data centre, or in answer to its pings.
 func (g *Gateway) broadcastRecords(base replica.Revision) {
-	records, asOf := g.records.ChangesSince(base, maxRecordsPerMessage)
-	m := message.Records{Records: records, Base: base, AsOf: asOf, UnconfirmedFor: g.outageWindow(g.now())}
 	now := g.now()
+	m := message.NewRecords(g.records.ChangesSince(base, maxRecordsPerMessage), g.outageWindow(now))
 	for _, name := range g.members.AliveMembers(now) {
 		sameCentre := g.members.DataCentre(name) == g.config.Self.DataCentre
 		if name != g.config.Self.Name && (sameCentre || g.members.InCore(now, name)) {
@@ -229,8 +228,7 @@
 	}
 }
 
-// handleRecords handles records that another member sent. The own copy counts
-// as complete up to the message's revision only if the message leaves no gap.
+// handleRecords handles records that another member sent.
 func (g *Gateway) handleRecords(from ident.Instance, m message.Records) {
 	now := g.now()
 	if m.UnconfirmedFor > 0 {
@@ -238,11 +236,7 @@
 	} else {
 		g.confirmRemovals(m.Records)
 	}
-	asOf := replica.Revision(0)
-	if m.Base <= g.records.AsOf() {
-		asOf = m.AsOf
-	}
-	g.applyRecords(g.records.Apply(now, m.Records, asOf), string(from), m.UnconfirmedFor > 0)
+	g.applyRecords(g.records.ApplyDelta(now, m.Delta()), string(from), m.UnconfirmedFor > 0)
 }
 
 // confirmRemovals drops the endpoints among removed records whose removal was
@@ -292,12 +286,11 @@
 	// next one.
 	g.laggingPeers[m.Name] = peerLag{asOf: peerRevision, since: now}
 	for base := peerRevision; base < g.records.AsOf(); {
-		records, asOf := g.records.ChangesSince(base, maxRecordsPerMessage)
-		missing := message.Records{Records: records, Base: base, AsOf: asOf, UnconfirmedFor: g.outageWindow(now)}
+		missing := message.NewRecords(g.records.ChangesSince(base, maxRecordsPerMessage), g.outageWindow(now))
 		g.sendToMember(m.Name, message.Envelope{Records: &missing})
-		if asOf <= base {
+		if missing.AsOf <= base {
 			return
 		}
-		base = asOf
+		base = missing.AsOf
 	}
 }
--- a/kernel/replica/replica.go
+++ b/kernel/replica/replica.go
@@ -5,7 +5,7 @@
 package replica
 
 import (
-	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -24,8 +24,7 @@
 }
 
 // removalRetention is how long a removal is kept for instances that have not
-// received it. An instance that has missed updates for that long has already
-// read the full list of records from the platform.
+// received it. Later they get the keys of all records instead.
 const removalRetention = time.Minute
 
 type entry struct {
@@ -37,6 +36,21 @@
 type Store struct {
 	entries map[string]*entry
 	asOf    Revision
+	// allRemovalsSince is the revision since which the copy has every removal. It
+	// cannot know those before the first list that it was made from. While it is
+	// above asOf, the copy does not have all records of any one revision.
+	allRemovalsSince Revision
+}
+
+// unknownRevision stands for a revision that is not known.
+const unknownRevision Revision = math.MaxInt64
+
+// knownOr returns a revision, or another value if it is not known.
+func knownOr(r, other Revision) Revision {
+	if r == unknownRevision {
+		return other
+	}
+	return r
 }
 
 // NewStore returns an empty copy.
@@ -59,6 +73,25 @@
 // Apply stores the records whose revision is higher than the stored one and
 // returns them. With them the copy is complete up to the revision asOf.
 func (s *Store) Apply(now time.Time, records []Record, asOf Revision) []Record {
+	return s.store(now, s.withoutKnown(records), asOf)
+}
+
+// withoutKnown returns the records without those up to the revision to which this
+// copy is complete. One of these that it does not have has been removed since.
+func (s *Store) withoutKnown(records []Record) []Record {
+	if s.asOf < s.allRemovalsSince {
+		return records
+	}
+	var others []Record
+	for _, r := range records {
+		if r.Revision > s.asOf {
+			others = append(others, r)
+		}
+	}
+	return others
+}
+
+func (s *Store) store(now time.Time, records []Record, asOf Revision) []Record {
 	var applied []Record
 	for _, r := range records {
 		e := s.entries[r.Key]
@@ -81,35 +114,13 @@
 	for _, r := range records {
 		listed.Add(r.Key)
 	}
-	changes := records
-	for _, key := range value.SortedKeys(s.entries) {
-		e := s.entries[key]
-		if !listed.Has(key) && !e.record.Removed && e.record.Revision <= asOf {
-			changes = append(changes, Record{Key: key, Revision: asOf, Removed: true})
-		}
-	}
-	return s.Apply(now, changes, asOf)
-}
-
-// ChangesSince returns the records with a higher revision than after, in the
-// order of their revisions, and the revision up to which they are complete. It
-// returns at most limit records, plus those that share the last one's revision.
-func (s *Store) ChangesSince(after Revision, limit int) ([]Record, Revision) {
-	var records []Record
-	for _, key := range value.SortedKeys(s.entries) {
-		if r := s.entries[key].record; r.Revision > after {
-			records = append(records, r)
-		}
-	}
-	slices.SortStableFunc(records, func(x, y Record) int { return cmp.Compare(x.Revision, y.Revision) })
-	if len(records) <= limit {
-		return records, s.asOf
+	if asOf > s.asOf || s.allRemovalsSince == unknownRevision {
+		s.allRemovalsSince = max(asOf, knownOr(s.allRemovalsSince, 0))
 	}
-	end := limit
-	for end < len(records) && records[end].Revision == records[limit-1].Revision {
-		end++
+	if asOf < s.asOf {
+		records = s.withoutKnown(records)
 	}
-	return records[:end], min(records[end-1].Revision, s.asOf)
+	return s.store(now, slices.Concat(records, s.removalsOfOthers(listed, asOf)), asOf)
 }
 
 // purgeRemoved drops the removals that are older than removalRetention.
@@ -117,6 +128,7 @@
 	for key, e := range s.entries {
 		if e.record.Removed && now.Sub(e.appliedAt) > removalRetention {
 			delete(s.entries, key)
+			s.allRemovalsSince = max(s.allRemovalsSince, e.record.Revision)
 		}
 	}
 }
