Bind the doubt about a removal to its reader, not to the receiver's own outage

Cause: a removal that a reader passes on as unconfirmed is settled two seconds after the end of that reader's outage. The receiver settled it only after the end of its own outage and two seconds more. An instance that the store refuses, or one that had just stopped reading, kept such an endpoint for as long, although others read the store all the while.

Change: each unconfirmed removal carries the time at which it is settled. It is settled then if any instance has recent contact with the platform, since a new listing would have come by it; while none has, it waits two seconds from the return of contact. The directory needs neither its own nor its members' grace periods any more.

--- a/kernel/endpoints/endpoints.go
+++ b/kernel/endpoints/endpoints.go
@@ -77,9 +77,10 @@
 	loadReportedAt      time.Time
 	ejectedUntil        time.Time
 	consecutiveFailures int
-	// unconfirmedRemovalAt is when the listing disappeared from the platform if
-	// that may be due to an outage; otherwise zero.
-	unconfirmedRemovalAt time.Time
+	// unconfirmedUntil is when the endpoint counts as gone if its listing has
+	// disappeared from the platform, but perhaps only because of an outage;
+	// otherwise zero.
+	unconfirmedUntil time.Time
 	// lastResponseAt is when the endpoint last responded to this instance.
 	lastResponseAt time.Time
 	// unreachableAt is when this instance last failed to reach the endpoint.
@@ -98,13 +99,6 @@
 	// partitioned holds the data centres that this instance can probably not
 	// reach.
 	partitioned value.Set[ident.DataCentre]
-	// graceEnd is when endpoints whose listings expired during the last
-	// platform outage that this instance observed have to be listed again; zero
-	// if there was no outage.
-	graceEnd time.Time
-	// peerGraceEnd is the same for an outage that another instance observed and
-	// reported.
-	peerGraceEnd time.Time
 }
 
 // NewDirectory returns an empty directory.
@@ -120,61 +114,45 @@
 		d.byName[l.Name] = e
 	}
 	e.Listing = l
-	e.unconfirmedRemovalAt = time.Time{}
+	e.unconfirmedUntil = time.Time{}
 	d.rebuildIndexes()
 	return isNew
 }
 
 // Remove handles the disappearance of an endpoint's listing from the platform. It
-// removes the endpoint if it was leaving or the removal is confirmed. Otherwise the
-// listing may have expired only because of a platform outage: the endpoint stays
-// usable and is marked, until Upsert lists it again or ConfirmRemoval or
-// PurgeRemoved removes it.
-func (d *Directory) Remove(now time.Time, name ident.Endpoint, unconfirmed bool) {
+// removes the endpoint if it was leaving or the removal is confirmed, with
+// unconfirmedFor zero. Otherwise the listing may have expired only because of a
+// platform outage: the endpoint stays usable for that time, at most outageGrace,
+// unless Upsert lists it again or ConfirmRemoval removes it.
+func (d *Directory) Remove(now time.Time, name ident.Endpoint, unconfirmedFor time.Duration) {
 	e := d.byName[name]
 	if e == nil {
 		return
 	}
-	if !e.Leaving && unconfirmed {
-		e.unconfirmedRemovalAt = now
+	if !e.Leaving && unconfirmedFor > 0 {
+		if e.unconfirmedUntil.IsZero() {
+			e.unconfirmedUntil = now.Add(min(unconfirmedFor, outageGrace))
+		}
 		return
 	}
 	delete(d.byName, name)
 	d.rebuildIndexes()
 }
 
-// MarkPlatformUnavailable records that the platform does not answer.
+// MarkPlatformUnavailable records that the platform does not answer this instance.
 func (d *Directory) MarkPlatformUnavailable() { d.inOutage = true }
 
-// MarkPlatformAvailable records that the platform answers. If it did not before,
-// the removals of the outage are purged after outageGrace.
-func (d *Directory) MarkPlatformAvailable(now time.Time) {
-	if !d.inOutage {
-		return
-	}
-	d.inOutage = false
-	d.graceEnd = now.Add(outageGrace)
-}
+// MarkPlatformAvailable records that the platform answers this instance.
+func (d *Directory) MarkPlatformAvailable() { d.inOutage = false }
 
 // PlatformUnavailable reports whether the platform does not answer this instance.
 func (d *Directory) PlatformUnavailable() bool { return d.inOutage }
 
-// InOutageWindow reports whether a platform outage that this instance observed
-// lasts or ended less than outageGrace ago, so that removals may be expired listings
-// of endpoints that are up.
-func (d *Directory) InOutageWindow(now time.Time) bool { return d.inOutage || now.Before(d.graceEnd) }
-
-// DelayPurge delays PurgeRemoved because another instance reported removals from
-// an outage that it observed. The remaining time is capped at outageGrace.
-func (d *Directory) DelayPurge(now time.Time, remaining time.Duration) {
-	d.peerGraceEnd = now.Add(min(remaining, outageGrace))
-}
-
 // ConfirmRemoval removes the named endpoint if its removal was unconfirmed, and
 // reports whether it was.
 func (d *Directory) ConfirmRemoval(name ident.Endpoint) bool {
 	e := d.byName[name]
-	if e == nil || e.unconfirmedRemovalAt.IsZero() {
+	if e == nil || e.unconfirmedUntil.IsZero() {
 		return false
 	}
 	delete(d.byName, name)
@@ -182,16 +160,22 @@
 	return true
 }
 
-// PurgeRemoved removes the endpoints that Remove marked and that have not been
-// listed again since, and returns their names. It does nothing during an outage that
-// this instance observes, or before graceEnd or peerGraceEnd.
-func (d *Directory) PurgeRemoved(now time.Time) []ident.Endpoint {
-	if d.InOutageWindow(now) || now.Before(d.peerGraceEnd) {
-		return nil
+// PostponeRemovals lets unconfirmed removals wait for outageGrace from now on,
+// because no instance has contact with the platform.
+func (d *Directory) PostponeRemovals(now time.Time) {
+	for _, e := range d.byName {
+		if !e.unconfirmedUntil.IsZero() {
+			e.unconfirmedUntil = now.Add(outageGrace)
+		}
 	}
+}
+
+// PurgeRemoved removes the endpoints whose removal has been unconfirmed for long
+// enough, and returns their names.
+func (d *Directory) PurgeRemoved(now time.Time) []ident.Endpoint {
 	var purged []ident.Endpoint
 	for name, e := range d.byName {
-		if !e.unconfirmedRemovalAt.IsZero() {
+		if !e.unconfirmedUntil.IsZero() && !now.Before(e.unconfirmedUntil) {
 			delete(d.byName, name)
 			purged = append(purged, name)
 		}
--- a/kernel/gateway/gateway.go
+++ b/kernel/gateway/gateway.go
@@ -296,9 +296,7 @@
 	now := g.now()
 	g.logReading(now)
 	g.endForeignOutage()
-	for _, name := range g.directory.PurgeRemoved(now) {
-		g.out.LogEvent("endpointLapsed", "endpoint", name)
-	}
+	g.settleRemovals(now)
 	if g.catalog == nil {
 		return
 	}
@@ -317,13 +315,13 @@
 func (g *Gateway) HandlePlatformUnavailable() { g.directory.MarkPlatformUnavailable() }
 
 // HandlePlatformAvailable handles the end of a platform outage.
-func (g *Gateway) HandlePlatformAvailable() { g.directory.MarkPlatformAvailable(g.now()) }
+func (g *Gateway) HandlePlatformAvailable() { g.directory.MarkPlatformAvailable() }
 
-// applyRecords applies records that are new to this instance. If unconfirmed is
-// set, the reader of the records has gone through a platform outage, and a
-// removal may only be an entry that expired because its endpoint could not
-// renew it.
-func (g *Gateway) applyRecords(updates []replica.Record, source string, unconfirmed bool) {
+// applyRecords applies records that are new to this instance. If unconfirmedFor
+// is above zero, the reader of the records has gone through a platform outage, and
+// for that time a removal may only be an entry that expired because its endpoint
+// could not renew it.
+func (g *Gateway) applyRecords(updates []replica.Record, source string, unconfirmedFor time.Duration) {
 	changedServices := value.NewSet[ident.Service]()
 	for _, r := range updates {
 		decoded, err := g.config.DecodeRecord(r)
@@ -331,7 +329,7 @@
 			g.counters.RecordsRejected++
 			g.out.LogEvent("recordRejected", "record", r.Key, "revision", r.Revision, "reason", err)
 			if decoded.Endpoint != "" {
-				g.directory.Remove(g.now(), decoded.Endpoint, false)
+				g.directory.Remove(g.now(), decoded.Endpoint, 0)
 			}
 			continue
 		}
@@ -351,9 +349,9 @@
 		case decoded.Endpoint != "" && r.Removed:
 			if e := g.directory.Lookup(decoded.Endpoint); e != nil {
 				g.crashes.recordEndpointGone(g.now(), e.Name, e.Service)
-				g.out.LogEvent("endpointRemoved", "endpoint", decoded.Endpoint, "revision", r.Revision, "source", source, "unconfirmed", unconfirmed)
+				g.out.LogEvent("endpointRemoved", "endpoint", decoded.Endpoint, "revision", r.Revision, "source", source, "unconfirmed", unconfirmedFor > 0)
 			}
-			g.directory.Remove(g.now(), decoded.Endpoint, unconfirmed)
+			g.directory.Remove(g.now(), decoded.Endpoint, unconfirmedFor)
 		}
 	}
 	g.poolCache = nil
--- a/kernel/gateway/readers.go
+++ b/kernel/gateway/readers.go
@@ -191,7 +191,7 @@
 	if g.directory.PlatformUnavailable() {
 		g.outageUntil = now.Add(unconfirmedRemovalTime)
 	}
-	g.applyRecords(updates, source, g.outageWindow(now) > 0)
+	g.applyRecords(updates, source, g.outageWindow(now))
 	if len(updates) > 0 {
 		g.broadcastRecords(base)
 	}
@@ -231,12 +231,33 @@
 // handleRecords handles records that another member sent.
 func (g *Gateway) handleRecords(from ident.Instance, m message.Records) {
 	now := g.now()
-	if m.UnconfirmedFor > 0 {
-		g.directory.DelayPurge(now, m.UnconfirmedFor)
-	} else {
+	if m.UnconfirmedFor <= 0 {
 		g.confirmRemovals(m.Records)
 	}
-	g.applyRecords(g.records.ApplyDelta(now, m.Delta()), string(from), m.UnconfirmedFor > 0)
+	g.applyRecords(g.records.ApplyDelta(now, m.Delta()), string(from), m.UnconfirmedFor)
+}
+
+// settleRemovals drops the endpoints whose removal has been unconfirmed for long
+// enough. Whether this instance itself reaches the platform does not matter: as long
+// as any does, a new listing would have come.
+func (g *Gateway) settleRemovals(now time.Time) {
+	if !g.platformInReach(now) {
+		g.directory.PostponeRemovals(now)
+		return
+	}
+	for _, name := range g.directory.PurgeRemoved(now) {
+		g.out.LogEvent("endpointLapsed", "endpoint", name)
+	}
+}
+
+// platformInReach reports whether any instance has recent contact with the platform.
+func (g *Gateway) platformInReach(now time.Time) bool {
+	for _, c := range g.platformContacts {
+		if c.known && now.Sub(c.at) <= g.maxReaderContactAge() {
+			return true
+		}
+	}
+	return false
 }
 
 // confirmRemovals drops the endpoints among removed records whose removal was
--- a/kernel/gateway/store_test.go
+++ b/kernel/gateway/store_test.go
@@ -169,6 +169,10 @@
 			return
 		}
 		finished, r.fail = true, nil
+		if apply == nil {
+			// The connection of a failed call is not used again.
+			delete(r.store.staleConnections, r.name)
+		}
 		r.handleOutcome(apply)
 		timers.After(r.pause, r.step)
 	}
