Open a new connection to the store for the first read after a pause

Cause: such an instance has not read the store for a while. Its first list went out on the idle connection of then. If that has died without a reset, the list waits for its full time-out, 1.5 s, and the failure counts as an outage of the store, which makes the removals of the second list unconfirmed for two seconds more.

Change: an unused connection to the store is closed after one second, which covers the pauses of an instance that reads.

Tests: anvilcrossd/metadata, TestFirstReadAfterAPauseUsesANewConnection failed before (context deadline exceeded).

Looked for elsewhere: calls between instances have 0.6 s and close connections after 5 s; calls to endpoints never use a connection that was idle for more than 4 s, and their attempts have a time-out of their own.

--- a/anvilcrossd/gatewayd/gatewayd.go
+++ b/anvilcrossd/gatewayd/gatewayd.go
@@ -89,17 +89,16 @@
 }
 
 type daemon struct {
-	config         Config
-	settings       *settings.Gateway
-	log            *eventlog.Log
-	owner          *owner.Owner[gateway.Gateway]
-	entry          *entry.Server
-	mesh           *peer.Mesh
-	stageClient    *stagecall.Client
-	httpClient     *h1.Client
-	follower       *metadata.Follower
-	metrics        *gatewayMetrics
-	storeTransport *http.Transport
+	config      Config
+	settings    *settings.Gateway
+	log         *eventlog.Log
+	owner       *owner.Owner[gateway.Gateway]
+	entry       *entry.Server
+	mesh        *peer.Mesh
+	stageClient *stagecall.Client
+	httpClient  *h1.Client
+	follower    *metadata.Follower
+	metrics     *gatewayMetrics
 	// limits are those of the configuration in force.
 	limits       atomic.Pointer[published.Limits]
 	shuttingDown atomic.Bool
@@ -188,10 +187,8 @@
 // newFollower returns the follower that passes the platform's records to the
 // gateway.
 func (d *daemon) newFollower() *metadata.Follower {
-	dialer := &net.Dialer{Timeout: peerTimeout}
-	d.storeTransport = &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1}
 	return metadata.NewFollower(metadata.Config{
-		Store: platform.Store{Address: d.settings.PlatformAddress, RoundTrip: d.storeTransport.RoundTrip},
+		Store: platform.Store{Address: d.settings.PlatformAddress, RoundTrip: metadata.NewTransport(peerTimeout).RoundTrip},
 		OnFullList: func(r []replica.Record, asOf replica.Revision) {
 			d.applyUpdate(func(g *gateway.Gateway) { g.HandleFullList(r, asOf) })
 		},
