Log the shared parts of a prompt and the crashes that an instance recognises

For the incident of the prompt part that crashes endpoints: the log shows now which parts a request has (arrived prompt=) and which crashes are recognised (endpointCrashed), so that the hypotheses can be told apart. No decision changes.

--- a/kernel/gateway/attempts.go
+++ b/kernel/gateway/attempts.go
@@ -254,7 +254,7 @@
 	case f == Broken:
 		g.crashes.recordBroken(now, a.endpoint, r.incoming.Digest)
 	case e != nil && (f == NotSent || f == Replaced):
-		g.crashes.recordEndpointGone(now, e.Name, e.Service)
+		g.recordEndpointGone(e.Name, e.Service)
 	}
 	r.mayHaveRun = r.mayHaveRun || !provedNotRun
 	if f == InputsGone {
--- a/kernel/gateway/crash.go
+++ b/kernel/gateway/crash.go
@@ -59,14 +59,26 @@
 func (c *crashTracker) recordResponse(e ident.Endpoint) { delete(c.brokenExchanges, e) }
 
 // recordEndpointGone records that an endpoint is gone, and blames the content
-// of its recent broken exchanges for the crash.
-func (c *crashTracker) recordEndpointGone(now time.Time, e ident.Endpoint, s ident.Service) {
+// of its recent broken exchanges for the crash. It returns the number of these
+// exchanges.
+func (c *crashTracker) recordEndpointGone(now time.Time, e ident.Endpoint, s ident.Service) int {
+	blamed := 0
 	for _, b := range c.brokenExchanges[e] {
 		if now.Sub(b.at) <= crashConfirmWindow {
 			c.table.AddReport(now, blame.Report{Digest: b.digest, Endpoint: e, Service: s, At: b.at})
+			blamed++
 		}
 	}
 	delete(c.brokenExchanges, e)
+	return blamed
+}
+
+// recordEndpointGone records that an endpoint is gone, and logs its crash if
+// requests of this instance were running there.
+func (g *Gateway) recordEndpointGone(e ident.Endpoint, s ident.Service) {
+	if blamed := g.crashes.recordEndpointGone(g.now(), e, s); blamed > 0 {
+		g.out.LogEvent("endpointCrashed", "endpoint", e, "service", s, "requests", blamed)
+	}
 }
 
 // isPoison reports whether content must not run any more: it has crashed
--- a/kernel/gateway/gateway.go
+++ b/kernel/gateway/gateway.go
@@ -340,7 +340,7 @@
 			old := g.directory.Lookup(decoded.Listing.Name)
 			isNew := g.directory.Upsert(*decoded.Listing)
 			if isNew && old != nil {
-				g.crashes.recordEndpointGone(g.now(), old.Name, old.Service)
+				g.recordEndpointGone(old.Name, old.Service)
 			}
 			changedServices.Add(decoded.Listing.Service)
 			if isNew || decoded.Listing.Leaving {
@@ -348,7 +348,7 @@
 			}
 		case decoded.Endpoint != "" && r.Removed:
 			if e := g.directory.Lookup(decoded.Endpoint); e != nil {
-				g.crashes.recordEndpointGone(g.now(), e.Name, e.Service)
+				g.recordEndpointGone(e.Name, e.Service)
 				g.out.LogEvent("endpointRemoved", "endpoint", decoded.Endpoint, "revision", r.Revision, "source", source, "unconfirmed", unconfirmedFor > 0)
 			}
 			g.directory.Remove(g.now(), decoded.Endpoint, unconfirmedFor)
--- a/kernel/gateway/request.go
+++ b/kernel/gateway/request.go
@@ -241,7 +241,7 @@
 	r.dueAt = now.Add(r.route.LatencyObjective - g.estimateWaited(r.route, incoming.Timeout))
 	r.timeoutTimer = g.timers.After(timeout-timeoutMargin, func() { g.handleTimeout(r) })
 	g.retryBudget.countRequest(now, r.service)
-	g.out.LogEvent("arrived", "request", incoming.ID, "route", r.route.Name, "workspace", r.workspaceName(), "service", r.service, "version", g.catalog.Version, "patience", timeout, "pieces", incoming.PieceCounts)
+	g.out.LogEvent("arrived", "request", incoming.ID, "route", r.route.Name, "workspace", r.workspaceName(), "service", r.service, "version", g.catalog.Version, "patience", timeout, "pieces", incoming.PieceCounts, "prompt", r.sharedPartIDs())
 	g.setUpStages(r)
 	if len(r.stageServices()) > 0 && g.pools().divided && r.preferredDataCentre == "" {
 		g.answer(r, NotRun, busyRetryAfter, "no data centre within reach can run the stages")
