Quarantine the prompt part that crashes endpoint after endpoint

Crashes were blamed on the digest of a whole request. The culprit is one part of the prompt, no two requests with it are alike, so no digest ever had three crashes. The class: the culprit was looked for by an identity that is too narrow to come again.

Change: with each broken exchange the shared parts of the prompt are kept (all but the last), if the endpoint had not answered for more than 0.5 s. An endpoint that breaks off is checked at once: one that refuses connections has crashed. Instances join their reports by address and time, in pings. A complete answer clears a part of the crashes before. Of the rest the part that explains the most crashes is convicted: three at different times and addresses, or four if it is not the only one; crashes that a convicted part explains count for no other. A conviction ends after two minutes (15 s if tied) or with any complete answer, and comes back with one more crash. Why it works: the part is in every crash and in no complete answer, and it is the only one.

Tests: kernel/blame TestPartsThatCrashEndpoints, anvilcrossd/h1 TestRefusedConnectionIsRecognised.

--- a/anvilcrossd/gatewayd/gatewayd.go
+++ b/anvilcrossd/gatewayd/gatewayd.go
@@ -178,6 +178,7 @@
 			StartCall:       d.stageClient.StartCall,
 			FreeResults:     d.stageClient.FreeResults,
 			InspectEndpoint: d.stageClient.InspectEndpoint,
+			CheckEndpoint:   d.checkEndpoint,
 		},
 	})})
 	d.follower = d.newFollower()
@@ -214,6 +215,15 @@
 	})
 }
 
+// checkEndpoint tells the gateway if an endpoint refuses connections. It does not block.
+func (d *daemon) checkEndpoint(name ident.Endpoint, address string) {
+	go func() {
+		if d.httpClient.Refuses(context.Background(), address) {
+			d.withGateway(func(g *gateway.Gateway) { g.HandleEndpointRefused(name) })
+		}
+	}()
+}
+
 func (d *daemon) withGateway(f func(*gateway.Gateway)) { d.owner.WithKernel(f) }
 
 // answerPing returns the reply to a batch of messages from another instance:
--- a/anvilcrossd/h1/h1.go
+++ b/anvilcrossd/h1/h1.go
@@ -242,6 +242,17 @@
 	return k, nil
 }
 
+// Refuses reports whether a connection to the address is refused, so that no process
+// listens there. It reports false if it cannot tell.
+func (c *Client) Refuses(ctx context.Context, address string) bool {
+	n, err := c.dialer.DialContext(ctx, "tcp4", address)
+	if err == nil {
+		c.opened.Add(1)
+		_ = n.Close()
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // Response is an endpoint's response. Body must be closed; the connection is
 // reused if the body was read to its end.
 type Response struct {
--- a/anvilcrossd/h1/h1_test.go
+++ b/anvilcrossd/h1/h1_test.go
@@ -218,3 +218,24 @@
 		}
 	}
 }
+
+// Only an address at which no process listens counts as refusing.
+func TestRefusedConnectionIsRecognised(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address, c := listener.Addr().String(), NewClient()
+	if c.Refuses(context.Background(), address) {
+		t.Error("a listener counts as refusing")
+	}
+	_ = listener.Close()
+	if !c.Refuses(context.Background(), address) {
+		t.Error("an address without a listener does not count as refusing")
+	}
+	ended, end := context.WithCancel(context.Background())
+	end()
+	if c.Refuses(ended, address) {
+		t.Error("a check that was not made counts as refused")
+	}
+}
--- /dev/null
+++ b/kernel/blame/parts.go
@@ -0,0 +1,293 @@
+package blame
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"anvilcross/kernel/ident"
+	"anvilcross/kernel/value"
+)
+
+// PartsConfig configures Parts.
+type PartsConfig struct {
+	// Retention is how long crashes and convictions are kept, and TiedRetention how
+	// long the conviction of a part is that others explain the crashes as well as.
+	Retention     time.Duration
+	TiedRetention time.Duration
+	// A part is convicted after MinCrashes crashes at different times and endpoints,
+	// or after MinTiedCrashes if it is not the only one with that many.
+	MinCrashes     int
+	MinTiedCrashes int
+	// MaxCrashes bounds the number of crashes kept.
+	MaxCrashes int
+}
+
+// soundRetention is how long a complete answer is remembered, for reports of crashes
+// that come later.
+const soundRetention = 15 * time.Second
+
+// simultaneousCrashes is the time within which crashes count as one: a common cause
+// takes several endpoints down at once.
+const simultaneousCrashes = 200 * time.Millisecond
+
+// sameAddressInterval is the time within which crashes at one address count as one, so
+// that an endpoint that goes down and up by turns convicts nothing.
+const sameAddressInterval = 5 * time.Second
+
+// PartCrash is the crash of the endpoint at an address, with the prompt parts of the
+// requests that had not begun, or had just begun, to be answered there.
+type PartCrash struct {
+	Address string
+	At      time.Time
+	Parts   []ident.PromptPart
+}
+
+// knownCrash is a crash as merged from the reports of all instances.
+type knownCrash struct {
+	PartCrash
+	// learnedAt is when the latest part was added.
+	learnedAt time.Time
+}
+
+// verdict is the conviction of a part.
+type verdict struct {
+	at    time.Time
+	until time.Time
+	tied  bool
+}
+
+// Parts finds the prompt parts that crash every endpoint that begins to answer a
+// request with them. Requests share parts, so a crash makes many parts suspect. A part
+// is cleared by any request with it that is answered completely after the crash; of the
+// others the one that explains the most crashes is convicted.
+type Parts struct {
+	config  PartsConfig
+	crashes []*knownCrash
+	// soundAt is when a request with the part was last answered completely, for
+	// soundRetention. clearedAt is when that cleared the part of a crash.
+	soundAt   map[ident.PromptPart]time.Time
+	clearedAt map[ident.PromptPart]time.Time
+	verdicts  map[ident.PromptPart]verdict
+}
+
+// NewParts returns an instance that knows of no crash.
+func NewParts(c PartsConfig) *Parts {
+	return &Parts{config: c, soundAt: map[ident.PromptPart]time.Time{}, clearedAt: map[ident.PromptPart]time.Time{}, verdicts: map[ident.PromptPart]verdict{}}
+}
+
+// AddCrash adds a report of a crash and returns the parts that are convicted by it.
+// Adding the same report again has no effect.
+func (p *Parts) AddCrash(now time.Time, report PartCrash) []ident.PromptPart {
+	c := p.find(report)
+	if c == nil {
+		c = &knownCrash{PartCrash: PartCrash{Address: report.Address, At: report.At}}
+		p.crashes = append(p.crashes, c)
+	}
+	added := false
+	for _, d := range report.Parts {
+		switch {
+		case p.soundAt[d].After(report.At):
+			p.clearedAt[d] = now
+		case !slices.Contains(c.Parts, d):
+			c.Parts = append(c.Parts, d)
+			added = true
+		}
+	}
+	if !added {
+		return nil
+	}
+	c.learnedAt = now
+	return p.convict(now)
+}
+
+func (p *Parts) find(report PartCrash) *knownCrash {
+	for _, c := range p.crashes {
+		if c.Address == report.Address && c.At.Sub(report.At).Abs() < sameCrashWindow {
+			return c
+		}
+	}
+	return nil
+}
+
+// RecordSound records that a request with the part was answered completely. That clears
+// the part of the crashes before.
+func (p *Parts) RecordSound(now time.Time, part ident.PromptPart, at time.Time) {
+	if !at.After(p.soundAt[part]) {
+		return
+	}
+	p.soundAt[part] = at
+	for _, c := range p.crashes {
+		if i := slices.Index(c.Parts, part); i >= 0 && at.After(c.At) {
+			c.Parts = slices.Delete(c.Parts, i, i+1)
+			p.clearedAt[part] = now
+		}
+	}
+	if v, convicted := p.verdicts[part]; convicted && at.After(v.at) {
+		delete(p.verdicts, part)
+		p.clearedAt[part] = now
+	}
+}
+
+// AddVerdict adds the conviction of a part by another instance, and reports whether it
+// is new.
+func (p *Parts) AddVerdict(now time.Time, part ident.PromptPart, at time.Time, tied bool) bool {
+	known, convicted := p.verdicts[part]
+	// Ages grow by the delay of each message, so a conviction comes back a little later.
+	if p.soundAt[part].After(at) || convicted && at.Sub(known.at) < sameCrashWindow {
+		return false
+	}
+	v := p.newVerdict(at, tied)
+	if !now.Before(v.until) {
+		return false
+	}
+	p.verdicts[part] = v
+	return !convicted || !now.Before(known.until)
+}
+
+func (p *Parts) newVerdict(at time.Time, tied bool) verdict {
+	retention := p.config.Retention
+	if tied {
+		retention = p.config.TiedRetention
+	}
+	return verdict{at: at, until: at.Add(retention), tied: tied}
+}
+
+// Convicted reports whether requests with the part must not run.
+func (p *Parts) Convicted(now time.Time, part ident.PromptPart) bool {
+	v, convicted := p.verdicts[part]
+	return convicted && now.Before(v.until)
+}
+
+// convict convicts parts, as long as one explains enough crashes that no convicted part
+// explains, and returns them.
+func (p *Parts) convict(now time.Time) []ident.PromptPart {
+	var convicted []ident.PromptPart
+	for {
+		ranked := p.rank(now)
+		if len(ranked) == 0 || ranked[0].crashes < p.required(ranked[0].part) {
+			return convicted
+		}
+		top := ranked[:1]
+		for len(top) < len(ranked) && ranked[len(top)].crashes == ranked[0].crashes {
+			top = ranked[:len(top)+1]
+		}
+		tied := len(top) > 1
+		if tied && ranked[0].crashes < p.config.MinTiedCrashes {
+			return convicted
+		}
+		for _, s := range top {
+			p.verdicts[s.part] = p.newVerdict(now, tied)
+			convicted = append(convicted, s.part)
+		}
+	}
+}
+
+// required returns the number of crashes that convict a part. One that was convicted
+// before needs just one more.
+func (p *Parts) required(part ident.PromptPart) int {
+	if _, before := p.verdicts[part]; before {
+		return 1
+	}
+	return p.config.MinCrashes
+}
+
+// suspect is a part with the number of crashes that it explains.
+type suspect struct {
+	part    ident.PromptPart
+	crashes int
+}
+
+// rank returns the suspects by the number of crashes that they explain and that no
+// convicted part does, most first.
+func (p *Parts) rank(now time.Time) []suspect {
+	explained := map[ident.PromptPart][]*knownCrash{}
+	for _, c := range p.crashes {
+		if slices.ContainsFunc(c.Parts, func(d ident.PromptPart) bool { return p.Convicted(now, d) }) {
+			continue
+		}
+		for _, d := range c.Parts {
+			v, before := p.verdicts[d]
+			if !before || c.At.After(v.until) {
+				explained[d] = append(explained[d], c)
+			}
+		}
+	}
+	ranked := make([]suspect, 0, len(explained))
+	for _, d := range value.SortedKeys(explained) {
+		ranked = append(ranked, suspect{part: d, crashes: countIndependent(explained[d])})
+	}
+	slices.SortStableFunc(ranked, func(x, y suspect) int { return cmp.Compare(y.crashes, x.crashes) })
+	return ranked
+}
+
+// countIndependent counts crashes at different times and addresses.
+func countIndependent(crashes []*knownCrash) int {
+	crashes = slices.Clone(crashes)
+	slices.SortFunc(crashes, func(x, y *knownCrash) int { return x.At.Compare(y.At) })
+	countedAt := map[string]time.Time{}
+	count := 0
+	var latest time.Time
+	for _, c := range crashes {
+		if c.At.Sub(latest) < simultaneousCrashes || c.At.Sub(countedAt[c.Address]) < sameAddressInterval {
+			continue
+		}
+		countedAt[c.Address], latest = c.At, c.At
+		count++
+	}
+	return count
+}
+
+// News is what an instance has learned lately, for the others.
+type News struct {
+	Crashes  []PartCrash
+	Sound    map[ident.PromptPart]time.Time
+	Verdicts map[ident.PromptPart]Verdict
+}
+
+// Verdict is the conviction of a part.
+type Verdict struct {
+	At   time.Time
+	Tied bool
+}
+
+// NewsSince returns the crashes and clearances learned after a time, latest crashes
+// first and at most limit of them, and all convictions.
+func (p *Parts) NewsSince(now, since time.Time, limit int) News {
+	n := News{Sound: map[ident.PromptPart]time.Time{}, Verdicts: map[ident.PromptPart]Verdict{}}
+	for _, c := range slices.Backward(p.crashes) {
+		if c.learnedAt.After(since) && len(n.Crashes) < limit {
+			n.Crashes = append(n.Crashes, PartCrash{Address: c.Address, At: c.At, Parts: slices.Clone(c.Parts)})
+		}
+	}
+	for d, at := range p.clearedAt {
+		if at.After(since) {
+			n.Sound[d] = p.soundAt[d]
+		}
+	}
+	for d, v := range p.verdicts {
+		if now.Before(v.until) {
+			n.Verdicts[d] = Verdict{At: v.at, Tied: v.tied}
+		}
+	}
+	return n
+}
+
+// Expire drops what is too old to matter, and the oldest crashes beyond MaxCrashes.
+func (p *Parts) Expire(now time.Time) {
+	p.crashes = slices.DeleteFunc(p.crashes, func(c *knownCrash) bool { return now.Sub(c.At) > p.config.Retention })
+	if excess := len(p.crashes) - p.config.MaxCrashes; excess > 0 {
+		p.crashes = slices.Delete(p.crashes, 0, excess)
+	}
+	for d, at := range p.soundAt {
+		if now.Sub(at) > soundRetention {
+			delete(p.soundAt, d)
+			delete(p.clearedAt, d)
+		}
+	}
+	for d, v := range p.verdicts {
+		if now.Sub(v.until) > p.config.Retention {
+			delete(p.verdicts, d)
+		}
+	}
+}
--- /dev/null
+++ b/kernel/blame/parts_test.go
@@ -0,0 +1,126 @@
+package blame
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"anvilcross/kernel/ident"
+)
+
+const second = time.Second
+
+var partsStart = time.Unix(1_700_000_000, 0)
+
+func newTestParts() *Parts {
+	return NewParts(PartsConfig{Retention: 2 * time.Minute, TiedRetention: 15 * second, MinCrashes: 3, MinTiedCrashes: 4, MaxCrashes: 64})
+}
+
+// crashAt reports a crash at an address of its own, and returns what it convicts.
+func (p *Parts) crashAt(after time.Duration, parts ...ident.PromptPart) []ident.PromptPart {
+	at := partsStart.Add(after)
+	return p.AddCrash(at, PartCrash{Address: fmt.Sprint("address-", after), At: at, Parts: parts})
+}
+
+func wantConvicted(t *testing.T, got []ident.PromptPart, want ...ident.PromptPart) {
+	t.Helper()
+	if !slices.Equal(got, want) {
+		t.Fatalf("convicted %v, want %v", got, want)
+	}
+}
+
+// The part that explains the most crashes is convicted, and no other one.
+func TestPartsThatCrashEndpoints(t *testing.T) {
+	t.Run("the part of all crashes is convicted by the third", func(t *testing.T) {
+		p := newTestParts()
+		wantConvicted(t, p.crashAt(1*second, "bad", "a"))
+		wantConvicted(t, p.crashAt(2*second, "bad", "a", "b"))
+		wantConvicted(t, p.crashAt(3*second, "bad", "b"), "bad")
+		if !p.Convicted(partsStart.Add(4*second), "bad") || p.Convicted(partsStart.Add(4*second), "a") {
+			t.Fatal("not just the bad part is convicted")
+		}
+	})
+	t.Run("a complete answer clears a part that all crashes share", func(t *testing.T) {
+		p := newTestParts()
+		p.crashAt(1*second, "bad", "root")
+		p.crashAt(2*second, "bad", "root")
+		p.RecordSound(partsStart.Add(2500*time.Millisecond), "root", partsStart.Add(2500*time.Millisecond))
+		wantConvicted(t, p.crashAt(3*second, "bad", "root"), "bad")
+	})
+	t.Run("a complete answer clears a part of a crash that is reported later", func(t *testing.T) {
+		p := newTestParts()
+		p.RecordSound(partsStart.Add(5*second), "root", partsStart.Add(5*second))
+		for n := range 3 {
+			wantConvicted(t, p.crashAt(time.Duration(n+1)*second, "root"))
+		}
+	})
+	t.Run("two parts of all crashes are convicted by the fourth, and lapse soon", func(t *testing.T) {
+		p := newTestParts()
+		for n := range 3 {
+			wantConvicted(t, p.crashAt(time.Duration(n+1)*second, "bad", "twin"))
+		}
+		wantConvicted(t, p.crashAt(4*second, "bad", "twin"), "bad", "twin")
+		if p.Convicted(partsStart.Add(20*second), "bad") {
+			t.Fatal("still convicted after the time for tied parts")
+		}
+		wantConvicted(t, p.crashAt(21*second, "bad"), "bad")
+	})
+	t.Run("crashes at one moment count as one", func(t *testing.T) {
+		p := newTestParts()
+		for n := range 6 {
+			wantConvicted(t, p.crashAt(second+time.Duration(n)*10*time.Millisecond, "a"))
+		}
+	})
+	t.Run("an endpoint that goes down by turns counts once", func(t *testing.T) {
+		p := newTestParts()
+		for n := range 4 {
+			at := partsStart.Add(time.Duration(n) * 1400 * time.Millisecond)
+			wantConvicted(t, p.AddCrash(at, PartCrash{Address: "one", At: at, Parts: []ident.PromptPart{"a"}}))
+		}
+	})
+	t.Run("the only endpoint of a service counts again after a while", func(t *testing.T) {
+		p := newTestParts()
+		var convicted []ident.PromptPart
+		for n := range 3 {
+			at := partsStart.Add(time.Duration(n) * 6 * second)
+			convicted = p.AddCrash(at, PartCrash{Address: "one", At: at, Parts: []ident.PromptPart{"bad"}})
+		}
+		wantConvicted(t, convicted, "bad")
+	})
+	t.Run("reports of two instances on one crash are joined", func(t *testing.T) {
+		p := newTestParts()
+		for n := range 2 {
+			p.crashAt(time.Duration(n+1)*second, "bad")
+		}
+		at := partsStart.Add(3 * second)
+		wantConvicted(t, p.AddCrash(at, PartCrash{Address: "x", At: at, Parts: []ident.PromptPart{"a"}}))
+		wantConvicted(t, p.AddCrash(at.Add(second), PartCrash{Address: "x", At: at.Add(100 * time.Millisecond), Parts: []ident.PromptPart{"bad"}}), "bad")
+	})
+	t.Run("a conviction by another instance holds until an answer proves it wrong", func(t *testing.T) {
+		p := newTestParts()
+		if !p.AddVerdict(partsStart, "a", partsStart.Add(-second), false) {
+			t.Fatal("the conviction is not new")
+		}
+		if p.AddVerdict(partsStart, "a", partsStart.Add(-900*time.Millisecond), false) {
+			t.Fatal("the same conviction is new again")
+		}
+		p.RecordSound(partsStart, "a", partsStart)
+		if p.Convicted(partsStart, "a") || p.AddVerdict(partsStart, "a", partsStart.Add(-second), false) {
+			t.Fatal("convicted though a request with the part was answered later")
+		}
+	})
+	t.Run("news are told for a while, convictions as long as they hold", func(t *testing.T) {
+		p := newTestParts()
+		for n := range 3 {
+			p.crashAt(time.Duration(n+1)*second, "bad")
+		}
+		now := partsStart.Add(10 * second)
+		if n := p.NewsSince(now, partsStart.Add(1500*time.Millisecond), 16); len(n.Crashes) != 2 || len(n.Verdicts) != 1 {
+			t.Fatalf("%d crashes and %d convictions, want 2 and 1", len(n.Crashes), len(n.Verdicts))
+		}
+		if n := p.NewsSince(now, now, 16); len(n.Crashes) != 0 || len(n.Verdicts) != 1 {
+			t.Fatalf("%d crashes and %d convictions, want 0 and 1", len(n.Crashes), len(n.Verdicts))
+		}
+	})
+}
--- a/kernel/gateway/attempts.go
+++ b/kernel/gateway/attempts.go
@@ -56,13 +56,17 @@
 // dispatch sends a request to an endpoint, or answers it if none can take it.
 func (g *Gateway) dispatch(r *request) {
 	now := g.now()
+	if g.hasQuarantinedPart(r) {
+		g.endQuarantined(r)
+		return
+	}
 	e := g.chooseEndpoint(r)
 	if e == nil {
 		g.answer(r, g.failureAnswer(r), busyRetryAfter, "no endpoint can take it")
 		return
 	}
 	r.attemptCount++
-	r.attempt = &attempt{id: r.attemptCount, endpoint: e.Name, startedAt: now}
+	r.attempt = &attempt{id: r.attemptCount, endpoint: e.Name, address: e.Address, startedAt: now}
 	r.sends++
 	e.OwnRequests++
 	g.startAttemptTimeout(r, e)
@@ -166,6 +170,7 @@
 			r.timeToFirstEvent = g.now().Sub(r.arrivedAt)
 		}
 		r.firstEventSent = true
+		r.attempt.firstEventAt = g.now()
 		g.releaseAll(r)
 	}
 }
@@ -217,6 +222,7 @@
 		return
 	}
 	g.counters.Relayed++
+	g.recordSoundParts(r, d)
 	g.out.LogEvent("relayed", "request", r.incoming.ID, "route", r.route.Name, "status", d.Status, "after", g.now().Sub(r.arrivedAt), "firstAfter", r.timeToFirstEvent, "objective", r.route.LatencyObjective, "events", d.Events, "longestGap", d.LongestGap, "sends", r.sends)
 	g.finish(r)
 }
@@ -252,7 +258,8 @@
 	}
 	switch {
 	case f == Broken:
-		g.crashes.recordBroken(now, a.endpoint, r.incoming.Digest)
+		g.crashes.recordBroken(a.endpoint, brokenExchange{digest: r.incoming.Digest, at: now, address: a.address, parts: r.suspectParts(now, a)})
+		g.checkEndpointLater(a)
 	case e != nil && (f == NotSent || f == Replaced):
 		g.recordEndpointGone(e.Name, e.Service)
 	}
--- a/kernel/gateway/choose.go
+++ b/kernel/gateway/choose.go
@@ -51,18 +51,6 @@
 	return id, tokens
 }
 
-// sharedPartIDs returns the ids of the prompt parts that other requests may share:
-// all but the last.
-func (r *request) sharedPartIDs() []string {
-	var ids []string
-	for i, p := range r.incoming.Prompt {
-		if i < len(r.incoming.Prompt)-1 {
-			ids = append(ids, p.ID)
-		}
-	}
-	return ids
-}
-
 // affinityEndpoints returns the affinity endpoint of a prompt prefix, where the
 // prefix is most likely cached, among all candidates and within each data
 // centre. It uses rendezvous hashing with weights by data centre.
--- a/kernel/gateway/crash.go
+++ b/kernel/gateway/crash.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
 	"anvilcross/kernel/blame"
@@ -32,6 +33,10 @@
 type brokenExchange struct {
 	digest ident.Digest
 	at     time.Time
+	// address is the endpoint's, and parts holds the prompt parts that may have made
+	// it crash.
+	address string
+	parts   []ident.PromptPart
 }
 
 // crashTracker finds poison content: requests that crash the endpoints that run
@@ -39,19 +44,24 @@
 // found gone soon afterwards is the content blamed that was running there.
 type crashTracker struct {
 	table           *blame.Table
+	parts           *blame.Parts
 	brokenExchanges map[ident.Endpoint][]brokenExchange
+	// checking holds the endpoints that are about to be checked.
+	checking value.Set[ident.Endpoint]
 }
 
 func newCrashTracker() *crashTracker {
 	return &crashTracker{
 		table:           blame.NewTable(blame.Config{Retention: crashRetention, MaxCrashes: maxCrashes, PoisonCrashes: poisonCrashes}),
+		parts:           newParts(),
 		brokenExchanges: map[ident.Endpoint][]brokenExchange{},
+		checking:        value.NewSet[ident.Endpoint](),
 	}
 }
 
 // recordBroken records a broken exchange with an endpoint.
-func (c *crashTracker) recordBroken(now time.Time, e ident.Endpoint, d ident.Digest) {
-	exchanges := append(c.brokenExchanges[e], brokenExchange{digest: d, at: now})
+func (c *crashTracker) recordBroken(e ident.Endpoint, b brokenExchange) {
+	exchanges := append(c.brokenExchanges[e], b)
 	c.brokenExchanges[e] = exchanges[max(len(exchanges)-maxBrokenExchanges, 0):]
 }
 
@@ -59,25 +69,30 @@
 func (c *crashTracker) recordResponse(e ident.Endpoint) { delete(c.brokenExchanges, e) }
 
 // recordEndpointGone records that an endpoint is gone, and blames the content
-// of its recent broken exchanges for the crash. It returns the number of these
-// exchanges.
-func (c *crashTracker) recordEndpointGone(now time.Time, e ident.Endpoint, s ident.Service) int {
-	blamed := 0
-	for _, b := range c.brokenExchanges[e] {
-		if now.Sub(b.at) <= crashConfirmWindow {
-			c.table.AddReport(now, blame.Report{Digest: b.digest, Endpoint: e, Service: s, At: b.at})
-			blamed++
-		}
+// of its recent broken exchanges for the crash. It returns these exchanges.
+func (c *crashTracker) recordEndpointGone(now time.Time, e ident.Endpoint, s ident.Service) []brokenExchange {
+	blamed := slices.DeleteFunc(c.brokenExchanges[e], func(b brokenExchange) bool { return now.Sub(b.at) > crashConfirmWindow })
+	for _, b := range blamed {
+		c.table.AddReport(now, blame.Report{Digest: b.digest, Endpoint: e, Service: s, At: b.at})
 	}
 	delete(c.brokenExchanges, e)
 	return blamed
 }
 
-// recordEndpointGone records that an endpoint is gone, and logs its crash if
-// requests of this instance were running there.
+// recordEndpointGone records that an endpoint is gone. If requests of this instance
+// were running there, it has crashed.
 func (g *Gateway) recordEndpointGone(e ident.Endpoint, s ident.Service) {
-	if blamed := g.crashes.recordEndpointGone(g.now(), e, s); blamed > 0 {
-		g.out.LogEvent("endpointCrashed", "endpoint", e, "service", s, "requests", blamed)
+	blamed := g.crashes.recordEndpointGone(g.now(), e, s)
+	if len(blamed) == 0 {
+		return
+	}
+	crash := blame.PartCrash{Address: blamed[0].address, At: blamed[0].at}
+	for _, b := range blamed {
+		crash.Parts = append(crash.Parts, b.parts...)
+	}
+	g.out.LogEvent("endpointCrashed", "endpoint", e, "service", s, "requests", len(blamed), "parts", crash.Parts)
+	if len(crash.Parts) > 0 {
+		g.quarantineParts(g.crashes.parts.AddCrash(g.now(), crash), "crashes")
 	}
 }
 
--- a/kernel/gateway/fleet_test.go
+++ b/kernel/gateway/fleet_test.go
@@ -45,6 +45,8 @@
 	// nextStep and startCall carry out the gateways' effects.
 	nextStep  func(ident.Instance, RequestHandle, Step)
 	startCall func(ident.Instance, batching.Call)
+	// checkEndpoint carries out an instance's check of an endpoint.
+	checkEndpoint func(ident.Instance, ident.Endpoint)
 	// onStart is called for each instance that start starts.
 	onStart func(ident.Instance)
 	// path returns what happens to messages between two instances that are up;
@@ -131,6 +133,7 @@
 	f.nextStep = func(ident.Instance, RequestHandle, Step) {}
 	f.startCall = func(name ident.Instance, _ batching.Call) { f.calls[name]++ }
 	f.onStart = func(ident.Instance) {}
+	f.checkEndpoint = func(ident.Instance, ident.Endpoint) {}
 	return f
 }
 
@@ -172,6 +175,7 @@
 			LogEvent:        func(string, ...any) {},
 			StartCall:       func(c batching.Call) { f.startCall(m.Name, c) },
 			InspectEndpoint: func(ident.Endpoint, string) {},
+			CheckEndpoint:   func(e ident.Endpoint, _ string) { f.checkEndpoint(m.Name, e) },
 			FreeResults:     func(string, []message.ResultHandle) {},
 		},
 	})
--- a/kernel/gateway/gateway.go
+++ b/kernel/gateway/gateway.go
@@ -44,6 +44,9 @@
 	StartCall       func(batching.Call)
 	FreeResults     func(address string, handles []message.ResultHandle)
 	InspectEndpoint func(ident.Endpoint, string)
+	// CheckEndpoint finds out whether the endpoint with the given address refuses
+	// connections. If it does, HandleEndpointRefused is called.
+	CheckEndpoint func(ident.Endpoint, string)
 }
 
 // DecodedRecord is the content of one record of the platform. All fields are
@@ -308,6 +311,7 @@
 	g.updateBatchingClaims(now)
 	g.resubmitLostPieces(now)
 	g.crashes.expireBrokenExchanges(now)
+	g.crashes.parts.Expire(now)
 }
 
 // HandlePlatformUnavailable handles the start of a platform outage: the
--- /dev/null
+++ b/kernel/gateway/parts.go
@@ -0,0 +1,175 @@
+package gateway
+
+import (
+	"time"
+
+	"anvilcross/kernel/blame"
+	"anvilcross/kernel/ident"
+	"anvilcross/kernel/message"
+	"anvilcross/kernel/published"
+	"anvilcross/kernel/value"
+)
+
+const (
+	// partCrashes is the number of crashes after which a prompt part that explains more
+	// of them than any other is quarantined; tiedPartCrashes that after which parts are
+	// that explain equally many.
+	partCrashes     = 3
+	tiedPartCrashes = 4
+	// partRetention is how long a part is quarantined, and tiedPartRetention how long
+	// if others explain the crashes as well. One more crash extends it.
+	partRetention     = 2 * time.Minute
+	tiedPartRetention = 15 * time.Second
+	// beginningTime is how long after the first event of an answer a crash may still be
+	// due to its request: endpoints crash when they begin to answer.
+	beginningTime = 500 * time.Millisecond
+	// checkDelay is the time from the first broken exchange with an endpoint until it
+	// is checked. All exchanges that broke with the first are known then.
+	checkDelay = 50 * time.Millisecond
+	// partNewsTime is how long news of crashes is passed on: several ping periods.
+	partNewsTime = 3 * time.Second
+	// maxPartCrashesPerPing limits the crashes in one ping.
+	maxPartCrashesPerPing = 16
+	// maxSharedParts limits the parts of one prompt that are tracked, and
+	// maxPartIDBytes the length of their ids.
+	maxSharedParts = 16
+	maxPartIDBytes = 64
+)
+
+const quarantinedPartReason = "a part of the prompt has crashed the endpoints that answered it"
+
+func newParts() *blame.Parts {
+	return blame.NewParts(blame.PartsConfig{Retention: partRetention, TiedRetention: tiedPartRetention, MinCrashes: partCrashes, MinTiedCrashes: tiedPartCrashes, MaxCrashes: maxCrashes})
+}
+
+// sharedParts returns the prompt parts that other requests may share: all but the last.
+func (r *request) sharedParts() []ident.PromptPart {
+	var parts []ident.PromptPart
+	for i, p := range r.incoming.Prompt {
+		if i < len(r.incoming.Prompt)-1 && len(parts) < maxSharedParts && len(p.ID) <= maxPartIDBytes {
+			parts = append(parts, ident.PromptPart(p.ID))
+		}
+	}
+	return parts
+}
+
+// suspectParts returns the parts that may have made an endpoint crash while it had an
+// attempt: none if it had been answering for a while.
+func (r *request) suspectParts(now time.Time, a *attempt) []ident.PromptPart {
+	if !a.written || !a.firstEventAt.IsZero() && now.Sub(a.firstEventAt) > beginningTime {
+		return nil
+	}
+	return r.sharedParts()
+}
+
+// recordSoundParts records that the parts of a request have not crashed the endpoint
+// that answered it.
+func (g *Gateway) recordSoundParts(r *request, d Delivery) {
+	if r.route.Kind != published.Stream || d.Events == 0 {
+		return
+	}
+	now := g.now()
+	for _, part := range r.sharedParts() {
+		g.crashes.parts.RecordSound(now, part, now)
+	}
+}
+
+// hasQuarantinedPart reports whether a request must not run because of a part of its
+// prompt.
+func (g *Gateway) hasQuarantinedPart(r *request) bool {
+	for _, part := range r.sharedParts() {
+		if g.crashes.parts.Convicted(g.now(), part) {
+			return true
+		}
+	}
+	return false
+}
+
+// checkEndpointLater lets an endpoint be checked that broke off an attempt, since only
+// one that is gone has crashed.
+func (g *Gateway) checkEndpointLater(a *attempt) {
+	if g.crashes.checking.Has(a.endpoint) {
+		return
+	}
+	g.crashes.checking.Add(a.endpoint)
+	g.timers.After(checkDelay, func() {
+		delete(g.crashes.checking, a.endpoint)
+		if len(g.crashes.brokenExchanges[a.endpoint]) > 0 {
+			g.out.CheckEndpoint(a.endpoint, a.address)
+		}
+	})
+}
+
+// HandleEndpointRefused handles that an endpoint refuses connections: its process has
+// ended.
+func (g *Gateway) HandleEndpointRefused(name ident.Endpoint) {
+	if e := g.directory.Lookup(name); e != nil {
+		e.MarkUnreachable(g.now())
+		g.recordEndpointGone(name, e.Service)
+	}
+}
+
+// quarantineParts ends the requests with parts that have just been convicted, unless an
+// endpoint has begun to answer them.
+func (g *Gateway) quarantineParts(parts []ident.PromptPart, cause string) {
+	if len(parts) == 0 {
+		return
+	}
+	g.out.LogEvent("promptPartsQuarantined", "parts", parts, "cause", cause)
+	for _, h := range value.SortedKeys(g.requests) {
+		r := g.requests[h]
+		if r.route != nil && !r.firstEventSent && g.hasQuarantinedPart(r) {
+			g.endQuarantined(r)
+		}
+	}
+}
+
+// endQuarantined answers an admitted request that must not run, and cancels its attempt.
+func (g *Gateway) endQuarantined(r *request) {
+	answer, running := Quarantined, r.attempt != nil
+	if r.mayHaveRun || running && r.attempt.written {
+		answer = MayHaveRun
+	}
+	g.answer(r, answer, 0, quarantinedPartReason)
+	if running {
+		g.out.CancelAttempt(r.handle)
+	}
+}
+
+// addPartNews adds to a ping what other instances have to know of crashes.
+func (g *Gateway) addPartNews(now time.Time, p *message.Ping) {
+	news := g.crashes.parts.NewsSince(now, now.Add(-partNewsTime), maxPartCrashesPerPing)
+	for _, c := range news.Crashes {
+		p.PartCrashes = append(p.PartCrashes, message.PartCrash{Address: c.Address, Age: now.Sub(c.At), Parts: c.Parts})
+	}
+	for part, at := range news.Sound {
+		if p.SoundParts == nil {
+			p.SoundParts = map[ident.PromptPart]time.Duration{}
+		}
+		p.SoundParts[part] = now.Sub(at)
+	}
+	for part, v := range news.Verdicts {
+		if p.QuarantinedParts == nil {
+			p.QuarantinedParts = map[ident.PromptPart]message.QuarantinedPart{}
+		}
+		p.QuarantinedParts[part] = message.QuarantinedPart{Age: now.Sub(v.At), Tied: v.Tied}
+	}
+}
+
+// mergePartNews takes over what another instance knows of crashes.
+func (g *Gateway) mergePartNews(now time.Time, p message.Ping) {
+	for _, part := range value.SortedKeys(p.SoundParts) {
+		g.crashes.parts.RecordSound(now, part, now.Add(-p.SoundParts[part]))
+	}
+	var convicted []ident.PromptPart
+	for _, part := range value.SortedKeys(p.QuarantinedParts) {
+		q := p.QuarantinedParts[part]
+		if g.crashes.parts.AddVerdict(now, part, now.Add(-q.Age), q.Tied) {
+			convicted = append(convicted, part)
+		}
+	}
+	g.quarantineParts(convicted, string(p.Member.Name))
+	for _, c := range p.PartCrashes {
+		g.quarantineParts(g.crashes.parts.AddCrash(now, blame.PartCrash{Address: c.Address, At: now.Add(-c.Age), Parts: c.Parts}), "crashes")
+	}
+}
--- a/kernel/gateway/peers.go
+++ b/kernel/gateway/peers.go
@@ -96,7 +96,7 @@
 
 // newPing returns a ping with the state of this instance.
 func (g *Gateway) newPing(now time.Time) message.Ping {
-	return message.Ping{
+	p := message.Ping{
 		Member:              g.members.Self(),
 		Leaving:             g.shuttingDown,
 		KnownCount:          g.members.KnownCount(),
@@ -108,6 +108,8 @@
 		RecentlyUnreachable: g.directory.RecentlyUnreachable(now),
 		LostDataCentres:     g.members.NoticedPartitions(),
 	}
+	g.addPartNews(now, &p)
+	return p
 }
 
 // sendToAddress fills in sender and receiver and sends the message.
@@ -179,6 +181,7 @@
 	}
 	g.directory.MergeUnreachable(now, p.RecentlyUnreachable)
 	g.crashes.mergeReports(now, p.CrashReports)
+	g.mergePartNews(now, p)
 	g.recordBatcherStatus(now, p.Member.Name, p.BatcherStatuses)
 	g.recordContact(now, p.Member.Name, p.PlatformContactAge)
 	if p.AsOf > 0 && g.recordsOfferedAt.IsZero() {
--- a/kernel/gateway/poisonpart_test.go
+++ b/kernel/gateway/poisonpart_test.go
@@ -72,6 +72,7 @@
 	t.Helper()
 	f := &partFleet{testFleet: startTestFleet(t, min(size, 6), max(size-6, 0), []ident.DataCentre{"east", "west", "north"}), random: rand.New(rand.NewPCG(seed, 5)), byName: map[ident.Endpoint]*crashable{}, byHandle: map[RequestHandle]*partRequest{}, revision: 1}
 	f.nextStep = f.takeStep
+	f.checkEndpoint = f.check
 	records := []replica.Record{testRecord(t, "catalog", 1, testCatalog(1))}
 	for n := range models {
 		m := &crashable{listing: testListing("models", n), up: true, exchanges: map[*partRequest]bool{}}
@@ -145,6 +146,15 @@
 	})
 }
 
+// check tells an instance if an endpoint refuses connections.
+func (f *partFleet) check(name ident.Instance, e ident.Endpoint) {
+	f.timers.After(2*linkDelay, func() {
+		if !f.byName[e].up {
+			f.gateways[name].HandleEndpointRefused(e)
+		}
+	})
+}
+
 // begin lets an endpoint begin to answer an attempt.
 func (f *partFleet) begin(m *crashable, start int, r *partRequest, id AttemptID) {
 	g := f.gateways[r.instance]
--- a/kernel/gateway/request.go
+++ b/kernel/gateway/request.go
@@ -112,7 +112,10 @@
 type attempt struct {
 	id        AttemptID
 	endpoint  ident.Endpoint
+	address   string
 	startedAt time.Time
+	// firstEventAt is when the first event of its stream was relayed; zero before.
+	firstEventAt time.Time
 	// written is set once the first byte may have reached the endpoint.
 	written bool
 	// responseStarted is set once the head of a usable response has arrived.
@@ -241,7 +244,7 @@
 	r.dueAt = now.Add(r.route.LatencyObjective - g.estimateWaited(r.route, incoming.Timeout))
 	r.timeoutTimer = g.timers.After(timeout-timeoutMargin, func() { g.handleTimeout(r) })
 	g.retryBudget.countRequest(now, r.service)
-	g.out.LogEvent("arrived", "request", incoming.ID, "route", r.route.Name, "workspace", r.workspaceName(), "service", r.service, "version", g.catalog.Version, "patience", timeout, "pieces", incoming.PieceCounts, "prompt", r.sharedPartIDs())
+	g.out.LogEvent("arrived", "request", incoming.ID, "route", r.route.Name, "workspace", r.workspaceName(), "service", r.service, "version", g.catalog.Version, "patience", timeout, "pieces", incoming.PieceCounts, "prompt", r.sharedParts())
 	g.setUpStages(r)
 	if len(r.stageServices()) > 0 && g.pools().divided && r.preferredDataCentre == "" {
 		g.answer(r, NotRun, busyRetryAfter, "no data centre within reach can run the stages")
@@ -303,6 +306,10 @@
 		g.answer(r, Quarantined, 0, "the content has crashed the endpoints that ran it")
 		return false
 	}
+	if g.hasQuarantinedPart(r) {
+		g.answer(r, Quarantined, 0, quarantinedPartReason)
+		return false
+	}
 	r.service = g.pickService(route)
 	return true
 }
--- a/kernel/gateway/testgateway_test.go
+++ b/kernel/gateway/testgateway_test.go
@@ -60,6 +60,7 @@
 			LogEvent:        func(name string, _ ...any) { tg.events = append(tg.events, name) },
 			StartCall:       func(c batching.Call) { tg.calls = append(tg.calls, c) },
 			InspectEndpoint: func(ident.Endpoint, string) {},
+			CheckEndpoint:   func(ident.Endpoint, string) {},
 			FreeResults:     func(_ string, h []message.ResultHandle) { tg.freed = append(tg.freed, h...) },
 		},
 	})
--- a/kernel/ident/ident.go
+++ b/kernel/ident/ident.go
@@ -87,3 +87,6 @@
 	_, _ = d.WriteString(second)
 	return d.Sum64()
 }
+
+// PromptPart identifies a part of a prompt that requests may share, as callers name it.
+type PromptPart string
--- a/kernel/message/gateway.go
+++ b/kernel/message/gateway.go
@@ -42,6 +42,26 @@
 	// CrashReports holds reports of the latest crashes of endpoints, one for each
 	// content that was running.
 	CrashReports []CrashReport `json:"crashes,omitempty"`
+	// PartCrashes and SoundParts are what the sender has learned lately of crashes and
+	// of prompt parts that did not cause them: the time since a request with the part
+	// was answered completely. QuarantinedParts holds the parts that must not run.
+	PartCrashes      []PartCrash                          `json:"partCrashes,omitempty"`
+	SoundParts       map[ident.PromptPart]time.Duration   `json:"soundParts,omitempty"`
+	QuarantinedParts map[ident.PromptPart]QuarantinedPart `json:"quarantinedParts,omitempty"`
+}
+
+// PartCrash says which prompt parts an endpoint was about to answer when it crashed.
+type PartCrash struct {
+	Address string             `json:"address"`
+	Age     time.Duration      `json:"age"`
+	Parts   []ident.PromptPart `json:"parts"`
+}
+
+// QuarantinedPart is a prompt part that crashes endpoints.
+type QuarantinedPart struct {
+	Age time.Duration `json:"age"`
+	// Tied is set if the crashes have more than one explanation.
+	Tied bool `json:"tied,omitempty"`
 }
 
 // CrashReport says that a content was running on an endpoint when the endpoint
--- a/kernel/message/valid.go
+++ b/kernel/message/valid.go
@@ -9,6 +9,13 @@
 // maxPiecesPerMessage limits the pieces that one message names.
 const maxPiecesPerMessage = 20_000
 
+// maxPartCrashes limits the crashes in one ping, maxPartsPerCrash the prompt parts of
+// each.
+const (
+	maxPartCrashes   = 64
+	maxPartsPerCrash = 1000
+)
+
 // CheckGateway returns an error if a message of package gateway has values that
 // no instance sends, for which its handlers are not prepared.
 func (e Envelope) CheckGateway() error {
@@ -44,6 +51,14 @@
 			return errors.Errorf("negative number of requests at endpoint %q", e)
 		}
 	}
+	if len(p.PartCrashes) > maxPartCrashes {
+		return errors.Errorf("%d crashes", len(p.PartCrashes))
+	}
+	for _, c := range p.PartCrashes {
+		if c.Age < 0 || len(c.Parts) > maxPartsPerCrash {
+			return errors.Errorf("crash at %q: age %v, %d parts", c.Address, c.Age, len(c.Parts))
+		}
+	}
 	return nil
 }
 
