Take no answer that ended with its connection for proof of a sound prompt part

Cause, by reading the code and by test: (1) an answer without a length that a crash cuts off after an event looks complete; it cleared the part that had caused the crash, and ended the conviction. (2) If two parts explained the same four crashes, both were convicted for 15 s only, and the next crash did not convict them again when other suspects had as many crashes.

Change: only an answer whose end is known from itself clears its parts. One that ended with its connection keeps its parts as suspects, in case the endpoint is found gone. Of parts that explain the same crashes the one that is used least is convicted, for the whole time; and one more crash convicts a part again whatever else was there.

The cases of kernel/blame for tied parts are replaced: convicting the least used part for good is stricter than both for 15 s.

--- a/anvilcrossd/entry/stream.go
+++ b/anvilcrossd/entry/stream.go
@@ -63,7 +63,7 @@
 	events := &eventReader{reader: bufio.NewReader(response.Body)}
 	flusher := http.NewResponseController(c.writer)
 	lastEventID := send.LastEventID
-	delivery := gateway.Delivery{Status: response.StatusCode}
+	delivery := gateway.Delivery{Status: response.StatusCode, Delimited: response.Delimited()}
 	var lastEventAt time.Time
 	for {
 		event, err := events.next()
--- a/kernel/blame/parts.go
+++ b/kernel/blame/parts.go
@@ -11,12 +11,11 @@
 
 // PartsConfig configures Parts.
 type PartsConfig struct {
-	// Retention is how long crashes and convictions are kept, and TiedRetention how
-	// long the conviction of a part is that others explain the crashes as well as.
-	Retention     time.Duration
-	TiedRetention time.Duration
-	// A part is convicted after MinCrashes crashes at different times and endpoints,
-	// or after MinTiedCrashes if it is not the only one with that many.
+	// Retention is how long crashes and convictions are kept.
+	Retention time.Duration
+	// A part is convicted after MinCrashes crashes at different times and endpoints.
+	// If others explain as many, it takes MinTiedCrashes, and those are convicted that
+	// are used least.
 	MinCrashes     int
 	MinTiedCrashes int
 	// MaxCrashes bounds the number of crashes kept.
@@ -27,6 +26,9 @@
 // that come later.
 const soundRetention = 15 * time.Second
 
+// useWindow is the time over which the requests with a part are counted.
+const useWindow = 10 * time.Second
+
 // simultaneousCrashes is the time within which crashes count as one: a common cause
 // takes several endpoints down at once.
 const simultaneousCrashes = 200 * time.Millisecond
@@ -54,7 +56,12 @@
 type verdict struct {
 	at    time.Time
 	until time.Time
-	tied  bool
+}
+
+// usage counts the requests with a part in the present and in the previous useWindow.
+type usage struct {
+	windowStart       time.Time
+	present, previous int
 }
 
 // Parts finds the prompt parts that crash every endpoint that begins to answer a
@@ -69,11 +76,12 @@
 	soundAt   map[ident.PromptPart]time.Time
 	clearedAt map[ident.PromptPart]time.Time
 	verdicts  map[ident.PromptPart]verdict
+	uses      map[ident.PromptPart]usage
 }
 
 // NewParts returns an instance that knows of no crash.
 func NewParts(c PartsConfig) *Parts {
-	return &Parts{config: c, soundAt: map[ident.PromptPart]time.Time{}, clearedAt: map[ident.PromptPart]time.Time{}, verdicts: map[ident.PromptPart]verdict{}}
+	return &Parts{config: c, soundAt: map[ident.PromptPart]time.Time{}, clearedAt: map[ident.PromptPart]time.Time{}, verdicts: map[ident.PromptPart]verdict{}, uses: map[ident.PromptPart]usage{}}
 }
 
 // AddCrash adds a report of a crash and returns the parts that are convicted by it.
@@ -131,13 +139,13 @@
 
 // AddVerdict adds the conviction of a part by another instance, and reports whether it
 // is new.
-func (p *Parts) AddVerdict(now time.Time, part ident.PromptPart, at time.Time, tied bool) bool {
+func (p *Parts) AddVerdict(now time.Time, part ident.PromptPart, at time.Time) bool {
 	known, convicted := p.verdicts[part]
 	// Ages grow by the delay of each message, so a conviction comes back a little later.
 	if p.soundAt[part].After(at) || convicted && at.Sub(known.at) < sameCrashWindow {
 		return false
 	}
-	v := p.newVerdict(at, tied)
+	v := verdict{at: at, until: at.Add(p.config.Retention)}
 	if !now.Before(v.until) {
 		return false
 	}
@@ -145,12 +153,18 @@
 	return !convicted || !now.Before(known.until)
 }
 
-func (p *Parts) newVerdict(at time.Time, tied bool) verdict {
-	retention := p.config.Retention
-	if tied {
-		retention = p.config.TiedRetention
+// RecordUse counts a request with the part.
+func (p *Parts) RecordUse(now time.Time, part ident.PromptPart) {
+	u := p.uses[part]
+	if now.Sub(u.windowStart) >= useWindow {
+		u = usage{windowStart: now, previous: u.present}
 	}
-	return verdict{at: at, until: at.Add(retention), tied: tied}
+	u.present++
+	p.uses[part] = u
+}
+
+func (p *Parts) useCount(part ident.PromptPart) int {
+	return p.uses[part].present + p.uses[part].previous
 }
 
 // Convicted reports whether requests with the part must not run.
@@ -164,32 +178,40 @@
 func (p *Parts) convict(now time.Time) []ident.PromptPart {
 	var convicted []ident.PromptPart
 	for {
-		ranked := p.rank(now)
-		if len(ranked) == 0 || ranked[0].crashes < p.required(ranked[0].part) {
+		culprits := p.culprits(p.rank(now))
+		if len(culprits) == 0 {
 			return convicted
 		}
-		top := ranked[:1]
-		for len(top) < len(ranked) && ranked[len(top)].crashes == ranked[0].crashes {
-			top = ranked[:len(top)+1]
-		}
-		tied := len(top) > 1
-		if tied && ranked[0].crashes < p.config.MinTiedCrashes {
-			return convicted
-		}
-		for _, s := range top {
-			p.verdicts[s.part] = p.newVerdict(now, tied)
-			convicted = append(convicted, s.part)
+		for _, d := range culprits {
+			p.verdicts[d] = verdict{at: now, until: now.Add(p.config.Retention)}
+			convicted = append(convicted, d)
 		}
 	}
 }
 
-// required returns the number of crashes that convict a part. One that was convicted
-// before needs just one more.
-func (p *Parts) required(part ident.PromptPart) int {
-	if _, before := p.verdicts[part]; before {
-		return 1
+// culprits returns the suspects that are to be convicted: those that were convicted
+// before, or the one with the most crashes if it has enough. Of several with as many,
+// those that are used least: the others would have crashed more.
+func (p *Parts) culprits(ranked []suspect) []ident.PromptPart {
+	var known, top []ident.PromptPart
+	for _, s := range ranked {
+		if _, before := p.verdicts[s.part]; before {
+			known = append(known, s.part)
+		}
+		if s.crashes == ranked[0].crashes {
+			top = append(top, s.part)
+		}
+	}
+	switch {
+	case len(known) > 0:
+		return known
+	case len(top) == 0 || ranked[0].crashes < p.config.MinCrashes:
+		return nil
+	case len(top) > 1 && ranked[0].crashes < p.config.MinTiedCrashes:
+		return nil
 	}
-	return p.config.MinCrashes
+	least := p.useCount(slices.MinFunc(top, func(x, y ident.PromptPart) int { return cmp.Compare(p.useCount(x), p.useCount(y)) }))
+	return slices.DeleteFunc(top, func(d ident.PromptPart) bool { return p.useCount(d) > least })
 }
 
 // suspect is a part with the number of crashes that it explains.
@@ -240,21 +262,16 @@
 
 // News is what an instance has learned lately, for the others.
 type News struct {
-	Crashes  []PartCrash
-	Sound    map[ident.PromptPart]time.Time
-	Verdicts map[ident.PromptPart]Verdict
-}
-
-// Verdict is the conviction of a part.
-type Verdict struct {
-	At   time.Time
-	Tied bool
+	Crashes []PartCrash
+	Sound   map[ident.PromptPart]time.Time
+	// Verdicts holds when each convicted part was convicted.
+	Verdicts map[ident.PromptPart]time.Time
 }
 
 // NewsSince returns the crashes and clearances learned after a time, latest crashes
 // first and at most limit of them, and all convictions.
 func (p *Parts) NewsSince(now, since time.Time, limit int) News {
-	n := News{Sound: map[ident.PromptPart]time.Time{}, Verdicts: map[ident.PromptPart]Verdict{}}
+	n := News{Sound: map[ident.PromptPart]time.Time{}, Verdicts: map[ident.PromptPart]time.Time{}}
 	for _, c := range slices.Backward(p.crashes) {
 		if c.learnedAt.After(since) && len(n.Crashes) < limit {
 			n.Crashes = append(n.Crashes, PartCrash{Address: c.Address, At: c.At, Parts: slices.Clone(c.Parts)})
@@ -267,7 +284,7 @@
 	}
 	for d, v := range p.verdicts {
 		if now.Before(v.until) {
-			n.Verdicts[d] = Verdict{At: v.at, Tied: v.tied}
+			n.Verdicts[d] = v.at
 		}
 	}
 	return n
@@ -285,6 +302,11 @@
 			delete(p.clearedAt, d)
 		}
 	}
+	for d, u := range p.uses {
+		if now.Sub(u.windowStart) > 2*useWindow {
+			delete(p.uses, d)
+		}
+	}
 	for d, v := range p.verdicts {
 		if now.Sub(v.until) > p.config.Retention {
 			delete(p.verdicts, d)
--- a/kernel/blame/parts_test.go
+++ b/kernel/blame/parts_test.go
@@ -14,7 +14,7 @@
 var partsStart = time.Unix(1_700_000_000, 0)
 
 func newTestParts() *Parts {
-	return NewParts(PartsConfig{Retention: 2 * time.Minute, TiedRetention: 15 * second, MinCrashes: 3, MinTiedCrashes: 4, MaxCrashes: 64})
+	return NewParts(PartsConfig{Retention: 2 * time.Minute, MinCrashes: 3, MinTiedCrashes: 4, MaxCrashes: 64})
 }
 
 // crashAt reports a crash at an address of its own, and returns what it convicts.
@@ -55,16 +55,29 @@
 			wantConvicted(t, p.crashAt(time.Duration(n+1)*second, "root"))
 		}
 	})
-	t.Run("two parts of all crashes are convicted by the fourth, and lapse soon", func(t *testing.T) {
+	t.Run("of two parts of all crashes the one that is used less is convicted by the fourth", func(t *testing.T) {
 		p := newTestParts()
+		p.RecordUse(partsStart, "bad")
+		p.RecordUse(partsStart, "root")
+		p.RecordUse(partsStart, "root")
 		for n := range 3 {
-			wantConvicted(t, p.crashAt(time.Duration(n+1)*second, "bad", "twin"))
+			wantConvicted(t, p.crashAt(time.Duration(n+1)*second, "bad", "root"))
+		}
+		wantConvicted(t, p.crashAt(4*second, "bad", "root"), "bad")
+	})
+	t.Run("two parts of all crashes that are used alike are convicted by the fourth", func(t *testing.T) {
+		p := newTestParts()
+		for n := range 3 {
+			p.crashAt(time.Duration(n+1)*second, "bad", "twin")
 		}
 		wantConvicted(t, p.crashAt(4*second, "bad", "twin"), "bad", "twin")
-		if p.Convicted(partsStart.Add(20*second), "bad") {
-			t.Fatal("still convicted after the time for tied parts")
+	})
+	t.Run("one more crash convicts a part again, whatever else was there", func(t *testing.T) {
+		p := newTestParts()
+		for n := range 3 {
+			p.crashAt(time.Duration(n+1)*second, "bad")
 		}
-		wantConvicted(t, p.crashAt(21*second, "bad"), "bad")
+		wantConvicted(t, p.crashAt(3*time.Minute, "bad", "a", "b"), "bad")
 	})
 	t.Run("crashes at one moment count as one", func(t *testing.T) {
 		p := newTestParts()
@@ -99,14 +112,14 @@
 	})
 	t.Run("a conviction by another instance holds until an answer proves it wrong", func(t *testing.T) {
 		p := newTestParts()
-		if !p.AddVerdict(partsStart, "a", partsStart.Add(-second), false) {
+		if !p.AddVerdict(partsStart, "a", partsStart.Add(-second)) {
 			t.Fatal("the conviction is not new")
 		}
-		if p.AddVerdict(partsStart, "a", partsStart.Add(-900*time.Millisecond), false) {
+		if p.AddVerdict(partsStart, "a", partsStart.Add(-900*time.Millisecond)) {
 			t.Fatal("the same conviction is new again")
 		}
 		p.RecordSound(partsStart, "a", partsStart)
-		if p.Convicted(partsStart, "a") || p.AddVerdict(partsStart, "a", partsStart.Add(-second), false) {
+		if p.Convicted(partsStart, "a") || p.AddVerdict(partsStart, "a", partsStart.Add(-second)) {
 			t.Fatal("convicted though a request with the part was answered later")
 		}
 	})
--- a/kernel/gateway/attempts.go
+++ b/kernel/gateway/attempts.go
@@ -213,6 +213,9 @@
 	// pause between two of them. Both are zero for other responses.
 	Events     int
 	LongestGap time.Duration
+	// Delimited is set if the end of the response is known from the response itself and
+	// not only from the end of its connection, which an endpoint that crashes closes too.
+	Delimited bool
 }
 
 // HandleDelivery finishes a request whose response was relayed completely.
@@ -222,7 +225,7 @@
 		return
 	}
 	g.counters.Relayed++
-	g.recordSoundParts(r, d)
+	g.recordAnswered(r, d)
 	g.out.LogEvent("relayed", "request", r.incoming.ID, "route", r.route.Name, "status", d.Status, "after", g.now().Sub(r.arrivedAt), "firstAfter", r.timeToFirstEvent, "objective", r.route.LatencyObjective, "events", d.Events, "longestGap", d.LongestGap, "sends", r.sends)
 	g.finish(r)
 }
--- a/kernel/gateway/parts.go
+++ b/kernel/gateway/parts.go
@@ -12,14 +12,13 @@
 
 const (
 	// partCrashes is the number of crashes after which a prompt part that explains more
-	// of them than any other is quarantined; tiedPartCrashes that after which parts are
-	// that explain equally many.
+	// of them than any other is quarantined, tiedPartCrashes that after which one is that
+	// explains as many as others.
 	partCrashes     = 3
 	tiedPartCrashes = 4
-	// partRetention is how long a part is quarantined, and tiedPartRetention how long
-	// if others explain the crashes as well. One more crash extends it.
-	partRetention     = 2 * time.Minute
-	tiedPartRetention = 15 * time.Second
+	// partRetention is how long a part is quarantined. One more crash after that
+	// quarantines it again.
+	partRetention = 2 * time.Minute
 	// beginningTime is how long after the first event of an answer a crash may still be
 	// due to its request: endpoints crash when they begin to answer.
 	beginningTime = 500 * time.Millisecond
@@ -39,7 +38,7 @@
 const quarantinedPartReason = "a part of the prompt has crashed the endpoints that answered it"
 
 func newParts() *blame.Parts {
-	return blame.NewParts(blame.PartsConfig{Retention: partRetention, TiedRetention: tiedPartRetention, MinCrashes: partCrashes, MinTiedCrashes: tiedPartCrashes, MaxCrashes: maxCrashes})
+	return blame.NewParts(blame.PartsConfig{Retention: partRetention, MinCrashes: partCrashes, MinTiedCrashes: tiedPartCrashes, MaxCrashes: maxCrashes})
 }
 
 // sharedParts returns the prompt parts that other requests may share: all but the last.
@@ -62,13 +61,19 @@
 	return r.sharedParts()
 }
 
-// recordSoundParts records that the parts of a request have not crashed the endpoint
-// that answered it.
-func (g *Gateway) recordSoundParts(r *request, d Delivery) {
-	if r.route.Kind != published.Stream || d.Events == 0 {
+// recordAnswered records that the parts of a request have not crashed the endpoint that
+// answered it. An answer that ended with its connection may have been cut off by a crash.
+func (g *Gateway) recordAnswered(r *request, d Delivery) {
+	if r.route.Kind != published.Stream || len(r.incoming.Prompt) == 0 {
 		return
 	}
 	now := g.now()
+	if !d.Delimited {
+		if parts := r.suspectParts(now, r.attempt); len(parts) > 0 {
+			g.crashes.recordBroken(r.attempt.endpoint, brokenExchange{digest: r.incoming.Digest, at: now, address: r.attempt.address, parts: parts})
+		}
+		return
+	}
 	for _, part := range r.sharedParts() {
 		g.crashes.parts.RecordSound(now, part, now)
 	}
@@ -85,6 +90,13 @@
 	return false
 }
 
+// recordPartUse counts an admitted request for the parts of its prompt.
+func (g *Gateway) recordPartUse(r *request) {
+	for _, part := range r.sharedParts() {
+		g.crashes.parts.RecordUse(g.now(), part)
+	}
+}
+
 // checkEndpointLater lets an endpoint be checked that broke off an attempt, since only
 // one that is gone has crashed.
 func (g *Gateway) checkEndpointLater(a *attempt) {
@@ -148,11 +160,11 @@
 		}
 		p.SoundParts[part] = now.Sub(at)
 	}
-	for part, v := range news.Verdicts {
+	for part, at := range news.Verdicts {
 		if p.QuarantinedParts == nil {
-			p.QuarantinedParts = map[ident.PromptPart]message.QuarantinedPart{}
+			p.QuarantinedParts = map[ident.PromptPart]time.Duration{}
 		}
-		p.QuarantinedParts[part] = message.QuarantinedPart{Age: now.Sub(v.At), Tied: v.Tied}
+		p.QuarantinedParts[part] = now.Sub(at)
 	}
 }
 
@@ -163,8 +175,7 @@
 	}
 	var convicted []ident.PromptPart
 	for _, part := range value.SortedKeys(p.QuarantinedParts) {
-		q := p.QuarantinedParts[part]
-		if g.crashes.parts.AddVerdict(now, part, now.Add(-q.Age), q.Tied) {
+		if g.crashes.parts.AddVerdict(now, part, now.Add(-p.QuarantinedParts[part])) {
 			convicted = append(convicted, part)
 		}
 	}
--- a/kernel/gateway/poisonpart_test.go
+++ b/kernel/gateway/poisonpart_test.go
@@ -66,6 +66,8 @@
 	// arrivals holds when requests with the crashing part reached endpoints.
 	arrivals []time.Time
 	crashing bool
+	// undelimited is set if the answers that a crash cuts off look complete.
+	undelimited bool
 }
 
 func newPartFleet(t *testing.T, size, models int, seed uint64) *partFleet {
@@ -183,7 +185,7 @@
 		if running() {
 			delete(m.exchanges, r)
 			r.answer = "relayed"
-			g.HandleDelivery(r.handle, id, Delivery{Status: 200, Events: 5})
+			g.HandleDelivery(r.handle, id, Delivery{Status: 200, Events: 5, Delimited: true})
 		}
 	})
 }
@@ -199,6 +201,13 @@
 	for _, r := range f.requests {
 		if broken[r] {
 			id := r.attempt
+			if r.crashing && f.undelimited {
+				f.timers.After(linkDelay, func() {
+					f.gateways[r.instance].HandleFirstEvent(r.handle, id)
+					f.gateways[r.instance].HandleDelivery(r.handle, id, Delivery{Status: 200, Events: 1})
+				})
+				continue
+			}
 			f.timers.After(linkDelay, func() { f.gateways[r.instance].HandleFailure(r.handle, id, Broken, "", "unexpected EOF") })
 		}
 	}
@@ -254,12 +263,19 @@
 // No two such requests are alike, and sound ones share all their other parts.
 func TestPromptPartThatCrashesEndpointsIsQuarantined(t *testing.T) {
 	for _, c := range []struct {
+		name         string
 		size, models int
 		seeds        uint64
-	}{{6, 9, 4}, {66, 60, 1}} {
+		undelimited  bool
+	}{
+		{"6 instances", 6, 9, 4, false},
+		{"66 instances", 66, 60, 1, false},
+		{"cut answers that look complete", 6, 9, 4, true},
+	} {
 		for seed := range c.seeds {
-			t.Run(fmt.Sprintf("%d instances, seed %d", c.size, seed), func(t *testing.T) {
+			t.Run(fmt.Sprintf("%s, seed %d", c.name, seed), func(t *testing.T) {
 				f := newPartFleet(t, c.size, c.models, seed)
+				f.undelimited = c.undelimited
 				before := f.timers.Now()
 				f.advance(8 * time.Second)
 				f.crashing = true
--- a/kernel/gateway/request.go
+++ b/kernel/gateway/request.go
@@ -244,6 +244,7 @@
 	r.dueAt = now.Add(r.route.LatencyObjective - g.estimateWaited(r.route, incoming.Timeout))
 	r.timeoutTimer = g.timers.After(timeout-timeoutMargin, func() { g.handleTimeout(r) })
 	g.retryBudget.countRequest(now, r.service)
+	g.recordPartUse(r)
 	g.out.LogEvent("arrived", "request", incoming.ID, "route", r.route.Name, "workspace", r.workspaceName(), "service", r.service, "version", g.catalog.Version, "patience", timeout, "pieces", incoming.PieceCounts, "prompt", r.sharedParts())
 	g.setUpStages(r)
 	if len(r.stageServices()) > 0 && g.pools().divided && r.preferredDataCentre == "" {
--- a/kernel/message/gateway.go
+++ b/kernel/message/gateway.go
@@ -44,10 +44,11 @@
 	CrashReports []CrashReport `json:"crashes,omitempty"`
 	// PartCrashes and SoundParts are what the sender has learned lately of crashes and
 	// of prompt parts that did not cause them: the time since a request with the part
-	// was answered completely. QuarantinedParts holds the parts that must not run.
-	PartCrashes      []PartCrash                          `json:"partCrashes,omitempty"`
-	SoundParts       map[ident.PromptPart]time.Duration   `json:"soundParts,omitempty"`
-	QuarantinedParts map[ident.PromptPart]QuarantinedPart `json:"quarantinedParts,omitempty"`
+	// was answered completely. QuarantinedParts holds the parts that must not run, with
+	// the time since they were quarantined.
+	PartCrashes      []PartCrash                        `json:"partCrashes,omitempty"`
+	SoundParts       map[ident.PromptPart]time.Duration `json:"soundParts,omitempty"`
+	QuarantinedParts map[ident.PromptPart]time.Duration `json:"quarantinedParts,omitempty"`
 }
 
 // PartCrash says which prompt parts an endpoint was about to answer when it crashed.
@@ -57,13 +58,6 @@
 	Parts   []ident.PromptPart `json:"parts"`
 }
 
-// QuarantinedPart is a prompt part that crashes endpoints.
-type QuarantinedPart struct {
-	Age time.Duration `json:"age"`
-	// Tied is set if the crashes have more than one explanation.
-	Tied bool `json:"tied,omitempty"`
-}
-
 // CrashReport says that a content was running on an endpoint when the endpoint
 // crashed. It carries an age instead of a time, since the clocks of instances
 // differ.
