Judge prompt parts once the reports of all instances on a crash have arrived

Callers: sound requests were answered 500 for two minutes, because their part had been quarantined in place of the one that crashed the endpoints.

Cause: each instance judged as soon as it knew of a crash itself. It then knew only the parts of its own requests there, and another instance that of the culprit. A wrong conviction stayed, since nothing with the part ran any more that could clear it, and the crashes that it seemed to explain no longer counted against the culprit.

Change: a crash counts 0.65 s after it (three ping periods and the check). All crashes known are judged anew each time: a part whose crashes are now explained by others is acquitted, and a conviction from before that is not taken over again.

Tests: kernel/blame, "a crash counts once the reports on it have arrived" and "a part is acquitted when another one explains its crashes and more".

--- a/kernel/blame/parts.go
+++ b/kernel/blame/parts.go
@@ -77,36 +77,35 @@
 	clearedAt map[ident.PromptPart]time.Time
 	verdicts  map[ident.PromptPart]verdict
 	uses      map[ident.PromptPart]usage
+	// acquittedAt is when the conviction of a part was withdrawn, since others explain the
+	// crashes.
+	acquittedAt map[ident.PromptPart]time.Time
+	// undecided is set if there are reports that Judge has not considered.
+	undecided bool
 }
 
 // NewParts returns an instance that knows of no crash.
 func NewParts(c PartsConfig) *Parts {
-	return &Parts{config: c, soundAt: map[ident.PromptPart]time.Time{}, clearedAt: map[ident.PromptPart]time.Time{}, verdicts: map[ident.PromptPart]verdict{}, uses: map[ident.PromptPart]usage{}}
+	return &Parts{config: c, soundAt: map[ident.PromptPart]time.Time{}, clearedAt: map[ident.PromptPart]time.Time{}, verdicts: map[ident.PromptPart]verdict{}, uses: map[ident.PromptPart]usage{}, acquittedAt: map[ident.PromptPart]time.Time{}}
 }
 
-// AddCrash adds a report of a crash and returns the parts that are convicted by it.
-// Adding the same report again has no effect.
-func (p *Parts) AddCrash(now time.Time, report PartCrash) []ident.PromptPart {
+// AddCrash adds a report of a crash. Adding the same report again has no effect.
+func (p *Parts) AddCrash(now time.Time, report PartCrash) {
 	c := p.find(report)
 	if c == nil {
 		c = &knownCrash{PartCrash: PartCrash{Address: report.Address, At: report.At}}
 		p.crashes = append(p.crashes, c)
 	}
-	added := false
 	for _, d := range report.Parts {
 		switch {
 		case p.soundAt[d].After(report.At):
 			p.clearedAt[d] = now
 		case !slices.Contains(c.Parts, d):
 			c.Parts = append(c.Parts, d)
-			added = true
+			c.learnedAt = now
+			p.undecided = true
 		}
 	}
-	if !added {
-		return nil
-	}
-	c.learnedAt = now
-	return p.convict(now)
 }
 
 func (p *Parts) find(report PartCrash) *knownCrash {
@@ -142,7 +141,7 @@
 func (p *Parts) AddVerdict(now time.Time, part ident.PromptPart, at time.Time) bool {
 	known, convicted := p.verdicts[part]
 	// Ages grow by the delay of each message, so a conviction comes back a little later.
-	if p.soundAt[part].After(at) || convicted && at.Sub(known.at) < sameCrashWindow {
+	if p.soundAt[part].After(at) || p.acquittedAt[part].After(at) || convicted && at.Sub(known.at) < sameCrashWindow {
 		return false
 	}
 	v := verdict{at: at, until: at.Add(p.config.Retention)}
@@ -173,74 +172,105 @@
 	return convicted && now.Before(v.until)
 }
 
-// convict convicts parts, as long as one explains enough crashes that no convicted part
-// explains, and returns them.
-func (p *Parts) convict(now time.Time) []ident.PromptPart {
-	var convicted []ident.PromptPart
-	for {
-		culprits := p.culprits(p.rank(now))
-		if len(culprits) == 0 {
-			return convicted
+// Judge convicts the parts that explain the crashes up to a time, by which the reports of
+// all instances on them have arrived: one instance alone does not know all suspects. It
+// returns the parts that were not convicted before, and acquits those whose crashes are
+// now explained by others.
+func (p *Parts) Judge(now, upTo time.Time) []ident.PromptPart {
+	if !p.undecided {
+		return nil
+	}
+	p.undecided = slices.ContainsFunc(p.crashes, func(c *knownCrash) bool { return c.At.After(upTo) })
+	var reported []*knownCrash
+	for _, c := range p.crashes {
+		if !c.At.After(upTo) {
+			reported = append(reported, c)
 		}
-		for _, d := range culprits {
+	}
+	culprits := p.explain(now, reported)
+	var convicted []ident.PromptPart
+	for _, d := range culprits.Sorted() {
+		if !p.Convicted(now, d) {
 			p.verdicts[d] = verdict{at: now, until: now.Add(p.config.Retention)}
 			convicted = append(convicted, d)
 		}
 	}
+	for _, d := range value.SortedKeys(p.verdicts) {
+		if !culprits.Has(d) && explainedByOthers(d, reported, culprits) {
+			delete(p.verdicts, d)
+			p.acquittedAt[d] = now
+		}
+	}
+	return convicted
 }
 
-// culprits returns the suspects that are to be convicted: those that were convicted
-// before, or the one with the most crashes if it has enough. Of several with as many,
-// those that are used least: the others would have crashed more.
-func (p *Parts) culprits(ranked []suspect) []ident.PromptPart {
-	var known, top []ident.PromptPart
-	for _, s := range ranked {
-		if _, before := p.verdicts[s.part]; before {
-			known = append(known, s.part)
+// explain returns the parts that explain crashes: in turn the one that explains the most
+// of the crashes that are left, as long as those are enough.
+func (p *Parts) explain(now time.Time, crashes []*knownCrash) value.Set[ident.PromptPart] {
+	culprits := value.NewSet[ident.PromptPart]()
+	for {
+		crashes = slices.DeleteFunc(slices.Clone(crashes), func(c *knownCrash) bool { return hasAny(c, culprits) })
+		next := p.nextCulprits(now, crashes)
+		if len(next) == 0 {
+			return culprits
 		}
-		if s.crashes == ranked[0].crashes {
-			top = append(top, s.part)
+		for _, d := range next {
+			culprits.Add(d)
 		}
 	}
-	switch {
-	case len(known) > 0:
-		return known
-	case len(top) == 0 || ranked[0].crashes < p.config.MinCrashes:
-		return nil
-	case len(top) > 1 && ranked[0].crashes < p.config.MinTiedCrashes:
-		return nil
-	}
-	least := p.useCount(slices.MinFunc(top, func(x, y ident.PromptPart) int { return cmp.Compare(p.useCount(x), p.useCount(y)) }))
-	return slices.DeleteFunc(top, func(d ident.PromptPart) bool { return p.useCount(d) > least })
 }
 
-// suspect is a part with the number of crashes that it explains.
-type suspect struct {
-	part    ident.PromptPart
-	crashes int
+func hasAny(c *knownCrash, parts value.Set[ident.PromptPart]) bool {
+	return slices.ContainsFunc(c.Parts, parts.Has)
 }
 
-// rank returns the suspects by the number of crashes that they explain and that no
-// convicted part does, most first.
-func (p *Parts) rank(now time.Time) []suspect {
-	explained := map[ident.PromptPart][]*knownCrash{}
-	for _, c := range p.crashes {
-		if slices.ContainsFunc(c.Parts, func(d ident.PromptPart) bool { return p.Convicted(now, d) }) {
-			continue
+// explainedByOthers reports whether a part is a suspect of crashes, all of which others
+// explain.
+func explainedByOthers(d ident.PromptPart, crashes []*knownCrash, culprits value.Set[ident.PromptPart]) bool {
+	suspected := false
+	for _, c := range crashes {
+		if slices.Contains(c.Parts, d) {
+			suspected = true
+			if !hasAny(c, culprits) {
+				return false
+			}
 		}
+	}
+	return suspected
+}
+
+// nextCulprits returns the parts that best explain crashes: those whose conviction has
+// lapsed, or the one with the most crashes if it has enough. Of several with as many it
+// returns those that are used least: the others would have crashed more.
+func (p *Parts) nextCulprits(now time.Time, crashes []*knownCrash) []ident.PromptPart {
+	byPart := map[ident.PromptPart][]*knownCrash{}
+	for _, c := range crashes {
 		for _, d := range c.Parts {
-			v, before := p.verdicts[d]
-			if !before || c.At.After(v.until) {
-				explained[d] = append(explained[d], c)
-			}
+			byPart[d] = append(byPart[d], c)
 		}
 	}
-	ranked := make([]suspect, 0, len(explained))
-	for _, d := range value.SortedKeys(explained) {
-		ranked = append(ranked, suspect{part: d, crashes: countIndependent(explained[d])})
+	var lapsed, top []ident.PromptPart
+	most := 0
+	for _, d := range value.SortedKeys(byPart) {
+		if v, before := p.verdicts[d]; before && !now.Before(v.until) {
+			lapsed = append(lapsed, d)
+		}
+		count := countIndependent(byPart[d])
+		if count > most {
+			most, top = count, nil
+		}
+		if count == most {
+			top = append(top, d)
+		}
+	}
+	switch {
+	case len(lapsed) > 0:
+		return lapsed
+	case most < p.config.MinCrashes || len(top) > 1 && most < p.config.MinTiedCrashes:
+		return nil
 	}
-	slices.SortStableFunc(ranked, func(x, y suspect) int { return cmp.Compare(y.crashes, x.crashes) })
-	return ranked
+	least := p.useCount(slices.MinFunc(top, func(x, y ident.PromptPart) int { return cmp.Compare(p.useCount(x), p.useCount(y)) }))
+	return slices.DeleteFunc(top, func(d ident.PromptPart) bool { return p.useCount(d) > least })
 }
 
 // countIndependent counts crashes at different times and addresses.
@@ -302,6 +332,11 @@
 			delete(p.clearedAt, d)
 		}
 	}
+	for d, at := range p.acquittedAt {
+		if now.Sub(at) > p.config.Retention {
+			delete(p.acquittedAt, d)
+		}
+	}
 	for d, u := range p.uses {
 		if now.Sub(u.windowStart) > 2*useWindow {
 			delete(p.uses, d)
--- a/kernel/blame/parts_test.go
+++ b/kernel/blame/parts_test.go
@@ -20,7 +20,13 @@
 // crashAt reports a crash at an address of its own, and returns what it convicts.
 func (p *Parts) crashAt(after time.Duration, parts ...ident.PromptPart) []ident.PromptPart {
 	at := partsStart.Add(after)
-	return p.AddCrash(at, PartCrash{Address: fmt.Sprint("address-", after), At: at, Parts: parts})
+	return p.report(at, PartCrash{Address: fmt.Sprint("address-", after), At: at, Parts: parts})
+}
+
+// report reports a crash, and returns what it convicts.
+func (p *Parts) report(now time.Time, c PartCrash) []ident.PromptPart {
+	p.AddCrash(now, c)
+	return p.Judge(now, now)
 }
 
 func wantConvicted(t *testing.T, got []ident.PromptPart, want ...ident.PromptPart) {
@@ -79,6 +85,20 @@
 		}
 		wantConvicted(t, p.crashAt(3*time.Minute, "bad", "a", "b"), "bad")
 	})
+	t.Run("a part is acquitted when another one explains its crashes and more", func(t *testing.T) {
+		p := newTestParts()
+		p.RecordUse(partsStart, "bad")
+		for n := range 4 {
+			p.crashAt(time.Duration(n+1)*second, "bad", "rare")
+		}
+		if !p.Convicted(partsStart.Add(4*second), "rare") {
+			t.Fatal("the part that is used least is not convicted")
+		}
+		wantConvicted(t, p.crashAt(5*second, "bad"), "bad")
+		if p.Convicted(partsStart.Add(5*second), "rare") || p.AddVerdict(partsStart.Add(6*second), "rare", partsStart.Add(4*second)) {
+			t.Fatal("still convicted")
+		}
+	})
 	t.Run("crashes at one moment count as one", func(t *testing.T) {
 		p := newTestParts()
 		for n := range 6 {
@@ -89,7 +109,7 @@
 		p := newTestParts()
 		for n := range 4 {
 			at := partsStart.Add(time.Duration(n) * 1400 * time.Millisecond)
-			wantConvicted(t, p.AddCrash(at, PartCrash{Address: "one", At: at, Parts: []ident.PromptPart{"a"}}))
+			wantConvicted(t, p.report(at, PartCrash{Address: "one", At: at, Parts: []ident.PromptPart{"a"}}))
 		}
 	})
 	t.Run("the only endpoint of a service counts again after a while", func(t *testing.T) {
@@ -97,7 +117,7 @@
 		var convicted []ident.PromptPart
 		for n := range 3 {
 			at := partsStart.Add(time.Duration(n) * 6 * second)
-			convicted = p.AddCrash(at, PartCrash{Address: "one", At: at, Parts: []ident.PromptPart{"bad"}})
+			convicted = p.report(at, PartCrash{Address: "one", At: at, Parts: []ident.PromptPart{"bad"}})
 		}
 		wantConvicted(t, convicted, "bad")
 	})
@@ -107,8 +127,19 @@
 			p.crashAt(time.Duration(n+1)*second, "bad")
 		}
 		at := partsStart.Add(3 * second)
-		wantConvicted(t, p.AddCrash(at, PartCrash{Address: "x", At: at, Parts: []ident.PromptPart{"a"}}))
-		wantConvicted(t, p.AddCrash(at.Add(second), PartCrash{Address: "x", At: at.Add(100 * time.Millisecond), Parts: []ident.PromptPart{"bad"}}), "bad")
+		wantConvicted(t, p.report(at, PartCrash{Address: "x", At: at, Parts: []ident.PromptPart{"a"}}))
+		wantConvicted(t, p.report(at.Add(second), PartCrash{Address: "x", At: at.Add(100 * time.Millisecond), Parts: []ident.PromptPart{"bad"}}), "bad")
+	})
+	t.Run("a crash counts once the reports on it have arrived", func(t *testing.T) {
+		p := newTestParts()
+		p.crashAt(1*second, "bad", "root")
+		p.crashAt(2*second, "bad", "root")
+		at := partsStart.Add(3 * second)
+		p.AddCrash(at, PartCrash{Address: "x", At: at, Parts: []ident.PromptPart{"root"}})
+		wantConvicted(t, p.Judge(at, at.Add(-second/2)))
+		p.AddCrash(at, PartCrash{Address: "x", At: at, Parts: []ident.PromptPart{"bad"}})
+		p.RecordSound(at, "root", at.Add(second/10))
+		wantConvicted(t, p.Judge(at.Add(second), at.Add(second/2)), "bad")
 	})
 	t.Run("a conviction by another instance holds until an answer proves it wrong", func(t *testing.T) {
 		p := newTestParts()
--- a/kernel/gateway/crash.go
+++ b/kernel/gateway/crash.go
@@ -92,7 +92,7 @@
 	}
 	g.out.LogEvent("endpointCrashed", "endpoint", e, "service", s, "requests", len(blamed), "parts", crash.Parts)
 	if len(crash.Parts) > 0 {
-		g.quarantineParts(g.crashes.parts.AddCrash(g.now(), crash), "crashes")
+		g.crashes.parts.AddCrash(g.now(), crash)
 	}
 }
 
--- a/kernel/gateway/gateway.go
+++ b/kernel/gateway/gateway.go
@@ -312,6 +312,7 @@
 	g.resubmitLostPieces(now)
 	g.crashes.expireBrokenExchanges(now)
 	g.crashes.parts.Expire(now)
+	g.judgeParts(now)
 }
 
 // HandlePlatformUnavailable handles the start of a platform outage: the
--- a/kernel/gateway/parts.go
+++ b/kernel/gateway/parts.go
@@ -25,6 +25,9 @@
 	// checkDelay is the time from the first broken exchange with an endpoint until it
 	// is checked. All exchanges that broke with the first are known then.
 	checkDelay = 50 * time.Millisecond
+	// crashReportPings is the number of ping periods after a crash by which the reports of
+	// all instances have arrived.
+	crashReportPings = 3
 	// partNewsTime is how long news of crashes is passed on: several ping periods.
 	partNewsTime = 3 * time.Second
 	// maxPartCrashesPerPing limits the crashes in one ping.
@@ -121,6 +124,12 @@
 	}
 }
 
+// judgeParts quarantines the prompt parts that explain the crashes known so far.
+func (g *Gateway) judgeParts(now time.Time) {
+	reportTime := checkDelay + crashReportPings*g.members.PingPeriod()
+	g.quarantineParts(g.crashes.parts.Judge(now, now.Add(-reportTime)), "crashes")
+}
+
 // quarantineParts ends the requests with parts that have just been convicted, unless an
 // endpoint has begun to answer them.
 func (g *Gateway) quarantineParts(parts []ident.PromptPart, cause string) {
@@ -181,6 +190,6 @@
 	}
 	g.quarantineParts(convicted, string(p.Member.Name))
 	for _, c := range p.PartCrashes {
-		g.quarantineParts(g.crashes.parts.AddCrash(now, blame.PartCrash{Address: c.Address, At: now.Add(-c.Age), Parts: c.Parts}), "crashes")
+		g.crashes.parts.AddCrash(now, blame.PartCrash{Address: c.Address, At: now.Add(-c.Age), Parts: c.Parts})
 	}
 }
--- a/kernel/gateway/poisonpart_test.go
+++ b/kernel/gateway/poisonpart_test.go
@@ -265,14 +265,14 @@
 	for _, c := range []struct {
 		name         string
 		size, models int
-		seeds        uint64
+		seeds        []uint64
 		undelimited  bool
 	}{
-		{"6 instances", 6, 9, 4, false},
-		{"66 instances", 66, 60, 1, false},
-		{"cut answers that look complete", 6, 9, 4, true},
+		{"6 instances", 6, 9, []uint64{0, 1, 2, 3, 12}, false},
+		{"66 instances", 66, 60, []uint64{0}, false},
+		{"cut answers that look complete", 6, 9, []uint64{0, 1, 2, 3}, true},
 	} {
-		for seed := range c.seeds {
+		for _, seed := range c.seeds {
 			t.Run(fmt.Sprintf("%s, seed %d", c.name, seed), func(t *testing.T) {
 				f := newPartFleet(t, c.size, c.models, seed)
 				f.undelimited = c.undelimited
