--- a/anvilstandin/site/site.go
+++ b/anvilstandin/site/site.go
@@ -11,6 +11,7 @@
 	"log"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"anvilcross/anvilstandin/metadata"
@@ -40,11 +41,19 @@
 
 	config       Config
 	storeAddress string
-	servers      []*http.Server
+	// mutex guards the fields below.
+	mutex   sync.Mutex
+	servers []*http.Server
 	// entries holds the published entry of each worker by its name.
 	entries map[string]workerEntry
+	// crashes counts the crashes of workers.
+	crashes int
+	closed  bool
 }
 
+// crashDowntime is the time from a worker's crash to its start at the same address.
+const crashDowntime = time.Second
+
 // Config sets up a Site.
 type Config struct {
 	// AdvertisedAddress returns the address to publish for a worker, given its
@@ -111,24 +120,89 @@
 		return "", err
 	}
 	address := listener.Addr().String()
-	server := &http.Server{Handler: handler(address), ReadHeaderTimeout: 5 * time.Second, ErrorLog: log.New(io.Discard, "", 0)}
+	s.serve(listener, handler(address))
+	return address, nil
+}
+
+func (s *Site) serve(listener net.Listener, handler http.Handler) *http.Server {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second, ErrorLog: log.New(io.Discard, "", 0)}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
 	s.servers = append(s.servers, server)
 	go func() { _ = server.Serve(listener) }()
+	return server
+}
+
+// startModelWorker starts a model worker that can crash, and returns its address.
+func (s *Site) startModelWorker(c worker.ModelConfig) (string, error) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	address := listener.Addr().String()
+	var mutex sync.Mutex
+	var server *http.Server
+	up := true
+	c.Crash = func() {
+		mutex.Lock()
+		defer mutex.Unlock()
+		if !up {
+			return
+		}
+		up = false
+		s.countCrash()
+		_ = server.Close()
+		time.AfterFunc(crashDowntime, func() {
+			listener, err := net.Listen("tcp4", address)
+			if err != nil || s.isClosed() {
+				return
+			}
+			mutex.Lock()
+			defer mutex.Unlock()
+			server, up = s.serve(listener, s.ModelWorkers[c.Name]), true
+			s.Restore(c.Name)
+		})
+	}
+	s.ModelWorkers[c.Name] = worker.NewModel(c)
+	mutex.Lock()
+	defer mutex.Unlock()
+	server = s.serve(listener, s.ModelWorkers[c.Name])
 	return address, nil
 }
 
+func (s *Site) countCrash() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.crashes++
+}
+
+func (s *Site) isClosed() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.closed
+}
+
+// Crashes returns the number of crashes of workers so far.
+func (s *Site) Crashes() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.crashes
+}
+
 // startWorker starts worker n of a service and publishes its entry.
 func (s *Site) startWorker(service string, n int, zone string) error {
 	name := fmt.Sprintf("%s-%d", service, n)
 	c := worker.Config{Name: name, Recorder: s.Recorder, Tenants: map[string]bool{Tenant: true}, WorkTime: 5 * time.Millisecond}
-	address, err := s.startServer(func(address string) http.Handler {
-		switch service {
-		case "orders":
+	start := s.startServer
+	if service == "models" {
+		start = func(func(string) http.Handler) (string, error) {
+			return s.startModelWorker(worker.ModelConfig{Config: c, Results: s.Results, EventInterval: 3 * time.Millisecond})
+		}
+	}
+	address, err := start(func(address string) http.Handler {
+		if service == "orders" {
 			s.PlainWorkers[name] = worker.NewWorker(c)
 			return s.PlainWorkers[name]
-		case "models":
-			s.ModelWorkers[name] = worker.NewModel(worker.ModelConfig{Config: c, Results: s.Results, EventInterval: 3 * time.Millisecond})
-			return s.ModelWorkers[name]
 		}
 		s.StageWorkers[name] = worker.NewStage(worker.StageConfig{Config: c, Address: address, MaxBatch: 8, FreeCapacityMB: 9, Results: s.Results, CallTime: 40 * time.Millisecond, PieceTime: 2 * time.Millisecond})
 		return s.StageWorkers[name]
@@ -149,10 +223,18 @@
 	if err != nil {
 		panic("entry cannot be encoded: " + err.Error())
 	}
+	s.mutex.Lock()
 	s.entries[name] = e
+	s.mutex.Unlock()
 	s.MetadataStore.Put("servers/"+name, value)
 }
 
+func (s *Site) entry(name string) workerEntry {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.entries[name]
+}
+
 // SetFaults sets the faults of a worker of any kind.
 func (s *Site) SetFaults(name string, f worker.Faults) {
 	if w := s.PlainWorkers[name]; w != nil {
@@ -168,7 +250,7 @@
 
 // Drain marks a worker as draining.
 func (s *Site) Drain(name string) {
-	e := s.entries[name]
+	e := s.entry(name)
 	e.State = "draining"
 	s.PublishEntry(name, e)
 }
@@ -176,7 +258,7 @@
 // Restore marks a worker as ready again, with a new start time, as after a
 // restart.
 func (s *Site) Restore(name string) {
-	e := s.entries[name]
+	e := s.entry(name)
 	e.State, e.StartedAtMillis = "ready", time.Now().UnixMilli()
 	s.PublishEntry(name, e)
 }
@@ -223,6 +305,9 @@
 
 // Close stops all servers.
 func (s *Site) Close() error {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.closed = true
 	var failures []error
 	for _, server := range s.servers {
 		failures = append(failures, server.Close())
--- a/anvilstandin/worker/model.go
+++ b/anvilstandin/worker/model.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -17,6 +18,8 @@
 	Results *ResultStore
 	// EventInterval is the time before each event of a stream.
 	EventInterval time.Duration
+	// Crash ends the worker's process: it closes all connections.
+	Crash func()
 }
 
 // Model is a model worker: it streams the events of a generation.
@@ -57,9 +60,23 @@
 		}
 	}
 	defer m.config.Recorder.RecordRun(id, m.config.Name)()
+	if part := m.worker.currentFaults().CrashPart; part != "" && hasSharedPart(r.Header.Get("Prompt-Prefix"), part) {
+		m.config.Crash()
+		panic(http.ErrAbortHandler)
+	}
 	m.stream(out, r, id)
 }
 
+// hasSharedPart reports whether a prompt, given as a comma-separated list of ID:TOKENS,
+// has a part before its last one.
+func hasSharedPart(prompt, part string) bool {
+	parts := strings.Split(prompt, ",")
+	return slices.ContainsFunc(parts[:len(parts)-1], func(p string) bool {
+		id, _, _ := strings.Cut(p, ":")
+		return id == part
+	})
+}
+
 // stream sends the events after the one that the request names in Last-Event-Id.
 func (m *Model) stream(out http.ResponseWriter, r *http.Request, id string) {
 	_, maxTokens, _ := strings.Cut(r.Header.Get("Token-Count"), ",")
--- a/anvilstandin/worker/worker.go
+++ b/anvilstandin/worker/worker.go
@@ -127,6 +127,9 @@
 	// CutAfterEvents makes model workers close the connection within the event that
 	// follows this number of events; zero for never.
 	CutAfterEvents int
+	// CrashPart makes model workers crash when they begin to answer a request whose
+	// prompt has this part before its last one; empty for none.
+	CrashPart string
 }
 
 // Config describes one worker.
