Word the quarantine of prompt parts with the terms of the rest

Names and comments only: quarantine, cause and release in place of conviction, verdict, culprit and acquittal. Messages and log lines are unchanged.

--- a/kernel/blame/blame.go
+++ b/kernel/blame/blame.go
@@ -6,6 +6,9 @@
 // one of them, and content with Config.PoisonCrashes in any case. Requests are
 // identified by the digest of their content, because callers resend a crashing request
 // under a new id.
+//
+// Parts does the same for the prompt parts that requests share, where no two requests
+// are alike.
 package blame
 
 import (
--- a/kernel/blame/parts.go
+++ b/kernel/blame/parts.go
@@ -11,10 +11,10 @@
 
 // PartsConfig configures Parts.
 type PartsConfig struct {
-	// Retention is how long crashes and convictions are kept.
+	// Retention is how long crashes and quarantines are kept.
 	Retention time.Duration
-	// A part is convicted after MinCrashes crashes at different times and endpoints.
-	// If others explain as many, it takes MinTiedCrashes, and those are convicted that
+	// A part is quarantined after MinCrashes crashes at different times and endpoints.
+	// If others explain as many, it takes MinTiedCrashes, and those are quarantined that
 	// are used least.
 	MinCrashes     int
 	MinTiedCrashes int
@@ -34,7 +34,7 @@
 const simultaneousCrashes = 200 * time.Millisecond
 
 // sameAddressInterval is the time within which crashes at one address count as one, so
-// that an endpoint that goes down and up by turns convicts nothing.
+// that an endpoint that goes down and up by turns quarantines nothing.
 const sameAddressInterval = 5 * time.Second
 
 // PartCrash is the crash of the endpoint at an address, with the prompt parts of the
@@ -52,8 +52,8 @@
 	learnedAt time.Time
 }
 
-// verdict is the conviction of a part.
-type verdict struct {
+// quarantine is the time during which requests with a part must not run.
+type quarantine struct {
 	at    time.Time
 	until time.Time
 }
@@ -67,26 +67,26 @@
 // Parts finds the prompt parts that crash every endpoint that begins to answer a
 // request with them. Requests share parts, so a crash makes many parts suspect. A part
 // is cleared by any request with it that is answered completely after the crash; of the
-// others the one that explains the most crashes is convicted.
+// others the one that explains the most crashes is quarantined.
 type Parts struct {
 	config  PartsConfig
 	crashes []*knownCrash
 	// soundAt is when a request with the part was last answered completely, for
 	// soundRetention. clearedAt is when that cleared the part of a crash.
-	soundAt   map[ident.PromptPart]time.Time
-	clearedAt map[ident.PromptPart]time.Time
-	verdicts  map[ident.PromptPart]verdict
-	uses      map[ident.PromptPart]usage
-	// acquittedAt is when the conviction of a part was withdrawn, since others explain the
+	soundAt     map[ident.PromptPart]time.Time
+	clearedAt   map[ident.PromptPart]time.Time
+	quarantined map[ident.PromptPart]quarantine
+	uses        map[ident.PromptPart]usage
+	// releasedAt is when the quarantine of a part was withdrawn, since others explain the
 	// crashes.
-	acquittedAt map[ident.PromptPart]time.Time
-	// undecided is set if there are reports that Judge has not considered.
+	releasedAt map[ident.PromptPart]time.Time
+	// undecided is set if there are reports that Update has not considered.
 	undecided bool
 }
 
 // NewParts returns an instance that knows of no crash.
 func NewParts(c PartsConfig) *Parts {
-	return &Parts{config: c, soundAt: map[ident.PromptPart]time.Time{}, clearedAt: map[ident.PromptPart]time.Time{}, verdicts: map[ident.PromptPart]verdict{}, uses: map[ident.PromptPart]usage{}, acquittedAt: map[ident.PromptPart]time.Time{}}
+	return &Parts{config: c, soundAt: map[ident.PromptPart]time.Time{}, clearedAt: map[ident.PromptPart]time.Time{}, quarantined: map[ident.PromptPart]quarantine{}, uses: map[ident.PromptPart]usage{}, releasedAt: map[ident.PromptPart]time.Time{}}
 }
 
 // AddCrash adds a report of a crash. Adding the same report again has no effect.
@@ -130,26 +130,26 @@
 			p.clearedAt[part] = now
 		}
 	}
-	if v, convicted := p.verdicts[part]; convicted && at.After(v.at) {
-		delete(p.verdicts, part)
+	if q, quarantined := p.quarantined[part]; quarantined && at.After(q.at) {
+		delete(p.quarantined, part)
 		p.clearedAt[part] = now
 	}
 }
 
-// AddVerdict adds the conviction of a part by another instance, and reports whether it
+// AddQuarantine adds the quarantine of a part by another instance, and reports whether it
 // is new.
-func (p *Parts) AddVerdict(now time.Time, part ident.PromptPart, at time.Time) bool {
-	known, convicted := p.verdicts[part]
-	// Ages grow by the delay of each message, so a conviction comes back a little later.
-	if p.soundAt[part].After(at) || p.acquittedAt[part].After(at) || convicted && at.Sub(known.at) < sameCrashWindow {
+func (p *Parts) AddQuarantine(now time.Time, part ident.PromptPart, at time.Time) bool {
+	known, quarantined := p.quarantined[part]
+	// Ages grow by the delay of each message, so a quarantine comes back a little later.
+	if p.soundAt[part].After(at) || p.releasedAt[part].After(at) || quarantined && at.Sub(known.at) < sameCrashWindow {
 		return false
 	}
-	v := verdict{at: at, until: at.Add(p.config.Retention)}
-	if !now.Before(v.until) {
+	q := quarantine{at: at, until: at.Add(p.config.Retention)}
+	if !now.Before(q.until) {
 		return false
 	}
-	p.verdicts[part] = v
-	return !convicted || !now.Before(known.until)
+	p.quarantined[part] = q
+	return !quarantined || !now.Before(known.until)
 }
 
 // RecordUse counts a request with the part.
@@ -166,17 +166,17 @@
 	return p.uses[part].present + p.uses[part].previous
 }
 
-// Convicted reports whether requests with the part must not run.
-func (p *Parts) Convicted(now time.Time, part ident.PromptPart) bool {
-	v, convicted := p.verdicts[part]
-	return convicted && now.Before(v.until)
+// Quarantined reports whether requests with the part must not run.
+func (p *Parts) Quarantined(now time.Time, part ident.PromptPart) bool {
+	q, quarantined := p.quarantined[part]
+	return quarantined && now.Before(q.until)
 }
 
-// Judge convicts the parts that explain the crashes up to a time, by which the reports of
+// Update quarantines the parts that explain the crashes up to a time, by which the reports of
 // all instances on them have arrived: one instance alone does not know all suspects. It
-// returns the parts that were not convicted before, and acquits those whose crashes are
+// returns the parts that were not quarantined before, and releases those whose crashes are
 // now explained by others.
-func (p *Parts) Judge(now, upTo time.Time) []ident.PromptPart {
+func (p *Parts) Update(now, upTo time.Time) []ident.PromptPart {
 	if !p.undecided {
 		return nil
 	}
@@ -187,35 +187,35 @@
 			reported = append(reported, c)
 		}
 	}
-	culprits := p.explain(now, reported)
-	var convicted []ident.PromptPart
-	for _, d := range culprits.Sorted() {
-		if !p.Convicted(now, d) {
-			p.verdicts[d] = verdict{at: now, until: now.Add(p.config.Retention)}
-			convicted = append(convicted, d)
+	causes := p.explain(now, reported)
+	var quarantined []ident.PromptPart
+	for _, d := range causes.Sorted() {
+		if !p.Quarantined(now, d) {
+			p.quarantined[d] = quarantine{at: now, until: now.Add(p.config.Retention)}
+			quarantined = append(quarantined, d)
 		}
 	}
-	for _, d := range value.SortedKeys(p.verdicts) {
-		if !culprits.Has(d) && explainedByOthers(d, reported, culprits) {
-			delete(p.verdicts, d)
-			p.acquittedAt[d] = now
+	for _, d := range value.SortedKeys(p.quarantined) {
+		if !causes.Has(d) && explainedByOthers(d, reported, causes) {
+			delete(p.quarantined, d)
+			p.releasedAt[d] = now
 		}
 	}
-	return convicted
+	return quarantined
 }
 
 // explain returns the parts that explain crashes: in turn the one that explains the most
 // of the crashes that are left, as long as those are enough.
 func (p *Parts) explain(now time.Time, crashes []*knownCrash) value.Set[ident.PromptPart] {
-	culprits := value.NewSet[ident.PromptPart]()
+	causes := value.NewSet[ident.PromptPart]()
 	for {
-		crashes = slices.DeleteFunc(slices.Clone(crashes), func(c *knownCrash) bool { return hasAny(c, culprits) })
-		next := p.nextCulprits(now, crashes)
+		crashes = slices.DeleteFunc(slices.Clone(crashes), func(c *knownCrash) bool { return hasAny(c, causes) })
+		next := p.nextCauses(now, crashes)
 		if len(next) == 0 {
-			return culprits
+			return causes
 		}
 		for _, d := range next {
-			culprits.Add(d)
+			causes.Add(d)
 		}
 	}
 }
@@ -226,12 +226,12 @@
 
 // explainedByOthers reports whether a part is a suspect of crashes, all of which others
 // explain.
-func explainedByOthers(d ident.PromptPart, crashes []*knownCrash, culprits value.Set[ident.PromptPart]) bool {
+func explainedByOthers(d ident.PromptPart, crashes []*knownCrash, causes value.Set[ident.PromptPart]) bool {
 	suspected := false
 	for _, c := range crashes {
 		if slices.Contains(c.Parts, d) {
 			suspected = true
-			if !hasAny(c, culprits) {
+			if !hasAny(c, causes) {
 				return false
 			}
 		}
@@ -239,10 +239,10 @@
 	return suspected
 }
 
-// nextCulprits returns the parts that best explain crashes: those whose conviction has
+// nextCauses returns the parts that best explain crashes: those whose quarantine has
 // lapsed, or the one with the most crashes if it has enough. Of several with as many it
 // returns those that are used least: the others would have crashed more.
-func (p *Parts) nextCulprits(now time.Time, crashes []*knownCrash) []ident.PromptPart {
+func (p *Parts) nextCauses(now time.Time, crashes []*knownCrash) []ident.PromptPart {
 	byPart := map[ident.PromptPart][]*knownCrash{}
 	for _, c := range crashes {
 		for _, d := range c.Parts {
@@ -252,7 +252,7 @@
 	var lapsed, top []ident.PromptPart
 	most := 0
 	for _, d := range value.SortedKeys(byPart) {
-		if v, before := p.verdicts[d]; before && !now.Before(v.until) {
+		if q, before := p.quarantined[d]; before && !now.Before(q.until) {
 			lapsed = append(lapsed, d)
 		}
 		count := countIndependent(byPart[d])
@@ -294,14 +294,14 @@
 type News struct {
 	Crashes []PartCrash
 	Sound   map[ident.PromptPart]time.Time
-	// Verdicts holds when each convicted part was convicted.
-	Verdicts map[ident.PromptPart]time.Time
+	// Quarantined holds since when each quarantined part has been so.
+	Quarantined map[ident.PromptPart]time.Time
 }
 
 // NewsSince returns the crashes and clearances learned after a time, latest crashes
-// first and at most limit of them, and all convictions.
+// first and at most limit of them, and all quarantines.
 func (p *Parts) NewsSince(now, since time.Time, limit int) News {
-	n := News{Sound: map[ident.PromptPart]time.Time{}, Verdicts: map[ident.PromptPart]time.Time{}}
+	n := News{Sound: map[ident.PromptPart]time.Time{}, Quarantined: map[ident.PromptPart]time.Time{}}
 	for _, c := range slices.Backward(p.crashes) {
 		if c.learnedAt.After(since) && len(n.Crashes) < limit {
 			n.Crashes = append(n.Crashes, PartCrash{Address: c.Address, At: c.At, Parts: slices.Clone(c.Parts)})
@@ -312,9 +312,9 @@
 			n.Sound[d] = p.soundAt[d]
 		}
 	}
-	for d, v := range p.verdicts {
-		if now.Before(v.until) {
-			n.Verdicts[d] = v.at
+	for d, q := range p.quarantined {
+		if now.Before(q.until) {
+			n.Quarantined[d] = q.at
 		}
 	}
 	return n
@@ -332,9 +332,9 @@
 			delete(p.clearedAt, d)
 		}
 	}
-	for d, at := range p.acquittedAt {
+	for d, at := range p.releasedAt {
 		if now.Sub(at) > p.config.Retention {
-			delete(p.acquittedAt, d)
+			delete(p.releasedAt, d)
 		}
 	}
 	for d, u := range p.uses {
@@ -342,9 +342,9 @@
 			delete(p.uses, d)
 		}
 	}
-	for d, v := range p.verdicts {
-		if now.Sub(v.until) > p.config.Retention {
-			delete(p.verdicts, d)
+	for d, q := range p.quarantined {
+		if now.Sub(q.until) > p.config.Retention {
+			delete(p.quarantined, d)
 		}
 	}
 }
--- a/kernel/blame/parts_test.go
+++ b/kernel/blame/parts_test.go
@@ -17,34 +17,34 @@
 	return NewParts(PartsConfig{Retention: 2 * time.Minute, MinCrashes: 3, MinTiedCrashes: 4, MaxCrashes: 64})
 }
 
-// crashAt reports a crash at an address of its own, and returns what it convicts.
+// crashAt reports a crash at an address of its own, and returns what it quarantines.
 func (p *Parts) crashAt(after time.Duration, parts ...ident.PromptPart) []ident.PromptPart {
 	at := partsStart.Add(after)
 	return p.report(at, PartCrash{Address: fmt.Sprint("address-", after), At: at, Parts: parts})
 }
 
-// report reports a crash, and returns what it convicts.
+// report reports a crash, and returns what it quarantines.
 func (p *Parts) report(now time.Time, c PartCrash) []ident.PromptPart {
 	p.AddCrash(now, c)
-	return p.Judge(now, now)
+	return p.Update(now, now)
 }
 
-func wantConvicted(t *testing.T, got []ident.PromptPart, want ...ident.PromptPart) {
+func wantQuarantined(t *testing.T, got []ident.PromptPart, want ...ident.PromptPart) {
 	t.Helper()
 	if !slices.Equal(got, want) {
-		t.Fatalf("convicted %v, want %v", got, want)
+		t.Fatalf("quarantined %v, want %v", got, want)
 	}
 }
 
-// The part that explains the most crashes is convicted, and no other one.
+// The part that explains the most crashes is quarantined, and no other one.
 func TestPartsThatCrashEndpoints(t *testing.T) {
-	t.Run("the part of all crashes is convicted by the third", func(t *testing.T) {
+	t.Run("the part of all crashes is quarantined by the third", func(t *testing.T) {
 		p := newTestParts()
-		wantConvicted(t, p.crashAt(1*second, "bad", "a"))
-		wantConvicted(t, p.crashAt(2*second, "bad", "a", "b"))
-		wantConvicted(t, p.crashAt(3*second, "bad", "b"), "bad")
-		if !p.Convicted(partsStart.Add(4*second), "bad") || p.Convicted(partsStart.Add(4*second), "a") {
-			t.Fatal("not just the bad part is convicted")
+		wantQuarantined(t, p.crashAt(1*second, "bad", "a"))
+		wantQuarantined(t, p.crashAt(2*second, "bad", "a", "b"))
+		wantQuarantined(t, p.crashAt(3*second, "bad", "b"), "bad")
+		if !p.Quarantined(partsStart.Add(4*second), "bad") || p.Quarantined(partsStart.Add(4*second), "a") {
+			t.Fatal("not just the bad part is quarantined")
 		}
 	})
 	t.Run("a complete answer clears a part that all crashes share", func(t *testing.T) {
@@ -52,74 +52,74 @@
 		p.crashAt(1*second, "bad", "root")
 		p.crashAt(2*second, "bad", "root")
 		p.RecordSound(partsStart.Add(2500*time.Millisecond), "root", partsStart.Add(2500*time.Millisecond))
-		wantConvicted(t, p.crashAt(3*second, "bad", "root"), "bad")
+		wantQuarantined(t, p.crashAt(3*second, "bad", "root"), "bad")
 	})
 	t.Run("a complete answer clears a part of a crash that is reported later", func(t *testing.T) {
 		p := newTestParts()
 		p.RecordSound(partsStart.Add(5*second), "root", partsStart.Add(5*second))
 		for n := range 3 {
-			wantConvicted(t, p.crashAt(time.Duration(n+1)*second, "root"))
+			wantQuarantined(t, p.crashAt(time.Duration(n+1)*second, "root"))
 		}
 	})
-	t.Run("of two parts of all crashes the one that is used less is convicted by the fourth", func(t *testing.T) {
+	t.Run("of two parts of all crashes the one that is used less is quarantined by the fourth", func(t *testing.T) {
 		p := newTestParts()
 		p.RecordUse(partsStart, "bad")
 		p.RecordUse(partsStart, "root")
 		p.RecordUse(partsStart, "root")
 		for n := range 3 {
-			wantConvicted(t, p.crashAt(time.Duration(n+1)*second, "bad", "root"))
+			wantQuarantined(t, p.crashAt(time.Duration(n+1)*second, "bad", "root"))
 		}
-		wantConvicted(t, p.crashAt(4*second, "bad", "root"), "bad")
+		wantQuarantined(t, p.crashAt(4*second, "bad", "root"), "bad")
 	})
-	t.Run("two parts of all crashes that are used alike are convicted by the fourth", func(t *testing.T) {
+	t.Run("two parts of all crashes that are used alike are quarantined by the fourth", func(t *testing.T) {
 		p := newTestParts()
 		for n := range 3 {
 			p.crashAt(time.Duration(n+1)*second, "bad", "twin")
 		}
-		wantConvicted(t, p.crashAt(4*second, "bad", "twin"), "bad", "twin")
+		wantQuarantined(t, p.crashAt(4*second, "bad", "twin"), "bad", "twin")
 	})
-	t.Run("one more crash convicts a part again, whatever else was there", func(t *testing.T) {
+	t.Run("one more crash quarantines a part again, whatever else was there", func(t *testing.T) {
 		p := newTestParts()
 		for n := range 3 {
 			p.crashAt(time.Duration(n+1)*second, "bad")
 		}
-		wantConvicted(t, p.crashAt(3*time.Minute, "bad", "a", "b"), "bad")
+		wantQuarantined(t, p.crashAt(3*time.Minute, "bad", "a", "b"), "bad")
 	})
-	t.Run("a part is acquitted when another one explains its crashes and more", func(t *testing.T) {
+	t.Run("a part is released when another one explains its crashes and more", func(t *testing.T) {
 		p := newTestParts()
 		p.RecordUse(partsStart, "bad")
 		for n := range 4 {
 			p.crashAt(time.Duration(n+1)*second, "bad", "rare")
 		}
-		if !p.Convicted(partsStart.Add(4*second), "rare") {
-			t.Fatal("the part that is used least is not convicted")
+		if !p.Quarantined(partsStart.Add(4*second), "rare") {
+			t.Fatal("the part that is used least is not quarantined")
 		}
-		wantConvicted(t, p.crashAt(5*second, "bad"), "bad")
-		if p.Convicted(partsStart.Add(5*second), "rare") || p.AddVerdict(partsStart.Add(6*second), "rare", partsStart.Add(4*second)) {
-			t.Fatal("still convicted")
+		wantQuarantined(t, p.crashAt(5*second, "bad"), "bad")
+		if p.Quarantined(partsStart.Add(5*second), "rare") || p.AddQuarantine(partsStart.Add(6*second), "rare", partsStart.Add(4*second)) {
+			t.Fatal("still quarantined")
 		}
 	})
 	t.Run("crashes at one moment count as one", func(t *testing.T) {
 		p := newTestParts()
 		for n := range 6 {
-			wantConvicted(t, p.crashAt(second+time.Duration(n)*10*time.Millisecond, "a"))
+			wantQuarantined(t, p.crashAt(second+time.Duration(n)*10*time.Millisecond, "a"))
 		}
 	})
 	t.Run("an endpoint that goes down by turns counts once", func(t *testing.T) {
 		p := newTestParts()
 		for n := range 4 {
 			at := partsStart.Add(time.Duration(n) * 1400 * time.Millisecond)
-			wantConvicted(t, p.report(at, PartCrash{Address: "one", At: at, Parts: []ident.PromptPart{"a"}}))
+			wantQuarantined(t, p.report(at, PartCrash{Address: "one", At: at, Parts: []ident.PromptPart{"a"}}))
 		}
 	})
 	t.Run("the only endpoint of a service counts again after a while", func(t *testing.T) {
 		p := newTestParts()
-		var convicted []ident.PromptPart
+		var quarantined []ident.PromptPart
 		for n := range 3 {
 			at := partsStart.Add(time.Duration(n) * 6 * second)
-			convicted = p.report(at, PartCrash{Address: "one", At: at, Parts: []ident.PromptPart{"bad"}})
+			quarantined = p.report(at, PartCrash{Address: "one", At: at, Parts: []ident.PromptPart{"bad"}})
 		}
-		wantConvicted(t, convicted, "bad")
+		wantQuarantined(t, quarantined, "bad")
 	})
 	t.Run("reports of two instances on one crash are joined", func(t *testing.T) {
 		p := newTestParts()
@@ -127,8 +127,8 @@
 			p.crashAt(time.Duration(n+1)*second, "bad")
 		}
 		at := partsStart.Add(3 * second)
-		wantConvicted(t, p.report(at, PartCrash{Address: "x", At: at, Parts: []ident.PromptPart{"a"}}))
-		wantConvicted(t, p.report(at.Add(second), PartCrash{Address: "x", At: at.Add(100 * time.Millisecond), Parts: []ident.PromptPart{"bad"}}), "bad")
+		wantQuarantined(t, p.report(at, PartCrash{Address: "x", At: at, Parts: []ident.PromptPart{"a"}}))
+		wantQuarantined(t, p.report(at.Add(second), PartCrash{Address: "x", At: at.Add(100 * time.Millisecond), Parts: []ident.PromptPart{"bad"}}), "bad")
 	})
 	t.Run("a crash counts once the reports on it have arrived", func(t *testing.T) {
 		p := newTestParts()
@@ -136,35 +136,35 @@
 		p.crashAt(2*second, "bad", "root")
 		at := partsStart.Add(3 * second)
 		p.AddCrash(at, PartCrash{Address: "x", At: at, Parts: []ident.PromptPart{"root"}})
-		wantConvicted(t, p.Judge(at, at.Add(-second/2)))
+		wantQuarantined(t, p.Update(at, at.Add(-second/2)))
 		p.AddCrash(at, PartCrash{Address: "x", At: at, Parts: []ident.PromptPart{"bad"}})
 		p.RecordSound(at, "root", at.Add(second/10))
-		wantConvicted(t, p.Judge(at.Add(second), at.Add(second/2)), "bad")
+		wantQuarantined(t, p.Update(at.Add(second), at.Add(second/2)), "bad")
 	})
-	t.Run("a conviction by another instance holds until an answer proves it wrong", func(t *testing.T) {
+	t.Run("a quarantine by another instance holds until an answer proves it wrong", func(t *testing.T) {
 		p := newTestParts()
-		if !p.AddVerdict(partsStart, "a", partsStart.Add(-second)) {
-			t.Fatal("the conviction is not new")
+		if !p.AddQuarantine(partsStart, "a", partsStart.Add(-second)) {
+			t.Fatal("the quarantine is not new")
 		}
-		if p.AddVerdict(partsStart, "a", partsStart.Add(-900*time.Millisecond)) {
-			t.Fatal("the same conviction is new again")
+		if p.AddQuarantine(partsStart, "a", partsStart.Add(-900*time.Millisecond)) {
+			t.Fatal("the same quarantine is new again")
 		}
 		p.RecordSound(partsStart, "a", partsStart)
-		if p.Convicted(partsStart, "a") || p.AddVerdict(partsStart, "a", partsStart.Add(-second)) {
-			t.Fatal("convicted though a request with the part was answered later")
+		if p.Quarantined(partsStart, "a") || p.AddQuarantine(partsStart, "a", partsStart.Add(-second)) {
+			t.Fatal("quarantined though a request with the part was answered later")
 		}
 	})
-	t.Run("news are told for a while, convictions as long as they hold", func(t *testing.T) {
+	t.Run("news are told for a while, quarantines as long as they hold", func(t *testing.T) {
 		p := newTestParts()
 		for n := range 3 {
 			p.crashAt(time.Duration(n+1)*second, "bad")
 		}
 		now := partsStart.Add(10 * second)
-		if n := p.NewsSince(now, partsStart.Add(1500*time.Millisecond), 16); len(n.Crashes) != 2 || len(n.Verdicts) != 1 {
-			t.Fatalf("%d crashes and %d convictions, want 2 and 1", len(n.Crashes), len(n.Verdicts))
+		if n := p.NewsSince(now, partsStart.Add(1500*time.Millisecond), 16); len(n.Crashes) != 2 || len(n.Quarantined) != 1 {
+			t.Fatalf("%d crashes and %d quarantines, want 2 and 1", len(n.Crashes), len(n.Quarantined))
 		}
-		if n := p.NewsSince(now, now, 16); len(n.Crashes) != 0 || len(n.Verdicts) != 1 {
-			t.Fatalf("%d crashes and %d convictions, want 0 and 1", len(n.Crashes), len(n.Verdicts))
+		if n := p.NewsSince(now, now, 16); len(n.Crashes) != 0 || len(n.Quarantined) != 1 {
+			t.Fatalf("%d crashes and %d quarantines, want 0 and 1", len(n.Crashes), len(n.Quarantined))
 		}
 	})
 }
--- a/kernel/gateway/gateway.go
+++ b/kernel/gateway/gateway.go
@@ -312,7 +312,7 @@
 	g.resubmitLostPieces(now)
 	g.crashes.expireBrokenExchanges(now)
 	g.crashes.parts.Expire(now)
-	g.judgeParts(now)
+	g.updateQuarantine(now)
 }
 
 // HandlePlatformUnavailable handles the start of a platform outage: the
--- a/kernel/gateway/parts.go
+++ b/kernel/gateway/parts.go
@@ -86,7 +86,7 @@
 // prompt.
 func (g *Gateway) hasQuarantinedPart(r *request) bool {
 	for _, part := range r.sharedParts() {
-		if g.crashes.parts.Convicted(g.now(), part) {
+		if g.crashes.parts.Quarantined(g.now(), part) {
 			return true
 		}
 	}
@@ -124,13 +124,13 @@
 	}
 }
 
-// judgeParts quarantines the prompt parts that explain the crashes known so far.
-func (g *Gateway) judgeParts(now time.Time) {
+// updateQuarantine quarantines the prompt parts that explain the crashes known so far.
+func (g *Gateway) updateQuarantine(now time.Time) {
 	reportTime := checkDelay + crashReportPings*g.members.PingPeriod()
-	g.quarantineParts(g.crashes.parts.Judge(now, now.Add(-reportTime)), "crashes")
+	g.quarantineParts(g.crashes.parts.Update(now, now.Add(-reportTime)), "crashes")
 }
 
-// quarantineParts ends the requests with parts that have just been convicted, unless an
+// quarantineParts ends the requests with parts that have just been quarantined, unless an
 // endpoint has begun to answer them.
 func (g *Gateway) quarantineParts(parts []ident.PromptPart, cause string) {
 	if len(parts) == 0 {
@@ -169,7 +169,7 @@
 		}
 		p.SoundParts[part] = now.Sub(at)
 	}
-	for part, at := range news.Verdicts {
+	for part, at := range news.Quarantined {
 		if p.QuarantinedParts == nil {
 			p.QuarantinedParts = map[ident.PromptPart]time.Duration{}
 		}
@@ -182,13 +182,13 @@
 	for _, part := range value.SortedKeys(p.SoundParts) {
 		g.crashes.parts.RecordSound(now, part, now.Add(-p.SoundParts[part]))
 	}
-	var convicted []ident.PromptPart
+	var quarantined []ident.PromptPart
 	for _, part := range value.SortedKeys(p.QuarantinedParts) {
-		if g.crashes.parts.AddVerdict(now, part, now.Add(-p.QuarantinedParts[part])) {
-			convicted = append(convicted, part)
+		if g.crashes.parts.AddQuarantine(now, part, now.Add(-p.QuarantinedParts[part])) {
+			quarantined = append(quarantined, part)
 		}
 	}
-	g.quarantineParts(convicted, string(p.Member.Name))
+	g.quarantineParts(quarantined, string(p.Member.Name))
 	for _, c := range p.PartCrashes {
 		g.crashes.parts.AddCrash(now, blame.PartCrash{Address: c.Address, At: now.Add(-c.Age), Parts: c.Parts})
 	}
--- a/kernel/gateway/poisonpart_test.go
+++ b/kernel/gateway/poisonpart_test.go
@@ -307,7 +307,7 @@
 
 // Endpoints that crash for other reasons must not get the parts of the requests that
 // were running there quarantined.
-func TestCrashesWithoutACommonPartConvictNone(t *testing.T) {
+func TestCrashesWithoutACommonPartQuarantineNone(t *testing.T) {
 	for _, c := range []struct {
 		name   string
 		share  int
