--- a/kernel/gateway/poisonpart_test.go
+++ b/kernel/gateway/poisonpart_test.go
@@ -274,6 +274,7 @@
 	} {
 		for _, seed := range c.seeds {
 			t.Run(fmt.Sprintf("%s, seed %d", c.name, seed), func(t *testing.T) {
+				t.Parallel()
 				f := newPartFleet(t, c.size, c.models, seed)
 				f.undelimited = c.undelimited
 				before := f.timers.Now()
--- a/kernel/gateway/propagation_test.go
+++ b/kernel/gateway/propagation_test.go
@@ -332,6 +332,7 @@
 		for i := range *changeDays {
 			seed := *firstChangeSeed + uint64(i)
 			t.Run(fmt.Sprintf("%d instances, seed %d", fleet.strong+fleet.weak, seed), func(t *testing.T) {
+				t.Parallel()
 				d := newChangeDay(t, fleet.strong, fleet.weak, fleet.centres, seed)
 				d.run()
 				t.Logf("longest times: a configuration %v, a removal %v", d.latest, d.latestRemoval)
