Test streams that have neither a length nor chunks

The daemon did so already (stream.go); model stand-ins can do it now, and three cases of TestWorkerFaults show it: passed on whole, visibly incomplete, and gone on at another worker.

--- a/anvilload/fleet/fleet_test.go
+++ b/anvilload/fleet/fleet_test.go
@@ -279,6 +279,28 @@
 			t.Fatalf("the answer looks complete: status %d", reply.Status)
 		}
 	})
+	setModelFaults := func(f worker.Faults) {
+		for _, m := range r.site.ModelWorkers {
+			m.SetFaults(f)
+		}
+	}
+	t.Run("a stream without a length is passed on whole", func(*testing.T) {
+		setModelFaults(worker.Faults{CloseDelimited: true})
+		defer setModelFaults(worker.Faults{})
+		r.wantWhole(d, client.NewRequest("draft"))
+	})
+	t.Run("a stream without a length that ends inside an event ends visibly incomplete", func(t *testing.T) {
+		setModelFaults(worker.Faults{CloseDelimited: true, CutAfterEvents: 7})
+		defer setModelFaults(worker.Faults{})
+		if reply := client.Send(context.Background(), r.httpClient, d.CallerAddress, client.NewRequest("draft")); reply.Err == nil {
+			t.Fatalf("the answer looks complete: status %d", reply.Status)
+		}
+	})
+	t.Run("a stream without a length that ends inside an event goes on at another worker", func(*testing.T) {
+		setModelFaults(worker.Faults{CloseDelimited: true, CutAfterEvents: 7})
+		defer setModelFaults(worker.Faults{})
+		r.wantWhole(d, client.NewRequest("verse"))
+	})
 	t.Run("a stage worker that fails costs no request", func(*testing.T) {
 		time.Sleep(3 * time.Second)
 		r.site.StageWorkers["registry-0"].SetFaults(worker.Faults{Disconnects: true})
--- a/anvilstandin/worker/model.go
+++ b/anvilstandin/worker/model.go
@@ -93,6 +93,9 @@
 	}
 	out.Header().Set("Response-Seal", Signature(m.config.Name, id))
 	out.Header().Set("Content-Type", "text/event-stream")
+	if m.worker.currentFaults().CloseDelimited {
+		delimitByClose(out)
+	}
 	controller := http.NewResponseController(out)
 	for n := lastEventID + 1; n <= count; n++ {
 		time.Sleep(m.config.EventInterval)
--- a/anvilstandin/worker/worker.go
+++ b/anvilstandin/worker/worker.go
@@ -121,8 +121,8 @@
 	// Disconnects makes plain and stage workers close the connection after the
 	// work, without a response.
 	Disconnects bool
-	// CloseDelimited makes plain workers mark the end of a response only by closing
-	// the connection.
+	// CloseDelimited makes plain and model workers mark the end of a response only by
+	// closing the connection.
 	CloseDelimited bool
 	// CutAfterEvents makes model workers close the connection within the event that
 	// follows this number of events; zero for never.
@@ -206,6 +206,12 @@
 	return true
 }
 
+// delimitByClose gives a response neither a length nor chunks.
+func delimitByClose(out http.ResponseWriter) {
+	out.Header().Set("Connection", "close")
+	out.Header().Set("Transfer-Encoding", "identity")
+}
+
 // ServeHTTP serves a plain request.
 func (w *Worker) ServeHTTP(out http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("Request-Id")
@@ -222,8 +228,7 @@
 	out.Header().Set("Response-Seal", Signature(w.config.Name, id))
 	out.Header().Set("Server-Load", "1,0,6")
 	if f.CloseDelimited {
-		out.Header().Set("Connection", "close")
-		out.Header().Set("Transfer-Encoding", "identity")
+		delimitByClose(out)
 	}
 	_, _ = io.WriteString(out, ResponseBody(id, body))
 }
