Say in one place what the tests of removals and of prompt parts repeat

The platform's header for prompts leaves anvilload for the stand-in client (ExtraPart), and the tests of unconfirmed removals share one message. Checks are the same; the daemon is unchanged. TestRecordsFromMembers, TestPlatformReaders and TestPromptPartThatCrashesWorkers pass.

--- a/anvilload/fleet/crashingpart_test.go
+++ b/anvilload/fleet/crashingpart_test.go
@@ -29,7 +29,7 @@
 	r := client.NewRequest("draft")
 	r.ID = crashingPrefix + r.ID
 	r.Body += r.ID
-	r.Header = http.Header{"Prompt-Prefix": {"5c1e07a2:500," + crashingPart + ":50," + r.ID + ":200"}}
+	r.ExtraPart = crashingPart
 	return r
 }
 
--- a/anvilstandin/client/client.go
+++ b/anvilstandin/client/client.go
@@ -29,6 +29,9 @@
 	APIKey string
 	// PieceCounts holds the number of pieces of each stage, separated by commas.
 	PieceCounts string
+	// ExtraPart is a shared part of the prompt beside that of all requests; empty for
+	// none.
+	ExtraPart string
 	// EventCount is the number of events of a stream; 0 for a plain request.
 	EventCount int
 	// Timeout is sent as the Deadline-Ms header; Send does not enforce it.
@@ -89,7 +92,11 @@
 	if r.EventCount > 0 {
 		request.Header.Set("Model", "m")
 		request.Header.Set("Token-Count", fmt.Sprintf("700,%d", r.EventCount))
-		request.Header.Set("Prompt-Prefix", "5c1e07a2:500,"+r.ID+":200")
+		prompt := "5c1e07a2:500,"
+		if r.ExtraPart != "" {
+			prompt += r.ExtraPart + ":50,"
+		}
+		request.Header.Set("Prompt-Prefix", prompt+r.ID+":200")
 		request.Header.Set("Pieces", r.PieceCounts)
 		request.Header.Set("Piece-Key", worker.PieceKey(r.ID))
 	}
--- a/kernel/gateway/reader_test.go
+++ b/kernel/gateway/reader_test.go
@@ -148,8 +148,7 @@
 	})
 	t.Run("an entry that lapsed in an outage is kept until it is surely gone", func(t *testing.T) {
 		tg := newConfigured(t)
-		gone := replica.Record{Key: "orders-0", Revision: 6, Removed: true}
-		tg.gateway.HandleMessage(message.Envelope{From: "two", Records: &message.Records{Records: []replica.Record{gone}, Base: 1, AsOf: 6, UnconfirmedFor: 2 * time.Second}})
+		tg.receiveRemoval(2 * time.Second)
 		tg.wantListed("orders-0", true)
 		tg.advanceInTouch(1900 * time.Millisecond)
 		tg.wantListed("orders-0", true)
@@ -160,8 +159,7 @@
 	t.Run("an unconfirmed removal is settled at an instance that the platform refuses", func(t *testing.T) {
 		tg := newConfigured(t)
 		tg.gateway.HandlePlatformUnavailable()
-		gone := replica.Record{Key: "orders-0", Revision: 6, Removed: true}
-		tg.gateway.HandleMessage(message.Envelope{From: "two", Records: &message.Records{Records: []replica.Record{gone}, Base: 1, AsOf: 6, UnconfirmedFor: time.Second}})
+		tg.receiveRemoval(time.Second)
 		tg.wantListed("orders-0", true)
 		tg.advanceInTouch(1100 * time.Millisecond)
 		tg.wantListed("orders-0", false)
@@ -169,8 +167,7 @@
 	t.Run("an unconfirmed removal waits while no instance reaches the platform", func(t *testing.T) {
 		tg := newConfigured(t)
 		tg.gateway.HandlePlatformUnavailable()
-		gone := replica.Record{Key: "orders-0", Revision: 6, Removed: true}
-		tg.gateway.HandleMessage(message.Envelope{From: "two", Records: &message.Records{Records: []replica.Record{gone}, Base: 1, AsOf: 6, UnconfirmedFor: 2 * time.Second}})
+		tg.receiveRemoval(2 * time.Second)
 		tg.advance(5 * time.Second)
 		tg.wantListed("orders-0", true)
 		tg.advanceInTouch(1700 * time.Millisecond)
@@ -184,8 +181,7 @@
 	t.Run("a removal by a member in touch is believed without the platform", func(t *testing.T) {
 		tg := newConfigured(t)
 		tg.gateway.HandlePlatformUnavailable()
-		gone := replica.Record{Key: "orders-0", Revision: 6, Removed: true}
-		tg.gateway.HandleMessage(message.Envelope{From: "two", Records: &message.Records{Records: []replica.Record{gone}, Base: 1, AsOf: 6}})
+		tg.receiveRemoval(0)
 		tg.wantListed("orders-0", false)
 	})
 	t.Run("an instance that cannot read the platform spreads no doubt", func(t *testing.T) {
@@ -257,8 +253,7 @@
 				tg.receivePing(name, "east", 0)
 			}
 		}
-		gone := replica.Record{Key: "orders-0", Revision: 6, Removed: true}
-		tg.gateway.HandleMessage(message.Envelope{From: "two", Records: &message.Records{Records: []replica.Record{gone}, Base: 1, AsOf: 6, UnconfirmedFor: 1500 * time.Millisecond}})
+		tg.receiveRemoval(1500 * time.Millisecond)
 		tg.wantListed("orders-0", true)
 		tg.advanceInTouch(1700 * time.Millisecond)
 		tg.wantListed("orders-0", false)
@@ -279,6 +274,13 @@
 	})
 }
 
+// receiveRemoval delivers a member's word that orders-0 is removed, which is
+// unconfirmed for a while or, with zero, confirmed.
+func (tg *testGateway) receiveRemoval(unconfirmedFor time.Duration) {
+	gone := replica.Record{Key: "orders-0", Revision: 6, Removed: true}
+	tg.gateway.HandleMessage(message.Envelope{From: "two", Records: &message.Records{Records: []replica.Record{gone}, Base: 1, AsOf: 6, UnconfirmedFor: unconfirmedFor}})
+}
+
 // advanceInTouch advances the time while another member has contact with the
 // platform.
 func (tg *testGateway) advanceInTouch(d time.Duration) {
