Let tests of one package share their listener and their node

The endless endpoint and the scripted one of h1 have one accept loop, and the two tests of hand-overs one node. The checks are the same: kernel/node and anvilcrossd/h1 pass with the race detector. Test files only.

--- a/anvilcrossd/h1/endless_test.go
+++ b/anvilcrossd/h1/endless_test.go
@@ -24,31 +24,16 @@
 // beginning and then repeats a piece until the caller closes.
 func startEndlessEndpoint(t *testing.T, beginning, piece string) string {
 	t.Helper()
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
 	block := []byte(strings.Repeat(piece, 1+(64<<10)/len(piece)))
-	go func() {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
-					return
-				}
-				_, err := io.WriteString(c, beginning)
-				for sent := 0; err == nil && sent < endlessBytes; sent += len(block) {
-					_, err = c.Write(block)
-				}
-			}()
+	return serveConnections(t, func(c net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+			return
 		}
-	}()
-	return listener.Addr().String()
+		_, err := io.WriteString(c, beginning)
+		for sent := 0; err == nil && sent < endlessBytes; sent += len(block) {
+			_, err = c.Write(block)
+		}
+	})
 }
 
 // wantBoundedFailure checks that a call to an endless endpoint fails soon,
--- a/anvilcrossd/h1/h1_test.go
+++ b/anvilcrossd/h1/h1_test.go
@@ -16,13 +16,32 @@
 // the next of the given responses and closes the connection after the last. It
 // returns the address and the number of requests received.
 func startEndpoint(t *testing.T, responses ...string) (string, *atomic.Int64) {
+	t.Helper()
+	requests := &atomic.Int64{}
+	address := serveConnections(t, func(c net.Conn) {
+		reader := bufio.NewReader(c)
+		for _, text := range responses {
+			request, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, request.Body)
+			requests.Add(1)
+			_, _ = io.WriteString(c, text)
+		}
+	})
+	return address, requests
+}
+
+// serveConnections listens until the test ends and serves each connection, which it
+// closes afterwards. It returns the address.
+func serveConnections(t *testing.T, serve func(net.Conn)) string {
 	t.Helper()
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = listener.Close() })
-	requests := &atomic.Int64{}
 	go func() {
 		for {
 			c, err := listener.Accept()
@@ -31,20 +50,11 @@
 			}
 			go func() {
 				defer func() { _ = c.Close() }()
-				reader := bufio.NewReader(c)
-				for _, text := range responses {
-					request, err := http.ReadRequest(reader)
-					if err != nil {
-						return
-					}
-					_, _ = io.Copy(io.Discard, request.Body)
-					requests.Add(1)
-					_, _ = io.WriteString(c, text)
-				}
+				serve(c)
 			}()
 		}
 	}()
-	return listener.Addr().String(), requests
+	return listener.Addr().String()
 }
 
 func matchesID(id string) func(*http.Response) bool {
--- a/kernel/node/handover_test.go
+++ b/kernel/node/handover_test.go
@@ -12,20 +12,25 @@
 	"anvilcross/kernel/value"
 )
 
+// newHandOverNode returns a node without a configuration whose messages go to send.
+func newHandOverNode(send func(message.Envelope)) *Node {
+	return NewNode(Config{
+		Seat: "a-1", DataCentre: "a", Random: rand.New(rand.NewPCG(1, 1)),
+		Timers: timer.NewScheduler(timer.Config{Start: time.Unix(0, 0)}),
+		Output: Output{LogEvent: func(Event) {}, SendToPeer: send},
+	})
+}
+
 // TestRepeatedHandOverIsNotRefused guards against a second owner of the same
 // tickets. A hand-over is repeated when its acknowledgement was lost. If the
 // receiver, which owns the tickets by then and is stopping itself, refused it,
 // the sender would choose another successor.
 func TestRepeatedHandOverIsNotRefused(t *testing.T) {
 	var replies []message.HandOverAck
-	n := NewNode(Config{
-		Seat: "a-1", DataCentre: "a", Random: rand.New(rand.NewPCG(1, 1)),
-		Timers: timer.NewScheduler(timer.Config{Start: time.Unix(0, 0)}),
-		Output: Output{LogEvent: func(Event) {}, SendToPeer: func(e message.Envelope) {
-			if e.HandOverAck != nil {
-				replies = append(replies, *e.HandOverAck)
-			}
-		}},
+	n := newHandOverNode(func(e message.Envelope) {
+		if e.HandOverAck != nil {
+			replies = append(replies, *e.HandOverAck)
+		}
 	})
 	n.Configure(&configuration.Document{
 		Deployment: "small", Revision: 1, ResendHorizonMillis: 600_000, ClockSkewMillis: 500,
@@ -55,14 +60,10 @@
 // first part it has acknowledged. The next successor must get both.
 func TestRefusedHandOverStartsAnew(t *testing.T) {
 	var sent []message.HandOver
-	n := NewNode(Config{
-		Seat: "a-1", DataCentre: "a", Random: rand.New(rand.NewPCG(1, 1)),
-		Timers: timer.NewScheduler(timer.Config{Start: time.Unix(0, 0)}),
-		Output: Output{LogEvent: func(Event) {}, SendToPeer: func(e message.Envelope) {
-			if e.HandOver != nil {
-				sent = append(sent, *e.HandOver)
-			}
-		}},
+	n := newHandOverNode(func(e message.Envelope) {
+		if e.HandOver != nil {
+			sent = append(sent, *e.HandOver)
+		}
 	})
 	n.handOver = &handOver{
 		done: func() {}, successor: "a-2", refusedBy: value.NewSet[ident.Instance](), acknowledgedParts: value.NewSet[int](),
