Let the test of starting instances use the simulated store

It had a reader of the store of its own, which the propagation tests wrote again in full. One store and one reader serve both; the two cases start alike by one function. Test files only.

--- a/kernel/gateway/store_test.go
+++ b/kernel/gateway/store_test.go
@@ -18,6 +18,9 @@
 	storeWatchWait = 900 * time.Millisecond
 	watchTimeout   = 1400 * time.Millisecond
 	listTimeout    = 1500 * time.Millisecond
+	// followerPeriod is the interval at which an instance checks whether it reads the
+	// store.
+	followerPeriod = 100 * time.Millisecond
 	// storeIdleTime is how long a reader keeps an unused connection to the store.
 	storeIdleTime = time.Second
 	// minRetryPause and maxRetryPause bound a reader's pause after a failed call.
@@ -46,6 +49,8 @@
 	// without a reset.
 	staleConnections value.Set[ident.Instance]
 	readers          map[ident.Instance]*storeReader
+	// lists counts the full lists that were sent.
+	lists int
 }
 
 // storeWatch is a watch that waits for changes.
@@ -90,6 +95,7 @@
 }
 
 func (s *testStore) list() ([]replica.Record, replica.Revision) {
+	s.lists++
 	var all []replica.Record
 	for _, key := range value.SortedKeys(s.records) {
 		if r := s.records[key]; !r.Removed {
