Settle a removal in time at an instance that is cut off from the others

Cause: a removal that came as unconfirmed waited for recent contact of any instance with the store. A cut-off instance hears of none, though the store is well, and let it wait two seconds more. Ruled out: a late record; the instance had it before the cut.

Change: it waits only if the instance's own reads fail and it hears of nobody's. One that does not read has no reason to think the store down.

--- a/kernel/gateway/reader_test.go
+++ b/kernel/gateway/reader_test.go
@@ -164,6 +164,16 @@
 		tg.advanceInTouch(1100 * time.Millisecond)
 		tg.wantListed("orders-0", false)
 	})
+	// That no instance is heard of says nothing about the platform.
+	t.Run("an unconfirmed removal is settled in time at an instance that is cut off from the others", func(t *testing.T) {
+		tg := newConfigured(t)
+		tg.receiveRemoval(2 * time.Second)
+		tg.advanceInTouch(500 * time.Millisecond)
+		tg.advance(1400 * time.Millisecond)
+		tg.wantListed("orders-0", true)
+		tg.advance(300 * time.Millisecond)
+		tg.wantListed("orders-0", false)
+	})
 	t.Run("an unconfirmed removal waits while no instance reaches the platform", func(t *testing.T) {
 		tg := newConfigured(t)
 		tg.gateway.HandlePlatformUnavailable()
--- a/kernel/gateway/readers.go
+++ b/kernel/gateway/readers.go
@@ -238,10 +238,10 @@
 }
 
 // settleRemovals drops the endpoints whose removal has been unconfirmed for long
-// enough. Whether this instance itself reaches the platform does not matter: as long
-// as any does, a new listing would have come.
+// enough. They wait only while this instance finds the platform down and hears of no
+// other one that reaches it: else a new listing would have come.
 func (g *Gateway) settleRemovals(now time.Time) {
-	if !g.platformInReach(now) {
+	if g.directory.PlatformUnavailable() && !g.platformInReach(now) {
 		g.directory.PostponeRemovals(now)
 		return
 	}
