Say once how a request is ended, what it shares and why the store is read

Read once more, no decision changes. Four places asked whether an endpoint may have a request, three answered it and cancelled its attempt: request.mayRun and Gateway.end do so now. The shared prompt parts of a request were collected up to six times; they are kept. The cause of reading the store was computed twice a tick, with the sorting of the members; it is once.

A planned stop cancels only attempts that there are, as the other endings do.

--- a/kernel/gateway/gateway.go
+++ b/kernel/gateway/gateway.go
@@ -275,11 +275,10 @@
 func (g *Gateway) RefuseUnsent() {
 	for _, h := range value.SortedKeys(g.requests) {
 		r := g.requests[h]
-		if r.mayHaveRun || r.firstEventSent || r.attempt != nil && r.attempt.written {
+		if r.mayRun() || r.firstEventSent {
 			continue
 		}
-		g.answer(r, NotRun, shutdownRetryAfter, "the instance is stopping")
-		g.out.CancelAttempt(h)
+		g.end(r, NotRun, shutdownRetryAfter, "the instance is stopping")
 	}
 }
 
@@ -297,8 +296,11 @@
 // tick runs the periodic checks.
 func (g *Gateway) tick() {
 	now := g.now()
-	g.logReading(now)
-	g.endForeignOutage()
+	reading := g.readingCause(now)
+	g.logReading(now, reading)
+	if reading == noReading {
+		g.endForeignOutage()
+	}
 	g.settleRemovals(now)
 	if g.catalog == nil {
 		return
@@ -311,7 +313,6 @@
 	g.updateBatchingClaims(now)
 	g.resubmitLostPieces(now)
 	g.crashes.expireBrokenExchanges(now)
-	g.crashes.parts.Expire(now)
 	g.updateQuarantine(now)
 }
 
--- a/kernel/gateway/parts.go
+++ b/kernel/gateway/parts.go
@@ -45,10 +45,10 @@
 }
 
 // sharedParts returns the prompt parts that other requests may share: all but the last.
-func (r *request) sharedParts() []ident.PromptPart {
+func sharedParts(prompt []PromptPart) []ident.PromptPart {
 	var parts []ident.PromptPart
-	for i, p := range r.incoming.Prompt {
-		if i < len(r.incoming.Prompt)-1 && len(parts) < maxSharedParts && len(p.ID) <= maxPartIDBytes {
+	for i, p := range prompt {
+		if i < len(prompt)-1 && len(parts) < maxSharedParts && len(p.ID) <= maxPartIDBytes {
 			parts = append(parts, ident.PromptPart(p.ID))
 		}
 	}
@@ -61,7 +61,7 @@
 	if !a.written || !a.firstEventAt.IsZero() && now.Sub(a.firstEventAt) > beginningTime {
 		return nil
 	}
-	return r.sharedParts()
+	return r.sharedParts
 }
 
 // recordAnswered records that the parts of a request have not crashed the endpoint that
@@ -77,7 +77,7 @@
 		}
 		return
 	}
-	for _, part := range r.sharedParts() {
+	for _, part := range r.sharedParts {
 		g.crashes.parts.RecordSound(now, part, now)
 	}
 }
@@ -85,7 +85,7 @@
 // hasQuarantinedPart reports whether a request must not run because of a part of its
 // prompt.
 func (g *Gateway) hasQuarantinedPart(r *request) bool {
-	for _, part := range r.sharedParts() {
+	for _, part := range r.sharedParts {
 		if g.crashes.parts.Quarantined(g.now(), part) {
 			return true
 		}
@@ -95,7 +95,7 @@
 
 // recordPartUse counts an admitted request for the parts of its prompt.
 func (g *Gateway) recordPartUse(r *request) {
-	for _, part := range r.sharedParts() {
+	for _, part := range r.sharedParts {
 		g.crashes.parts.RecordUse(g.now(), part)
 	}
 }
@@ -126,6 +126,7 @@
 
 // updateQuarantine quarantines the prompt parts that explain the crashes known so far.
 func (g *Gateway) updateQuarantine(now time.Time) {
+	g.crashes.parts.Expire(now)
 	reportTime := checkDelay + crashReportPings*g.members.PingPeriod()
 	g.quarantineParts(g.crashes.parts.Update(now, now.Add(-reportTime)), "crashes")
 }
@@ -145,16 +146,13 @@
 	}
 }
 
-// endQuarantined answers an admitted request that must not run, and cancels its attempt.
+// endQuarantined ends an admitted request that must not run any more.
 func (g *Gateway) endQuarantined(r *request) {
-	answer, running := Quarantined, r.attempt != nil
-	if r.mayHaveRun || running && r.attempt.written {
+	answer := Quarantined
+	if r.mayRun() {
 		answer = MayHaveRun
 	}
-	g.answer(r, answer, 0, quarantinedPartReason)
-	if running {
-		g.out.CancelAttempt(r.handle)
-	}
+	g.end(r, answer, 0, quarantinedPartReason)
 }
 
 // addPartNews adds to a ping what other instances have to know of crashes.
--- a/kernel/gateway/readers.go
+++ b/kernel/gateway/readers.go
@@ -73,6 +73,7 @@
 // calls in an outage.
 func (g *Gateway) ReadsPlatform() bool { return g.readingCause(g.now()) != noReading }
 
+// readingCause returns why this instance reads the platform at present.
 func (g *Gateway) readingCause(now time.Time) readingCause {
 	if g.catalog == nil && g.records.AsOf() == 0 {
 		if now.Sub(g.startedAt) >= g.firstReadDelay() && !g.expectsRecords(now) {
@@ -95,8 +96,7 @@
 }
 
 // logReading logs when this instance begins or ceases to read the platform.
-func (g *Gateway) logReading(now time.Time) {
-	cause := g.readingCause(now)
+func (g *Gateway) logReading(now time.Time, cause readingCause) {
 	if cause == g.loggedReading {
 		return
 	}
@@ -205,7 +205,7 @@
 // the platform. It read only while the regular readers had no contact, and will
 // not notice itself that the platform answers again.
 func (g *Gateway) endForeignOutage() {
-	if g.directory.PlatformUnavailable() && !g.ReadsPlatform() {
+	if g.directory.PlatformUnavailable() {
 		g.out.LogEvent("platformLeftToReaders", "members", g.AliveCount())
 		g.HandlePlatformAvailable()
 	}
--- a/kernel/gateway/request.go
+++ b/kernel/gateway/request.go
@@ -191,8 +191,10 @@
 	firstEventSent bool
 	// timeToFirstEvent is the time from the request's arrival to the first
 	// event of its stream.
-	timeToFirstEvent    time.Duration
-	lastEventID         string
+	timeToFirstEvent time.Duration
+	lastEventID      string
+	// sharedParts are the parts of the prompt that other requests may share.
+	sharedParts         []ident.PromptPart
 	excluded            value.Set[ident.Endpoint]
 	preferredDataCentre ident.DataCentre
 	finished            bool
@@ -228,7 +230,7 @@
 func (g *Gateway) HandleRequest(h RequestHandle, incoming CallerRequest) {
 	now := g.now()
 	g.counters.Arrived++
-	r := &request{handle: h, incoming: incoming, arrivedAt: now, excluded: value.NewSet[ident.Endpoint]()}
+	r := &request{handle: h, incoming: incoming, arrivedAt: now, sharedParts: sharedParts(incoming.Prompt), excluded: value.NewSet[ident.Endpoint]()}
 	g.requests[r.handle] = r
 	if !g.admit(r) {
 		return
@@ -245,7 +247,7 @@
 	r.timeoutTimer = g.timers.After(timeout-timeoutMargin, func() { g.handleTimeout(r) })
 	g.retryBudget.countRequest(now, r.service)
 	g.recordPartUse(r)
-	g.out.LogEvent("arrived", "request", incoming.ID, "route", r.route.Name, "workspace", r.workspaceName(), "service", r.service, "version", g.catalog.Version, "patience", timeout, "pieces", incoming.PieceCounts, "prompt", r.sharedParts())
+	g.out.LogEvent("arrived", "request", incoming.ID, "route", r.route.Name, "workspace", r.workspaceName(), "service", r.service, "version", g.catalog.Version, "patience", timeout, "pieces", incoming.PieceCounts, "prompt", r.sharedParts)
 	g.setUpStages(r)
 	if len(r.stageServices()) > 0 && g.pools().divided && r.preferredDataCentre == "" {
 		g.answer(r, NotRun, busyRetryAfter, "no data centre within reach can run the stages")
@@ -371,22 +373,30 @@
 	}
 }
 
-// handleTimeout answers a request whose timeout has passed.
-func (g *Gateway) handleTimeout(r *request) {
-	if r.finished {
-		return
-	}
+// end answers a request and cancels its current attempt, if any.
+func (g *Gateway) end(r *request, a Answer, retryAfter time.Duration, reason string) {
 	running := r.attempt != nil
-	if r.mayHaveRun || running && r.attempt.written {
-		g.answer(r, TimedOut, 0, "the route's time is over")
-	} else {
-		g.answer(r, NotRun, busyRetryAfter, "the route's time is over, never sent")
-	}
+	g.answer(r, a, retryAfter, reason)
 	if running {
 		g.out.CancelAttempt(r.handle)
 	}
 }
 
+// mayRun reports whether the request has run, or may still: an endpoint may have
+// received it.
+func (r *request) mayRun() bool { return r.mayHaveRun || r.attempt != nil && r.attempt.written }
+
+// handleTimeout answers a request whose timeout has passed.
+func (g *Gateway) handleTimeout(r *request) {
+	switch {
+	case r.finished:
+	case r.mayRun():
+		g.end(r, TimedOut, 0, "the route's time is over")
+	default:
+		g.end(r, NotRun, busyRetryAfter, "the route's time is over, never sent")
+	}
+}
+
 // HandleCallerLeft finishes a request whose caller has closed the connection.
 func (g *Gateway) HandleCallerLeft(h RequestHandle) {
 	r := g.requests[h]
