Carry a replica's delta in the message as it is

message.Records repeated the fields of replica.Delta, with two functions that copied one into the other. It embeds it now; the encoding is the same, since the fields keep their names.

--- a/kernel/gateway/malformed_test.go
+++ b/kernel/gateway/malformed_test.go
@@ -8,6 +8,7 @@
 	"anvilcross/kernel/ident"
 	"anvilcross/kernel/membership"
 	"anvilcross/kernel/message"
+	"anvilcross/kernel/replica"
 )
 
 // malformedMessages are messages that no instance sends.
@@ -48,7 +49,7 @@
 		{From: "two", StageWork: &work},
 		{From: "two", StageResults: &message.StageResults{Service: "registry", Results: []message.PieceResult{{ID: message.PieceID{Request: "request-1"}, Outcome: message.PieceInputGone}}}},
 		{From: "two", StageRelease: &message.StageRelease{Service: "registry", Request: "request-9", CancelPieces: true, Handles: []message.ResultHandle{"registry-0:80/x"}}},
-		{From: "two", Records: &message.Records{Base: 1, AsOf: 2}},
+		{From: "two", Records: &message.Records{Delta: replica.Delta{Base: 1, AsOf: 2}}},
 		{From: "two", Ping: &message.Ping{Member: membership.Member{Name: "two", Address: "two:1", DataCentre: "west"}, BatcherStatuses: map[ident.Pool]message.BatcherStatus{{Service: "registry"}: {Tenure: time.Hour}}, LostDataCentres: []ident.DataCentre{"north"}}},
 	}, malformedMessages...) {
 		text, err := json.Marshal(m)
--- a/kernel/gateway/reader_test.go
+++ b/kernel/gateway/reader_test.go
@@ -103,7 +103,7 @@
 		tg := newConfigured(t)
 		l := testListing("orders", 0)
 		l.Leaving = true
-		tg.gateway.HandleMessage(message.Envelope{From: "two", Records: &message.Records{Records: []replica.Record{testRecord(t, string(l.Name), 5, l)}, Base: 1, AsOf: 5}})
+		tg.gateway.HandleMessage(message.Envelope{From: "two", Records: &message.Records{Delta: replica.Delta{Records: []replica.Record{testRecord(t, string(l.Name), 5, l)}, Base: 1, AsOf: 5}}})
 		if e := tg.gateway.directory.Lookup(l.Name); !e.Leaving || tg.gateway.AsOf() != 5 {
 			t.Fatalf("leaving %v as of revision %d, want true as of 5", e.Leaving, tg.gateway.AsOf())
 		}
@@ -117,7 +117,7 @@
 		first, second, third := testListing("orders", 0), testListing("orders", 1), testListing("orders", 2)
 		second.Leaving = true
 		known := testRecord(t, string(second.Name), 3, second)
-		tg.gateway.HandleMessage(message.Envelope{From: "far", Records: &message.Records{Records: []replica.Record{known}, Base: 2, AsOf: 3}})
+		tg.gateway.HandleMessage(message.Envelope{From: "far", Records: &message.Records{Delta: replica.Delta{Records: []replica.Record{known}, Base: 2, AsOf: 3}}})
 		tg.peers = nil
 		tg.gateway.HandleChanges([]replica.Record{testRecord(t, string(first.Name), 2, first), known, testRecord(t, string(third.Name), 4, third)}, 4)
 		for _, p := range tg.peers {
@@ -134,14 +134,14 @@
 		tg := newConfigured(t)
 		old := testCatalog(0)
 		old.Routes = nil
-		tg.gateway.HandleMessage(message.Envelope{From: "two", Records: &message.Records{Records: []replica.Record{testRecord(t, "catalog", 1, old)}, Base: 0, AsOf: 1}})
+		tg.gateway.HandleMessage(message.Envelope{From: "two", Records: &message.Records{Delta: replica.Delta{Records: []replica.Record{testRecord(t, "catalog", 1, old)}, Base: 0, AsOf: 1}}})
 		if len(tg.gateway.Catalog().Routes) == 0 {
 			t.Fatal("an older configuration has replaced the current one")
 		}
 	})
 	t.Run("a gap does not count as complete", func(t *testing.T) {
 		tg := newConfigured(t)
-		tg.gateway.HandleMessage(message.Envelope{From: "two", Records: &message.Records{Base: 7, AsOf: 9}})
+		tg.gateway.HandleMessage(message.Envelope{From: "two", Records: &message.Records{Delta: replica.Delta{Base: 7, AsOf: 9}}})
 		if tg.gateway.AsOf() != 1 {
 			t.Fatalf("complete as of revision %d, want 1", tg.gateway.AsOf())
 		}
@@ -212,7 +212,7 @@
 	t.Run("doubt is not passed on by those who only heard of it", func(t *testing.T) {
 		tg := newConfigured(t)
 		tg.receivePing("two", "east", 0)
-		tg.gateway.HandleMessage(message.Envelope{From: "two", Records: &message.Records{Base: 1, AsOf: 1, UnconfirmedFor: 2 * time.Second}})
+		tg.gateway.HandleMessage(message.Envelope{From: "two", Records: &message.Records{Delta: replica.Delta{Base: 1, AsOf: 1}, UnconfirmedFor: 2 * time.Second}})
 		tg.peers = nil
 		l := testListing("orders", 1)
 		l.Leaving = true
@@ -271,9 +271,9 @@
 	t.Run("the word of a member in touch ends a doubt", func(t *testing.T) {
 		tg := newConfigured(t)
 		gone := []replica.Record{{Key: "orders-0", Revision: 6, Removed: true}}
-		tg.gateway.HandleMessage(message.Envelope{From: "two", Records: &message.Records{Records: gone, Base: 1, AsOf: 6, UnconfirmedFor: time.Second}})
+		tg.gateway.HandleMessage(message.Envelope{From: "two", Records: &message.Records{Delta: replica.Delta{Records: gone, Base: 1, AsOf: 6}, UnconfirmedFor: time.Second}})
 		tg.wantListed("orders-0", true)
-		tg.gateway.HandleMessage(message.Envelope{From: "three", Records: &message.Records{Records: gone, Base: 1, AsOf: 6}})
+		tg.gateway.HandleMessage(message.Envelope{From: "three", Records: &message.Records{Delta: replica.Delta{Records: gone, Base: 1, AsOf: 6}}})
 		tg.wantListed("orders-0", false)
 	})
 	t.Run("an entry that was removed in calm is gone at once", func(t *testing.T) {
@@ -288,7 +288,7 @@
 // unconfirmed for a while or, with zero, confirmed.
 func (tg *testGateway) receiveRemoval(unconfirmedFor time.Duration) {
 	gone := replica.Record{Key: "orders-0", Revision: 6, Removed: true}
-	tg.gateway.HandleMessage(message.Envelope{From: "two", Records: &message.Records{Records: []replica.Record{gone}, Base: 1, AsOf: 6, UnconfirmedFor: unconfirmedFor}})
+	tg.gateway.HandleMessage(message.Envelope{From: "two", Records: &message.Records{Delta: replica.Delta{Records: []replica.Record{gone}, Base: 1, AsOf: 6}, UnconfirmedFor: unconfirmedFor}})
 }
 
 // advanceInTouch advances the time while another member has contact with the
--- a/kernel/gateway/readers.go
+++ b/kernel/gateway/readers.go
@@ -219,7 +219,7 @@
 // own data centre, or in answer to its pings.
 func (g *Gateway) broadcastRecords(base replica.Revision) {
 	now := g.now()
-	m := message.NewRecords(g.records.ChangesSince(base, maxRecordsPerMessage), g.outageWindow(now))
+	m := message.Records{Delta: g.records.ChangesSince(base, maxRecordsPerMessage), UnconfirmedFor: g.outageWindow(now)}
 	for _, name := range g.members.AliveMembers(now) {
 		sameCentre := g.members.DataCentre(name) == g.config.Self.DataCentre
 		if name != g.config.Self.Name && (sameCentre || g.members.InCore(now, name)) {
@@ -234,7 +234,7 @@
 	if m.UnconfirmedFor <= 0 {
 		g.confirmRemovals(m.Records)
 	}
-	g.applyRecords(g.records.ApplyDelta(now, m.Delta()), string(from), m.UnconfirmedFor)
+	g.applyRecords(g.records.ApplyDelta(now, m.Delta), string(from), m.UnconfirmedFor)
 }
 
 // settleRemovals drops the endpoints whose removal has been unconfirmed for long
@@ -307,7 +307,7 @@
 	// next one.
 	g.laggingPeers[m.Name] = peerLag{asOf: peerRevision, since: now}
 	for base := peerRevision; base < g.records.AsOf(); {
-		missing := message.NewRecords(g.records.ChangesSince(base, maxRecordsPerMessage), g.outageWindow(now))
+		missing := message.Records{Delta: g.records.ChangesSince(base, maxRecordsPerMessage), UnconfirmedFor: g.outageWindow(now)}
 		g.sendToMember(m.Name, message.Envelope{Records: &missing})
 		if missing.AsOf <= base {
 			return
--- a/kernel/message/gateway.go
+++ b/kernel/message/gateway.go
@@ -76,30 +76,16 @@
 	Tenure time.Duration `json:"tenure"`
 }
 
-// Records passes on the platform's published records, as replica.Delta describes.
-// Instances of an earlier version send and expect no LiveKeys.
+// Records passes on the platform's published records. Instances of an earlier version
+// send and expect no LiveKeys.
 type Records struct {
-	Records  []replica.Record `json:"records,omitempty"`
-	Base     replica.Revision `json:"base"`
-	AsOf     replica.Revision `json:"asOf"`
-	LiveKeys []string         `json:"liveKeys,omitempty"`
-	LiveAsOf replica.Revision `json:"liveAsOf,omitempty"`
+	replica.Delta
 	// UnconfirmedFor is how long removals in the records remain unconfirmed:
 	// after an outage of the platform, entries of running endpoints may have
 	// expired. Zero means that they are confirmed.
 	UnconfirmedFor time.Duration `json:"doubt,omitempty"`
 }
 
-// NewRecords returns the message that carries a delta.
-func NewRecords(d replica.Delta, unconfirmedFor time.Duration) Records {
-	return Records{Records: d.Records, Base: d.Base, AsOf: d.AsOf, LiveKeys: d.LiveKeys, LiveAsOf: d.LiveAsOf, UnconfirmedFor: unconfirmedFor}
-}
-
-// Delta returns the delta that the message carries.
-func (m Records) Delta() replica.Delta {
-	return replica.Delta{Records: m.Records, Base: m.Base, AsOf: m.AsOf, LiveKeys: m.LiveKeys, LiveAsOf: m.LiveAsOf}
-}
-
 // ResultHandle identifies a stage result: the address of the endpoint that
 // holds it, a slash, and a key at that endpoint.
 type ResultHandle string
--- a/kernel/replica/delta.go
+++ b/kernel/replica/delta.go
@@ -10,16 +10,16 @@
 
 // Delta is what one copy tells another that is complete up to the revision Base.
 type Delta struct {
-	Records []Record
+	Records []Record `json:"records,omitempty"`
 	// The receiver is complete up to AsOf once it has applied the delta, if it was
 	// up to Base. AsOf is zero if the sender cannot say so.
-	Base Revision
-	AsOf Revision
+	Base Revision `json:"base"`
+	AsOf Revision `json:"asOf"`
 	// LiveKeys holds the keys of all records that exist at the revision LiveAsOf.
 	// It is set if the sender may not know some removal after Base; LiveAsOf is
 	// zero otherwise.
-	LiveKeys []string
-	LiveAsOf Revision
+	LiveKeys []string `json:"liveKeys,omitempty"`
+	LiveAsOf Revision `json:"liveAsOf,omitempty"`
 }
 
 // ChangesSince returns the delta for a copy that is complete up to the revision
