Log the rate limits that endpoints name

Each answer's limit is read now, also that of stage calls, frees and reports, and endpointLimit is logged where it differs from the answer before; a malformed one is limitRejected.

No decision uses it yet. With the lines, obeyed by nobody shows as endpointLimit followed by as many sent lines as before; obeyed by each shows as few of each instance; learnt too late shows as sent lines of instances without one.

--- a/anvilcrossd/entry/entry.go
+++ b/anvilcrossd/entry/entry.go
@@ -263,6 +263,7 @@
 	c.active.cancelAttempt = cancel
 	c.active.mutex.Unlock()
 	h := c.active.handle
+	started := time.Now()
 	response, err := c.server.config.HTTPClient.Do(ctx, h1.Request{
 		Address:         send.Address,
 		Method:          c.request.Method,
@@ -293,6 +294,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	head := platform.ReadResponseHead(response.Response)
+	c.reportLimit(send.Endpoint, response.Response, head, time.Since(started))
 	if !head.Usable {
 		discard(response)
 		c.reportFailure(send, head.Failure, "", response.Status)
@@ -305,6 +307,19 @@
 	return c.relayBuffered(send, response, head.ErrorResponse)
 }
 
+// reportLimit tells the gateway which rate limit an endpoint names in a response.
+func (c *callerExchange) reportLimit(e ident.Endpoint, response *http.Response, head platform.ResponseHead, sentAgo time.Duration) {
+	if !head.Usable && head.Failure == gateway.Replaced {
+		return
+	}
+	rate, err := platform.ReadRateLimit(response)
+	if err != nil {
+		c.server.config.LogEvent("limitRejected", "endpoint", e, "reason", err)
+		return
+	}
+	c.withGateway(func(g *gateway.Gateway) { g.HandleNamedLimit(e, rate, sentAgo) })
+}
+
 // reportFailure tells the gateway that an attempt failed. lastEventID is the id
 // of the last event that was relayed, if any.
 func (c *callerExchange) reportFailure(send *gateway.Send, f gateway.AttemptFailure, lastEventID, detail string) {
--- a/anvilcrossd/gatewayd/gatewayd.go
+++ b/anvilcrossd/gatewayd/gatewayd.go
@@ -35,6 +35,7 @@
 	"anvilcross/kernel/membership"
 	"anvilcross/kernel/message"
 	"anvilcross/kernel/published"
+	"anvilcross/kernel/ratelimit"
 	"anvilcross/kernel/replica"
 	"anvilcross/kernel/timer"
 	"anvilcross/platform"
@@ -146,6 +147,9 @@
 		OnInspected: func(e ident.Endpoint, freeBytes int) {
 			d.withGateway(func(g *gateway.Gateway) { g.Batcher().HandleInspection(e, freeBytes) })
 		},
+		OnLimit: func(address string, rate ratelimit.Rate, sentAgo time.Duration) {
+			d.withGateway(func(g *gateway.Gateway) { g.HandleNamedLimitAt(address, rate, sentAgo) })
+		},
 		LogEvent: d.log.WriteEvent,
 	})
 	d.entry = entry.NewServer(entry.Config{
--- a/anvilcrossd/stagecall/stagecall.go
+++ b/anvilcrossd/stagecall/stagecall.go
@@ -16,6 +16,7 @@
 	"anvilcross/kernel/batching"
 	"anvilcross/kernel/ident"
 	"anvilcross/kernel/message"
+	"anvilcross/kernel/ratelimit"
 	"anvilcross/platform"
 )
 
@@ -42,6 +43,9 @@
 	OnFreed func([]message.ResultHandle)
 	// OnInspected receives an endpoint's free result capacity in bytes.
 	OnInspected func(ident.Endpoint, int)
+	// OnLimit receives the rate limit that a response of the endpoint at an address
+	// names, and how long ago the call was sent.
+	OnLimit func(address string, rate ratelimit.Rate, sentAgo time.Duration)
 	// LogEvent writes one log line; fields alternates keys and values.
 	LogEvent func(name string, fields ...any)
 }
@@ -101,6 +105,7 @@
 // send sends a call. The reply to one with singleUse has a connection of its own,
 // so that it cannot be the late copy of another one.
 func (c *Client) send(ctx context.Context, address string, call platform.HTTPCall, singleUse bool) (*h1.Response, error) {
+	started := time.Now()
 	response, err := c.config.HTTPClient.Do(ctx, h1.Request{
 		Address:   address,
 		Method:    call.Method,
@@ -110,9 +115,22 @@
 		Body:      call.Body,
 		SingleUse: singleUse,
 	})
+	if err == nil && response.StatusCode != http.StatusMisdirectedRequest {
+		c.reportLimit(address, response.Response, time.Since(started))
+	}
 	return response, errors.Trace(err)
 }
 
+// reportLimit reports the rate limit that a response names.
+func (c *Client) reportLimit(address string, response *http.Response, sentAgo time.Duration) {
+	rate, err := platform.ReadRateLimit(response)
+	if err != nil {
+		c.config.LogEvent("limitRejected", "address", address, "reason", err)
+		return
+	}
+	c.config.OnLimit(address, rate, sentAgo)
+}
+
 // FreeResults frees results at the endpoint with the address. It does not
 // block; the results for one endpoint within freeDelay share one call.
 func (c *Client) FreeResults(address string, handles []message.ResultHandle) {
--- a/kernel/gateway/gateway.go
+++ b/kernel/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"anvilcross/kernel/membership"
 	"anvilcross/kernel/message"
 	"anvilcross/kernel/published"
+	"anvilcross/kernel/ratelimit"
 	"anvilcross/kernel/replica"
 	"anvilcross/kernel/timer"
 	"anvilcross/kernel/value"
@@ -108,6 +109,9 @@
 	retryBudget *retryBudget
 	crashes     *crashTracker
 
+	// namedLimits holds the rate limits that answers to this instance named last.
+	namedLimits map[ident.Endpoint]ratelimit.Rate
+
 	requests map[RequestHandle]*request
 	// longestTimeout is the longest timeout that a caller of each route has
 	// sent.
@@ -179,6 +183,7 @@
 		records:          replica.NewStore(),
 		directory:        endpoints.NewDirectory(),
 		members:          membership.NewTable(membership.Config{Self: c.Self, Seeds: c.Seeds}),
+		namedLimits:      map[ident.Endpoint]ratelimit.Rate{},
 		requests:         map[RequestHandle]*request{},
 		longestTimeout:   map[published.RouteName]time.Duration{},
 		requestsByID:     map[ident.RequestID]*request{},
