Keep the fleet within the rate limits that endpoints name

What endpoints saw: one that had named a limit of a request a second got 12 in 4 s from the instances that it had told, 11 allowed (LIMIT); with more callers it would have been any number.

Cause: nothing read the limit, so that each instance sent as if it stood alone. Class: a bound on a sum over instances that share no counter.

Change: requests to a limited endpoint need a permit of one instance, the issuer. Calls to stage endpoints and releases of results need permits too, and limited endpoints are not inspected. Answers that overtake each other do not loosen a limit.

--- a/anvilstandin/worker/stage.go
+++ b/anvilstandin/worker/stage.go
@@ -122,6 +122,8 @@
 
 // ServeHTTP serves calls that run pieces, free results or report the load.
 func (s *Stage) ServeHTTP(out http.ResponseWriter, r *http.Request) {
+	s.worker.nameLimit(out)
+	s.config.Recorder.RecordArrival(r.URL.Path, s.config.Name)
 	switch r.Method + " " + r.URL.Path {
 	case "POST /api/stage-run":
 		s.serveRun(out, r)
--- a/anvilstandin/worker/worker.go
+++ b/anvilstandin/worker/worker.go
@@ -130,6 +130,9 @@
 	// CrashPart makes model workers crash when they begin to answer a request whose
 	// prompt has this part before its last one; empty for none.
 	CrashPart string
+	// RateLimit is the number of requests per second that the worker says it takes from
+	// all callers together; empty if it says nothing.
+	RateLimit string
 }
 
 // Config describes one worker.
@@ -183,6 +186,7 @@
 func (w *Worker) admit(out http.ResponseWriter, r *http.Request) bool {
 	id := r.Header.Get("Request-Id")
 	out.Header().Set("Request-Id", id)
+	w.nameLimit(out)
 	if expected := r.Header.Get("Expect-Instance"); expected != w.config.Name {
 		out.Header().Set("Instance-Id", w.config.Name)
 		out.WriteHeader(http.StatusMisdirectedRequest)
@@ -206,6 +210,13 @@
 	return true
 }
 
+// nameLimit adds the worker's rate limit to a response.
+func (w *Worker) nameLimit(out http.ResponseWriter) {
+	if limit := w.currentFaults().RateLimit; limit != "" {
+		out.Header().Set("Server-Limit", limit)
+	}
+}
+
 // delimitByClose gives a response neither a length nor chunks.
 func delimitByClose(out http.ResponseWriter) {
 	out.Header().Set("Connection", "close")
--- a/kernel/batching/batching.go
+++ b/kernel/batching/batching.go
@@ -112,7 +112,11 @@
 	// QueueWait returns the estimated wait in the queue of a pool, which may
 	// have its batcher on another instance.
 	QueueWait func(ident.Pool) time.Duration
-	Output    Output
+	// MayCall reports whether a call may be sent now to an endpoint, which may have a
+	// rate limit. If not, it has the pool dispatched again once a call may be sent.
+	// The result holds until the next event.
+	MayCall func(*endpoints.Endpoint, ident.Pool) bool
+	Output  Output
 }
 
 const (
--- a/kernel/batching/dispatch.go
+++ b/kernel/batching/dispatch.go
@@ -31,7 +31,9 @@
 		if es.latencyRatio > slowLatencyRatio && now.Sub(es.lastCallAt) < probeInterval {
 			continue
 		}
-		idle = append(idle, e)
+		if b.config.MayCall(e, pool) {
+			idle = append(idle, e)
+		}
 	}
 	return idle, len(candidates)
 }
--- a/kernel/batching/load_test.go
+++ b/kernel/batching/load_test.go
@@ -65,6 +65,7 @@
 		Directory:    s.directory,
 		BatchProfile: func(ident.Service) *published.BatchProfile { return &s.profile },
 		QueueWait:    func(ident.Pool) time.Duration { return s.downstreamWait },
+		MayCall:      func(*endpoints.Endpoint, ident.Pool) bool { return true },
 		Output: Output{
 			StartCall:         s.run,
 			FreeResults:       func(string, []message.ResultHandle) {},
--- a/kernel/gateway/attempts.go
+++ b/kernel/gateway/attempts.go
@@ -55,16 +55,30 @@
 
 // dispatch sends a request to an endpoint, or answers it if none can take it.
 func (g *Gateway) dispatch(r *request) {
-	now := g.now()
 	if g.hasQuarantinedPart(r) {
 		g.endQuarantined(r)
 		return
 	}
-	e := g.chooseEndpoint(r)
-	if e == nil {
-		g.answer(r, g.failureAnswer(r), busyRetryAfter, "no endpoint can take it")
-		return
+	e := g.grantedEndpoint(r)
+	for e == nil {
+		if e = g.chooseEndpoint(r); e == nil {
+			g.answer(r, g.failureAnswer(r), g.noEndpointRetryAfter(r), "no endpoint can take it")
+			return
+		}
+		switch g.acquirePermit(e, func(issued bool) { g.resumeDispatch(r, processOf(e), issued) }) {
+		case permitPending:
+			r.awaitsPermit = true
+			return
+		case permitDenied:
+			e = nil
+		}
 	}
+	g.sendTo(r, e)
+}
+
+// sendTo sends a request to an endpoint.
+func (g *Gateway) sendTo(r *request, e *endpoints.Endpoint) {
+	now := g.now()
 	r.attemptCount++
 	r.attempt = &attempt{id: r.attemptCount, endpoint: e.Name, address: e.Address, startedAt: now}
 	r.sends++
@@ -194,7 +208,7 @@
 		return false
 	}
 	r.excluded.Add(r.attempt.endpoint)
-	if g.chooseEndpoint(r) == nil || !g.retryBudget.tryTake(g.now(), r.service, g.AliveCount()) {
+	if e := g.chooseEndpoint(r); e == nil || g.isLimited(e) || !g.retryBudget.tryTake(g.now(), r.service, g.AliveCount()) {
 		return false
 	}
 	g.counters.Retried++
--- a/kernel/gateway/gateway.go
+++ b/kernel/gateway/gateway.go
@@ -109,8 +109,13 @@
 	retryBudget *retryBudget
 	crashes     *crashTracker
 
-	// namedLimits holds the rate limits that answers to this instance named last.
-	namedLimits map[ident.Endpoint]ratelimit.Rate
+	// limits holds the rate limits of endpoints. lender leases this instance's share of
+	// them to an issuer, and issuer issues the permits of the shares leased to this one.
+	limits    *ratelimit.Table
+	lender    *ratelimit.Lender
+	issuer    *ratelimit.Issuer
+	permits   *permitDesk
+	fleetSize fleetSize
 
 	requests map[RequestHandle]*request
 	// longestTimeout is the longest timeout that a caller of each route has
@@ -183,7 +188,6 @@
 		records:          replica.NewStore(),
 		directory:        endpoints.NewDirectory(),
 		members:          membership.NewTable(membership.Config{Self: c.Self, Seeds: c.Seeds}),
-		namedLimits:      map[ident.Endpoint]ratelimit.Rate{},
 		requests:         map[RequestHandle]*request{},
 		longestTimeout:   map[published.RouteName]time.Duration{},
 		requestsByID:     map[ident.RequestID]*request{},
@@ -198,6 +202,10 @@
 		loggedReading:    noReading,
 		partitioned:      value.NewSet[ident.DataCentre](),
 	}
+	g.limits = ratelimit.NewTable()
+	g.lender = ratelimit.NewLender(g.startedAt)
+	g.issuer = ratelimit.NewIssuer(ratelimit.IssuerConfig{Self: c.Self.Name, Incarnation: c.Self.Incarnation, StartedAt: g.startedAt})
+	g.permits = newPermitDesk()
 	g.retryBudget = newRetryBudget(c.Retry)
 	g.crashes = newCrashTracker()
 	g.batcher = batching.NewBatcher(batching.Config{
@@ -205,10 +213,11 @@
 		Directory:    g.directory,
 		BatchProfile: g.batchProfile,
 		QueueWait:    g.queueWait,
+		MayCall:      g.mayCall,
 		Output: batching.Output{
-			StartCall:       c.Output.StartCall,
-			FreeResults:     c.Output.FreeResults,
-			InspectEndpoint: c.Output.InspectEndpoint,
+			StartCall:       g.startCall,
+			FreeResults:     g.freeResults,
+			InspectEndpoint: g.inspectEndpoint,
 			SendResults: func(to ident.Instance, r message.StageResults) {
 				g.sendToMember(to, message.Envelope{StageResults: &r})
 			},
@@ -268,6 +277,7 @@
 	g.shuttingDown = true
 	g.shutdownStartedAt = g.now()
 	g.members.Leave()
+	g.lender.Revoke(g.config.Self.Name)
 	clear(g.batcherCache)
 	g.cachedPong = nil
 	g.pingAll()
@@ -307,6 +317,7 @@
 		g.endForeignOutage()
 	}
 	g.settleRemovals(now)
+	g.updateLimits(now)
 	if g.catalog == nil {
 		return
 	}
--- a/kernel/gateway/limits.go
+++ b/kernel/gateway/limits.go
@@ -1,24 +1,25 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
+	"anvilcross/kernel/endpoints"
 	"anvilcross/kernel/ident"
+	"anvilcross/kernel/message"
 	"anvilcross/kernel/ratelimit"
 )
 
+// permitLeasePings is the number of ping periods for which an instance leases its share
+// of the rate limits: a few pings may be lost.
+const permitLeasePings = 4
+
 // HandleNamedLimit handles the rate limit that an answer of an endpoint names, or
 // Unlimited if it names none. The request was sent the given time ago.
 func (g *Gateway) HandleNamedLimit(name ident.Endpoint, rate ratelimit.Rate, sentAgo time.Duration) {
-	known, limited := g.namedLimits[name]
-	if !limited {
-		known = ratelimit.Unlimited
-	}
-	if rate == known {
-		return
+	if e := g.directory.Lookup(name); e != nil && g.limits.Record(g.now(), processOf(e), rate, sentAgo) {
+		g.logLimit(e, "answer")
 	}
-	g.namedLimits[name] = rate
-	g.out.LogEvent("endpointLimit", "endpoint", name, "rate", float64(rate), "before", float64(known), "sentAgo", sentAgo)
 }
 
 // HandleNamedLimitAt handles the rate limit that an answer of the endpoint at an
@@ -28,3 +29,118 @@
 		g.HandleNamedLimit(e.Name, rate, sentAgo)
 	}
 }
+
+// logLimit logs a change of an endpoint's limit. source is the instance that told it,
+// or answer.
+func (g *Gateway) logLimit(e *endpoints.Endpoint, source string) {
+	g.out.LogEvent("endpointLimit", "endpoint", e.Name, "service", e.Service, "rate", float64(g.limitOf(e)), "source", source, "issuer", g.lender.Issuer(g.now()))
+}
+
+// processOf identifies the present process of an endpoint.
+func processOf(e *endpoints.Endpoint) ratelimit.Process {
+	return ratelimit.Process{Endpoint: e.Name, StartedUnixMillis: e.StartedUnixMillis}
+}
+
+func (g *Gateway) limitOf(e *endpoints.Endpoint) ratelimit.Rate { return g.limits.Rate(processOf(e)) }
+
+func (g *Gateway) isLimited(e *endpoints.Endpoint) bool {
+	return g.limitOf(e) != ratelimit.Unlimited
+}
+
+// addLimits adds to a ping what this instance knows of rate limits, and to whom it
+// leases its share of them.
+func (g *Gateway) addLimits(now time.Time, p *message.Ping) {
+	if g.limits.Empty() {
+		return
+	}
+	p.Limits = g.limits.Reports(now)
+	if g.shuttingDown {
+		return
+	}
+	p.PermitClock = g.issuer.Clock(now)
+	p.PermitLease = g.renewLease(now)
+}
+
+// renewLease leases this instance's share of the rate limits to the issuer of its view
+// of the fleet.
+func (g *Gateway) renewLease(now time.Time) *ratelimit.Lease {
+	self := g.config.Self
+	g.lender.RecordClock(now, self.Name, self.Incarnation, g.issuer.Clock(now))
+	lease := g.lender.Renew(now, g.members.Owner(now, "permits", ""), permitLeasePings*g.members.PingPeriod())
+	g.issuer.HandleLease(self.Name, lease)
+	return lease
+}
+
+// mergeLimits merges what a member reports of rate limits.
+func (g *Gateway) mergeLimits(now time.Time, p message.Ping) {
+	g.fleetSize.record(now, p.KnownCount)
+	switch {
+	case p.Leaving:
+		g.lender.Revoke(p.Member.Name)
+	case p.PermitClock > 0:
+		g.lender.RecordClock(now, p.Member.Name, p.Member.Incarnation, p.PermitClock)
+	}
+	g.issuer.HandleLease(p.Member.Name, p.PermitLease)
+	for name, r := range p.Limits {
+		if g.limits.Merge(now, name, r) {
+			if e := g.directory.Lookup(name); e != nil {
+				g.logLimit(e, string(p.Member.Name))
+			}
+		}
+	}
+}
+
+// updateLimits forgets old limits, renews the own lease, fills the permits of this
+// issuer and frees the results whose endpoint may be called now.
+func (g *Gateway) updateLimits(now time.Time) {
+	g.limits.Purge(now)
+	g.permits.purge(now)
+	if g.limits.Empty() && len(g.permits.heldFrees) == 0 {
+		return
+	}
+	if !g.shuttingDown {
+		g.renewLease(now)
+	}
+	g.issuer.Refill(now, g.limitShares(now), g.limits.Rate)
+	g.freeHeldResults(now)
+}
+
+// limitShares returns the number of shares into which a rate limit is divided: one for
+// each instance that this or another one has heard of lately, running or not, so that
+// instances with different views do not claim more than the whole.
+func (g *Gateway) limitShares(now time.Time) int {
+	return max(g.members.KnownCount(), g.fleetSize.latest(now), len(g.config.Seeds))
+}
+
+// fleetSizeTTL is how long the number of instances that a member knows is valid.
+const fleetSizeTTL = 30 * time.Second
+
+// fleetSize is the largest number of instances that a member has reported lately.
+type fleetSize struct {
+	count int
+	at    time.Time
+}
+
+func (s *fleetSize) record(now time.Time, count int) {
+	if count >= s.latest(now) {
+		s.count, s.at = count, now
+	}
+}
+
+func (s *fleetSize) latest(now time.Time) int {
+	if now.Sub(s.at) > fleetSizeTTL {
+		return 0
+	}
+	return s.count
+}
+
+// withoutBlocked returns the candidates without those to which no permit is to be had
+// now.
+func (g *Gateway) withoutBlocked(now time.Time, candidates []*endpoints.Endpoint) []*endpoints.Endpoint {
+	if g.limits.Empty() {
+		return candidates
+	}
+	return slices.DeleteFunc(slices.Clone(candidates), func(e *endpoints.Endpoint) bool {
+		return g.isLimited(e) && g.permits.blocked(now, processOf(e))
+	})
+}
--- a/kernel/gateway/peers.go
+++ b/kernel/gateway/peers.go
@@ -109,6 +109,7 @@
 		LostDataCentres:     g.members.NoticedPartitions(),
 	}
 	g.addPartNews(now, &p)
+	g.addLimits(now, &p)
 	return p
 }
 
@@ -160,6 +161,10 @@
 		g.handleInputsFetched(*m.StageInputsFetched)
 	case m.StageRelease != nil:
 		g.batcher.HandleRelease(*m.StageRelease)
+	case m.PermitRequest != nil:
+		g.handlePermitRequest(m.From, *m.PermitRequest)
+	case m.PermitReply != nil:
+		g.handlePermitReply(*m.PermitReply)
 	}
 }
 
@@ -182,6 +187,7 @@
 	g.directory.MergeUnreachable(now, p.RecentlyUnreachable)
 	g.crashes.mergeReports(now, p.CrashReports)
 	g.mergePartNews(now, p)
+	g.mergeLimits(now, p)
 	g.recordBatcherStatus(now, p.Member.Name, p.BatcherStatuses)
 	g.recordContact(now, p.Member.Name, p.PlatformContactAge)
 	if p.AsOf > 0 && g.recordsOfferedAt.IsZero() {
@@ -198,6 +204,7 @@
 	}
 	g.members.MarkUnreachable(g.now(), name)
 	delete(g.peerRequests, name)
+	g.abandonPermits(name)
 	g.updatePartitions(g.now())
 	clear(g.batcherCache)
 	g.resubmitLostPieces(g.now())
--- a/kernel/gateway/request.go
+++ b/kernel/gateway/request.go
@@ -6,6 +6,7 @@
 	"anvilcross/kernel/ident"
 	"anvilcross/kernel/message"
 	"anvilcross/kernel/published"
+	"anvilcross/kernel/ratelimit"
 	"anvilcross/kernel/timer"
 	"anvilcross/kernel/value"
 )
@@ -198,6 +199,10 @@
 	excluded            value.Set[ident.Endpoint]
 	preferredDataCentre ident.DataCentre
 	finished            bool
+	// awaitsPermit is set while the request waits for a permit, and granted is the
+	// process of an endpoint for which it has one.
+	awaitsPermit bool
+	granted      ratelimit.Process
 }
 
 const (
--- a/kernel/message/gateway.go
+++ b/kernel/message/gateway.go
@@ -5,6 +5,7 @@
 
 	"anvilcross/kernel/ident"
 	"anvilcross/kernel/membership"
+	"anvilcross/kernel/ratelimit"
 	"anvilcross/kernel/replica"
 )
 
@@ -49,6 +50,31 @@
 	PartCrashes      []PartCrash                        `json:"partCrashes,omitempty"`
 	SoundParts       map[ident.PromptPart]time.Duration `json:"soundParts,omitempty"`
 	QuarantinedParts map[ident.PromptPart]time.Duration `json:"quarantinedParts,omitempty"`
+	// Limits holds the rate limits of endpoints that the sender knows. PermitClock and
+	// PermitLease are set with them: the sender's clock, and to whom it leases its
+	// share of them.
+	Limits      map[ident.Endpoint]ratelimit.Report `json:"limits,omitempty"`
+	PermitClock time.Duration                       `json:"permitClock,omitempty"`
+	PermitLease *ratelimit.Lease                    `json:"permitLease,omitempty"`
+}
+
+// PermitID numbers the permits that an instance asks for.
+type PermitID uint64
+
+// PermitRequest asks the issuer for a permit to send one request to an endpoint with a
+// rate limit. Limit is what the sender knows of that.
+type PermitRequest struct {
+	ID       PermitID         `json:"id"`
+	Endpoint ident.Endpoint   `json:"endpoint"`
+	Limit    ratelimit.Report `json:"limit"`
+}
+
+// PermitReply answers a PermitRequest. If no permit was issued, there may be one after
+// RetryAfter.
+type PermitReply struct {
+	ID         PermitID      `json:"id"`
+	Issued     bool          `json:"issued,omitempty"`
+	RetryAfter time.Duration `json:"retryAfter,omitempty"`
 }
 
 // PartCrash says which prompt parts an endpoint was about to answer when it crashed.
--- a/kernel/message/message.go
+++ b/kernel/message/message.go
@@ -51,6 +51,8 @@
 	StageInputsFetched *StageInputsFetched `json:"stageTaken,omitempty"`
 	StageReservations  *StageReservations  `json:"stageBookings,omitempty"`
 	StageRelease       *StageRelease       `json:"stageRelease,omitempty"`
+	PermitRequest      *PermitRequest      `json:"permitRequest,omitempty"`
+	PermitReply        *PermitReply        `json:"permitReply,omitempty"`
 }
 
 // Sync sends a recovering seat what the sender remembers for it. It answers a
--- a/kernel/message/valid.go
+++ b/kernel/message/valid.go
@@ -30,6 +30,10 @@
 				return err
 			}
 		}
+	case e.PermitRequest != nil:
+		return errors.Annotatef(e.PermitRequest.Limit.Check(), "permit for endpoint %q", e.PermitRequest.Endpoint)
+	case e.PermitReply != nil && e.PermitReply.RetryAfter < 0:
+		return errors.New("negative wait for a permit")
 	case e.StageInputsFetched != nil:
 		for _, id := range e.StageInputsFetched.Pieces {
 			if err := id.check(); err != nil {
@@ -59,6 +63,18 @@
 			return errors.Errorf("crash at %q: age %v, %d parts", c.Address, c.Age, len(c.Parts))
 		}
 	}
+	return p.checkLimits()
+}
+
+func (p *Ping) checkLimits() error {
+	for e, r := range p.Limits {
+		if err := r.Check(); err != nil {
+			return errors.Annotatef(err, "limit of endpoint %q", e)
+		}
+	}
+	if l := p.PermitLease; p.PermitClock < 0 || l != nil && (l.ClockAt < 0 || l.TTL < 0) {
+		return errors.New("negative time of a lease")
+	}
 	return nil
 }
 
