--- a/kernel/gateway/readers.go
+++ b/kernel/gateway/readers.go
@@ -172,21 +172,24 @@
 // HandleFullList handles the full list of the platform's records. It is
 // complete up to the revision asOf; single records may be newer.
 func (g *Gateway) HandleFullList(records []replica.Record, asOf replica.Revision) {
-	g.applyPlatformRecords(func(now time.Time) []replica.Record { return g.records.ApplyFullList(now, records, asOf) }, "listing")
+	g.applyPlatformRecords(len(records), asOf, func(now time.Time) []replica.Record { return g.records.ApplyFullList(now, records, asOf) }, "listing")
 }
 
 // HandleChanges handles changes of the platform's records up to a revision, as
 // a watch returned them.
 func (g *Gateway) HandleChanges(records []replica.Record, asOf replica.Revision) {
-	g.applyPlatformRecords(func(now time.Time) []replica.Record { return g.records.Apply(now, records, asOf) }, "watch")
+	g.applyPlatformRecords(len(records), asOf, func(now time.Time) []replica.Record { return g.records.Apply(now, records, asOf) }, "watch")
 }
 
-// applyPlatformRecords applies records that this instance read from the
-// platform, and broadcasts them if any of them is new to it.
-func (g *Gateway) applyPlatformRecords(apply func(time.Time) []replica.Record, source string) {
+// applyPlatformRecords applies the given number of records, up to the revision asOf, that
+// this instance read from the platform, and broadcasts them if any of them is new to it.
+func (g *Gateway) applyPlatformRecords(count int, asOf replica.Revision, apply func(time.Time) []replica.Record, source string) {
 	now := g.now()
 	base := g.records.AsOf()
 	updates := apply(now)
+	if len(updates) != count || asOf < base {
+		g.out.LogEvent("platformRead", "source", source, "records", count, "new", len(updates), "asOf", asOf, "before", base)
+	}
 	g.platformContacts[g.config.Self.Name] = platformContact{at: now, known: true}
 	if g.directory.PlatformUnavailable() {
 		g.outageUntil = now.Add(unconfirmedRemovalTime)
