--- a/anvilstandin/metadata/metadata.go
+++ b/anvilstandin/metadata/metadata.go
@@ -5,7 +5,9 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -41,6 +43,35 @@
 	changed chan struct{}
 	down    bool
 	calls   int
+	// era counts the restores. Revisions of different eras are not comparable.
+	era int64
+}
+
+// Copy is a copy of a store's items and history, from which it can be restored.
+type Copy struct {
+	items       map[string]Item
+	history     []Item
+	droppedUpTo int64
+	revision    int64
+}
+
+// Copy returns a copy of the store.
+func (s *Store) Copy() Copy {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return Copy{items: maps.Clone(s.items), history: slices.Clone(s.history), droppedUpTo: s.droppedUpTo, revision: s.revision}
+}
+
+// Restore replaces what the store has with a copy. Later changes are lost, and their
+// revisions are given out again.
+func (s *Store) Restore(c Copy) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.items, s.history = maps.Clone(c.items), slices.Clone(c.history)
+	s.droppedUpTo, s.revision = c.droppedUpTo, c.revision
+	s.era++
+	close(s.changed)
+	s.changed = make(chan struct{})
 }
 
 // NewStore returns an empty store.
@@ -103,6 +134,7 @@
 	s.mutex.Lock()
 	s.calls++
 	down := s.down
+	w.Header().Set("Store-Era", strconv.FormatInt(s.era, 10))
 	s.mutex.Unlock()
 	if down {
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -208,7 +240,7 @@
 
 // changesAfter returns the changes of items with a prefix after a revision, the
 // store's revision, a channel that the next change closes, and whether the history
-// no longer reaches back to the revision.
+// does not have the revision.
 func (s *Store) changesAfter(prefix string, after int64) (events []Item, asOf int64, changed chan struct{}, dropped bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -217,5 +249,5 @@
 			events = append(events, item)
 		}
 	}
-	return events, s.revision, s.changed, after < s.droppedUpTo
+	return events, s.revision, s.changed, after < s.droppedUpTo || after > s.revision
 }
--- a/anvilstandin/site/site.go
+++ b/anvilstandin/site/site.go
@@ -252,6 +252,7 @@
 func (s *Site) Drain(name string) {
 	e := s.entry(name)
 	e.State = "draining"
+	e.Sequence++
 	s.PublishEntry(name, e)
 }
 
