Order the store's revisions by era, and content between eras by its own age

Cause: the copy of the records, the watch and what instances pass on took it that revisions only rise; the restored store gives lower ones out again. With platformRead logged, each reader lists 28 records as of 31 and skips all, since its copy is complete up to 32. Ruled out: a wrong comparison of versions (no configurationIgnored). Class: a counter of somebody else's taken as ever rising.

Change: a Revision has the era in its upper bits, so that each comparison holds between eras too, also in messages; a watch whose reply is of another era than its start lists again, and an answer of an earlier era changes nothing. Between eras the age of the content decides: a configuration's version, an endpoint's start time and sequence. An endpoint that has left, or was leaving, is not taken back from the copy unless it is still listed after 8 s; entries missing from the copy have two seconds to come back. Members tell a new one what only an earlier era said. A watch that finds no history twice in a row pauses: readers had listed the store every 30 ms.

--- a/anvilcrossd/metadata/metadata.go
+++ b/anvilcrossd/metadata/metadata.go
@@ -56,6 +56,8 @@
 	// unavailable is set while calls to the store fail.
 	unavailable bool
 	retryPause  time.Duration
+	// historyGone is set if the last watch found no history.
+	historyGone bool
 }
 
 // NewFollower returns a follower that has read nothing.
@@ -86,6 +88,11 @@
 			continue
 		}
 		if errors.Cause(err) == platform.ErrHistoryGone {
+			// A list should have brought a revision that can be watched.
+			if f.historyGone {
+				sleep(ctx, minRetryPause)
+			}
+			f.historyGone = true
 			continue
 		}
 		// Changes during the outage may no longer be in the store's history, and
@@ -113,6 +120,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
+	f.historyGone = false
 	f.config.OnChanges(records, asOf)
 	return nil
 }
--- a/kernel/endpoints/endpoints.go
+++ b/kernel/endpoints/endpoints.go
@@ -48,6 +48,8 @@
 	// StartedUnixMillis is the start time of the endpoint's process. It tells
 	// successive processes of the same name apart.
 	StartedUnixMillis int64
+	// Sequence rises with what the process says of itself.
+	Sequence int64
 }
 
 // Load is an endpoint's own report of its requests: how many it is running and
--- a/kernel/gateway/gateway.go
+++ b/kernel/gateway/gateway.go
@@ -102,6 +102,7 @@
 	random      *rand.Rand
 	out         Output
 	records     *replica.Store
+	eras        *eraTracker
 	catalog     *published.Catalog
 	directory   *endpoints.Directory
 	members     *membership.Table
@@ -186,6 +187,7 @@
 		random:           c.Random,
 		out:              c.Output,
 		records:          replica.NewStore(),
+		eras:             newEraTracker(),
 		directory:        endpoints.NewDirectory(),
 		members:          membership.NewTable(membership.Config{Self: c.Self, Seeds: c.Seeds}),
 		requests:         map[RequestHandle]*request{},
@@ -317,6 +319,7 @@
 		g.endForeignOutage()
 	}
 	g.settleRemovals(now)
+	g.settleListings(now)
 	g.updateLimits(now)
 	if g.catalog == nil {
 		return
@@ -357,23 +360,13 @@
 		}
 		switch {
 		case decoded.Catalog != nil:
-			g.applyCatalog(decoded.Catalog, r.Revision, source)
+			g.applyConfiguration(decoded.Catalog, r, source)
 		case decoded.Listing != nil:
-			old := g.directory.Lookup(decoded.Listing.Name)
-			isNew := g.directory.Upsert(*decoded.Listing)
-			if isNew && old != nil {
-				g.recordEndpointGone(old.Name, old.Service)
-			}
-			changedServices.Add(decoded.Listing.Service)
-			if isNew || decoded.Listing.Leaving {
-				g.out.LogEvent("endpointListed", "endpoint", decoded.Listing.Name, "service", decoded.Listing.Service, "leaving", decoded.Listing.Leaving, "revision", r.Revision, "source", source)
+			if g.applyListing(*decoded.Listing, r.Revision, source) {
+				changedServices.Add(decoded.Listing.Service)
 			}
 		case decoded.Endpoint != "" && r.Removed:
-			if e := g.directory.Lookup(decoded.Endpoint); e != nil {
-				g.recordEndpointGone(e.Name, e.Service)
-				g.out.LogEvent("endpointRemoved", "endpoint", decoded.Endpoint, "revision", r.Revision, "source", source, "unconfirmed", unconfirmedFor > 0)
-			}
-			g.directory.Remove(g.now(), decoded.Endpoint, unconfirmedFor)
+			g.applyRemoval(decoded.Endpoint, r.Revision, source, unconfirmedFor)
 		}
 	}
 	g.poolCache = nil
@@ -381,14 +374,3 @@
 		g.batcher.DispatchService(s)
 	}
 }
-
-// applyCatalog puts a configuration in force if its version is higher than that
-// of the current one.
-func (g *Gateway) applyCatalog(c *published.Catalog, revision replica.Revision, source string) {
-	if g.catalog != nil && c.Version <= g.catalog.Version {
-		g.out.LogEvent("configurationIgnored", "version", c.Version, "inForce", g.catalog.Version)
-		return
-	}
-	g.catalog = c
-	g.out.LogEvent("configured", "version", c.Version, "revision", revision, "source", source, "routes", len(c.Routes), "workspaces", len(c.Workspaces))
-}
--- a/kernel/gateway/peers.go
+++ b/kernel/gateway/peers.go
@@ -101,6 +101,7 @@
 		Leaving:             g.shuttingDown,
 		KnownCount:          g.members.KnownCount(),
 		AsOf:                g.records.AsOf(),
+		Version:             g.version(),
 		PlatformContactAge:  g.ownContactAge(now),
 		CrashReports:        g.crashes.latestReports(now),
 		OwnRequests:         g.countOwnRequests(),
@@ -171,7 +172,8 @@
 // handlePing stores what a member reports in a ping or in the answer to one.
 func (g *Gateway) handlePing(p message.Ping) {
 	now := g.now()
-	if g.members.RecordPing(now, p.Member, p.Leaving) {
+	isNew := g.members.RecordPing(now, p.Member, p.Leaving)
+	if isNew {
 		g.out.LogEvent("memberReached", "member", p.Member.Name, "memberCentre", p.Member.DataCentre, "incarnation", p.Member.Incarnation)
 	}
 	g.members.RecordPartitions(now, p.Member, p.LostDataCentres)
@@ -194,6 +196,7 @@
 		g.recordsOfferedAt = now
 	}
 	g.sendMissingRecords(now, p.Member, p.AsOf)
+	g.sendCarried(now, p.Member, isNew, p.Version)
 }
 
 // HandlePeerFailure is called when messages to a member could not be delivered.
--- a/kernel/gateway/readers.go
+++ b/kernel/gateway/readers.go
@@ -191,7 +191,12 @@
 		g.out.LogEvent("platformRead", "source", source, "records", count, "new", len(updates), "asOf", asOf, "before", base)
 	}
 	g.platformContacts[g.config.Self.Name] = platformContact{at: now, known: true}
-	if g.directory.PlatformUnavailable() {
+	restored := base > 0 && g.records.AsOf().Era() > base.Era()
+	if restored {
+		g.out.LogEvent("platformRestored", "asOf", g.records.AsOf(), "before", base)
+	}
+	// Endpoints write their entries again after an outage or a restore.
+	if restored || g.directory.PlatformUnavailable() {
 		g.outageUntil = now.Add(unconfirmedRemovalTime)
 	}
 	g.applyRecords(updates, source, g.outageWindow(now))
@@ -237,6 +242,9 @@
 	if m.UnconfirmedFor <= 0 {
 		g.confirmRemovals(m.Records)
 	}
+	if m.Carried != nil {
+		g.applyCarried(*m.Carried, string(from))
+	}
 	g.applyRecords(g.records.ApplyDelta(now, m.Delta), string(from), m.UnconfirmedFor)
 }
 
--- a/kernel/gateway/store_test.go
+++ b/kernel/gateway/store_test.go
@@ -115,10 +115,12 @@
 // storeReader reads the store for one process of an instance as package metadata
 // of the daemon does.
 type storeReader struct {
-	store       *testStore
-	name        ident.Instance
-	gateway     *Gateway
-	listed      bool
+	store   *testStore
+	name    ident.Instance
+	gateway *Gateway
+	listed  bool
+	// historyGone is set if the store does not have the revision of the last watch.
+	historyGone bool
 	unavailable bool
 	pause       time.Duration
 	calledAt    time.Time
@@ -148,6 +150,10 @@
 	case r.listed:
 		after := r.gateway.AsOf()
 		r.call(watchTimeout, func(reply func(func())) {
+			if after.Era() != r.store.revision.Era() || after > r.store.revision {
+				reply(func() { r.historyGone = true })
+				return
+			}
 			w := &storeWatch{after: after, reply: func(changes []replica.Record, asOf replica.Revision) {
 				reply(func() { r.gateway.HandleChanges(changes, asOf) })
 			}}
@@ -221,7 +227,7 @@
 		return
 	}
 	apply()
-	r.listed, r.pause = true, 0
+	r.listed, r.historyGone, r.pause = !r.historyGone, false, 0
 	if r.unavailable {
 		r.unavailable = false
 		r.gateway.HandlePlatformAvailable()
--- a/kernel/message/gateway.go
+++ b/kernel/message/gateway.go
@@ -23,6 +23,8 @@
 	Members    []membership.GossipEntry `json:"members,omitempty"`
 	// AsOf is the platform revision up to which the sender has all records.
 	AsOf replica.Revision `json:"asOf"`
+	// Version is the version of the configuration that is in force at the sender.
+	Version int64 `json:"version,omitempty"`
 	// PlatformContactAge is how long ago the sender itself heard from the
 	// platform, or nil if it never has.
 	PlatformContactAge *time.Duration `json:"platformAge,omitempty"`
@@ -110,6 +112,27 @@
 	// after an outage of the platform, entries of running endpoints may have
 	// expired. Zero means that they are confirmed.
 	UnconfirmedFor time.Duration `json:"doubt,omitempty"`
+	// Carried is what the store said before it was restored from a copy and does not say
+	// now; nil if there is nothing.
+	Carried *Carried `json:"carried,omitempty"`
+}
+
+// Carried is what earlier eras of the platform's store said.
+type Carried struct {
+	// Configuration is the record of the configuration in force; nil if the store has it.
+	Configuration *replica.Record `json:"configuration,omitempty"`
+	// Endpoints holds the endpoints that have left or are leaving.
+	Endpoints map[ident.Endpoint]CarriedEndpoint `json:"endpoints,omitempty"`
+}
+
+// CarriedEndpoint is the latest that an era of the platform's store said of an endpoint.
+// The start time and the sequence number tell the age of a listing.
+type CarriedEndpoint struct {
+	Era               replica.Era `json:"era"`
+	StartedUnixMillis int64       `json:"started"`
+	Sequence          int64       `json:"sequence"`
+	Leaving           bool        `json:"leaving,omitempty"`
+	Removed           bool        `json:"removed,omitempty"`
 }
 
 // ResultHandle identifies a stage result: the address of the endpoint that
--- a/kernel/replica/replica.go
+++ b/kernel/replica/replica.go
@@ -12,9 +12,6 @@
 	"anvilcross/kernel/value"
 )
 
-// Revision is the platform's change counter.
-type Revision int64
-
 // Record is one published record, or its removal.
 type Record struct {
 	Key      string   `json:"key"`
