Divide the retry budget by the known instances, not by the alive ones

What services may see: parts of the fleet that are cut off from each other each took the others for gone and the whole fixed part of the budget for their own.

TestRetryBudgetOfADividedFleet fails before: 6 instances in two and three parts send 88 and 121 retries for 130 requests in 10 s, 76 are allowed. 66 instances stayed below it. Two parts no longer disagree on the number of shares; an instance that is down leaves its share unused.

--- a/kernel/gateway/attempts.go
+++ b/kernel/gateway/attempts.go
@@ -208,7 +208,7 @@
 		return false
 	}
 	r.excluded.Add(r.attempt.endpoint)
-	if e := g.chooseEndpoint(r); e == nil || g.isLimited(e) || !g.retryBudget.tryTake(g.now(), r.service, g.AliveCount()) {
+	if e := g.chooseEndpoint(r); e == nil || g.isLimited(e) || !g.retryBudget.tryTake(g.now(), r.service, g.shareCount(g.now())) {
 		return false
 	}
 	g.counters.Retried++
@@ -310,7 +310,7 @@
 		return r.unsentAttempts <= maxUnsentAttempts && g.now().Before(r.abandonAt)
 	case Declined, Replaced:
 		r.declines++
-		return r.declines <= maxDeclinedAttempts && g.retryBudget.tryTake(g.now(), r.service, g.AliveCount())
+		return r.declines <= maxDeclinedAttempts && g.retryBudget.tryTake(g.now(), r.service, g.shareCount(g.now()))
 	}
 	if !r.route.Repeatable() || r.sends >= r.route.MaxAttempts || r.firstEventSent && r.route.Kind != published.Stream {
 		return false
@@ -318,7 +318,7 @@
 	if !r.deadline.After(g.now()) {
 		return false
 	}
-	if !g.retryBudget.tryTake(g.now(), r.service, g.AliveCount()) {
+	if !g.retryBudget.tryTake(g.now(), r.service, g.shareCount(g.now())) {
 		return false
 	}
 	if r.firstEventSent {
--- a/kernel/gateway/budget.go
+++ b/kernel/gateway/budget.go
@@ -10,9 +10,8 @@
 	// budgetSlots is the number of slots into which the retry budget's window
 	// is divided.
 	budgetSlots = 20
-	// usableBudgetShare is the share of the budget that is spent. The rest
-	// covers the time in which instances disagree on how many of them share the
-	// budget.
+	// usableBudgetShare is the share of the budget that is spent. The rest covers the
+	// time in which instances that start do not know all of the others yet.
 	usableBudgetShare = 0.7
 )
 
@@ -57,7 +56,7 @@
 
 // tryTake takes one retry from the service's budget. It returns false if the
 // budget is used up.
-func (b *retryBudget) tryTake(now time.Time, s ident.Service, aliveInstances int) bool {
+func (b *retryBudget) tryTake(now time.Time, s ident.Service, shares int) bool {
 	current := b.slot(now, s)
 	requests, retries := 0, 0
 	for _, slot := range b.services[s] {
@@ -66,10 +65,39 @@
 			retries += slot.retries
 		}
 	}
-	allowed := usableBudgetShare * (b.limits.Ratio*float64(requests) + b.limits.Slack/float64(max(aliveInstances, 1)))
+	allowed := usableBudgetShare * (b.limits.Ratio*float64(requests) + b.limits.Slack/float64(max(shares, 1)))
 	if float64(retries+1) > allowed {
 		return false
 	}
 	current.retries++
 	return true
 }
+
+// shareCount returns the number of equal shares into which the fleet's limits are divided:
+// one for each instance that this or another one has heard of lately, running or not, so
+// that instances with different views do not claim more than the whole.
+func (g *Gateway) shareCount(now time.Time) int {
+	return max(g.members.KnownCount(), g.fleetSize.latest(now), len(g.config.Seeds))
+}
+
+// fleetSizeTTL is how long the number of instances that a member knows is valid.
+const fleetSizeTTL = 30 * time.Second
+
+// fleetSize is the largest number of instances that a member has reported lately.
+type fleetSize struct {
+	count int
+	at    time.Time
+}
+
+func (s *fleetSize) record(now time.Time, count int) {
+	if count >= s.latest(now) {
+		s.count, s.at = count, now
+	}
+}
+
+func (s *fleetSize) latest(now time.Time) int {
+	if now.Sub(s.at) > fleetSizeTTL {
+		return 0
+	}
+	return s.count
+}
--- a/kernel/gateway/limits.go
+++ b/kernel/gateway/limits.go
@@ -101,39 +101,10 @@
 	if !g.shuttingDown {
 		g.renewLease(now)
 	}
-	g.issuer.Refill(now, g.limitShares(now), g.limits.Rate)
+	g.issuer.Refill(now, g.shareCount(now), g.limits.Rate)
 	g.freeHeldResults(now)
 }
 
-// limitShares returns the number of shares into which a rate limit is divided: one for
-// each instance that this or another one has heard of lately, running or not, so that
-// instances with different views do not claim more than the whole.
-func (g *Gateway) limitShares(now time.Time) int {
-	return max(g.members.KnownCount(), g.fleetSize.latest(now), len(g.config.Seeds))
-}
-
-// fleetSizeTTL is how long the number of instances that a member knows is valid.
-const fleetSizeTTL = 30 * time.Second
-
-// fleetSize is the largest number of instances that a member has reported lately.
-type fleetSize struct {
-	count int
-	at    time.Time
-}
-
-func (s *fleetSize) record(now time.Time, count int) {
-	if count >= s.latest(now) {
-		s.count, s.at = count, now
-	}
-}
-
-func (s *fleetSize) latest(now time.Time) int {
-	if now.Sub(s.at) > fleetSizeTTL {
-		return 0
-	}
-	return s.count
-}
-
 // withoutBlocked returns the candidates without those to which no permit is to be had
 // now.
 func (g *Gateway) withoutBlocked(now time.Time, candidates []*endpoints.Endpoint) []*endpoints.Endpoint {
