Spread the callers that return to limited endpoints, and count permits

Callers that find no permit were told to come back when the next one is due, at intervals of it: with a permit every 50 ms all of them at 0.7 s. They are spread over two seconds from then on, since one permit serves one of them.

Metrics count the permits that an issuer gives out and denies, and requests for permits that timed out.

--- a/kernel/gateway/gateway.go
+++ b/kernel/gateway/gateway.go
@@ -178,6 +178,9 @@
 	Arrived, Relayed, Retried, Resumed, CallersLeft, TimedOut, Refused, MayHaveRun int
 	PiecesResubmitted, PiecesMoved, PiecesRedirected, Recomputes, RecordsRejected  int
 	MessagesRejected                                                               int
+	// PermitsIssued and PermitsDenied count this instance's decisions as the issuer,
+	// PermitsTimedOut the requests for permits without a reply.
+	PermitsIssued, PermitsDenied, PermitsTimedOut int
 }
 
 // NewGateway returns a gateway without a configuration and starts its timers.
--- a/kernel/gateway/limits.go
+++ b/kernel/gateway/limits.go
@@ -8,6 +8,7 @@
 	"anvilcross/kernel/ident"
 	"anvilcross/kernel/message"
 	"anvilcross/kernel/ratelimit"
+	"anvilcross/kernel/value"
 )
 
 // permitLeasePings is the number of ping periods for which an instance leases its share
@@ -81,8 +82,8 @@
 		g.lender.RecordClock(now, p.Member.Name, p.Member.Incarnation, p.PermitClock)
 	}
 	g.issuer.HandleLease(p.Member.Name, p.PermitLease)
-	for name, r := range p.Limits {
-		if g.limits.Merge(now, name, r) {
+	for _, name := range value.SortedKeys(p.Limits) {
+		if g.limits.Merge(now, name, p.Limits[name]) {
 			if e := g.directory.Lookup(name); e != nil {
 				g.logLimit(e, string(p.Member.Name))
 			}
--- a/kernel/gateway/permits.go
+++ b/kernel/gateway/permits.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"anvilcross/kernel/batching"
@@ -27,8 +28,8 @@
 	// call frees them.
 	freeHoldTime = time.Second
 	// maxRetrySpread is the longest time that is added at random to the Retry-After of
-	// requests that find no permit, as a multiple of the time to the next permit.
-	maxRetrySpread = 2.0
+	// requests that find no permit, so that they do not all come back for the next one.
+	maxRetrySpread = 2 * time.Second
 )
 
 // permitOutcome is the outcome of trying to get a permit.
@@ -127,7 +128,13 @@
 	case limit == ratelimit.Unlimited:
 		return true, 0
 	}
-	return g.issuer.Issue(now, p, limit)
+	issued, wait := g.issuer.Issue(now, p, limit)
+	if issued {
+		g.counters.PermitsIssued++
+	} else {
+		g.counters.PermitsDenied++
+	}
+	return issued, wait
 }
 
 // askForPermit asks the issuer for a permit.
@@ -141,6 +148,7 @@
 		then(issued)
 	}
 	wait.timer = g.timers.After(permitTimeout, func() {
+		g.counters.PermitsTimedOut++
 		g.out.LogEvent("permitTimedOut", "endpoint", p.Endpoint, "issuer", issuer)
 		g.permits.pausedUntil = g.now().Add(noIssuerPause)
 		wait.then(false)
@@ -208,17 +216,16 @@
 // time of the next permits.
 func (g *Gateway) noEndpointRetryAfter(r *request) time.Duration {
 	now := g.now()
-	next := time.Duration(0)
+	var waits []time.Duration
 	for _, e := range g.directory.Candidates(now, r.service, r.excluded) {
-		wait := max(g.permits.blockedUntil[processOf(e)].Sub(now), g.permits.pausedUntil.Sub(now))
-		if g.isLimited(e) && (next == 0 || wait < next) {
-			next = wait
+		if g.isLimited(e) {
+			waits = append(waits, max(g.permits.blockedUntil[processOf(e)].Sub(now), g.permits.pausedUntil.Sub(now)))
 		}
 	}
-	if next == 0 {
+	if len(waits) == 0 {
 		return busyRetryAfter
 	}
-	return max(busyRetryAfter, next+time.Duration(g.random.Float64()*maxRetrySpread*float64(next)))
+	return max(busyRetryAfter, slices.Min(waits)) + time.Duration(g.random.Int64N(int64(maxRetrySpread)))
 }
 
 // mayCall reports whether a call may be sent to a stage endpoint now. If it needs a
