End a lease only when the process that it names leaves

A late message of an issuer's earlier process, which had announced its stop, would have ended the lease to the present one and let another issuer have the same share at the same time. Found by reading the diff; no run showed it. TestNoShareIsLeasedTwice and the tests of limits pass.

--- a/kernel/gateway/gateway.go
+++ b/kernel/gateway/gateway.go
@@ -284,7 +284,7 @@
 	g.shuttingDown = true
 	g.shutdownStartedAt = g.now()
 	g.members.Leave()
-	g.lender.Revoke(g.config.Self.Name)
+	g.lender.Revoke(g.config.Self.Name, g.config.Self.Incarnation)
 	clear(g.batcherCache)
 	g.cachedPong = nil
 	g.pingAll()
--- a/kernel/gateway/limits.go
+++ b/kernel/gateway/limits.go
@@ -77,7 +77,7 @@
 	g.fleetSize.record(now, p.KnownCount)
 	switch {
 	case p.Leaving:
-		g.lender.Revoke(p.Member.Name)
+		g.lender.Revoke(p.Member.Name, p.Member.Incarnation)
 	case p.PermitClock > 0:
 		g.lender.RecordClock(now, p.Member.Name, p.Member.Incarnation, p.PermitClock)
 	}
--- a/kernel/ratelimit/lease.go
+++ b/kernel/ratelimit/lease.go
@@ -48,10 +48,12 @@
 	l.clocks[name] = issuerClock{incarnation: incarnation, at: at, receivedAt: now}
 }
 
-// Revoke ends the lease to an issuer that issues no more permits.
-func (l *Lender) Revoke(name ident.Instance) {
-	delete(l.clocks, name)
-	if l.lease.Issuer == name {
+// Revoke ends the lease to a process of an issuer that issues no more permits.
+func (l *Lender) Revoke(name ident.Instance, incarnation ident.Incarnation) {
+	if l.clocks[name].incarnation == incarnation {
+		delete(l.clocks, name)
+	}
+	if l.lease.Issuer == name && l.lease.Incarnation == incarnation {
 		l.lease, l.leaseUntil = Lease{}, time.Time{}
 	}
 }
