Let a batcher that was paused read the replies first

A timer that fires more than 50 ms late shows such a pause. The reply is then waited for again, for 0.1 s. TestPausedBatcherReadsRepliesFirst fails before: of three calls three are overdue and two pieces repeated; now none. A call without a reply is overdue all the same.

--- a/kernel/batching/batching.go
+++ b/kernel/batching/batching.go
@@ -133,6 +133,10 @@
 	// overdueSlack. Its pieces are then sent to other endpoints as well.
 	overdueFactor = 1.6
 	overdueSlack  = 200 * time.Millisecond
+	// maxTimerDelay is the delay of the overdue timer above which this process must have
+	// been paused. Replies that arrived meanwhile are read within unreadReplyTime.
+	maxTimerDelay   = 50 * time.Millisecond
+	unreadReplyTime = 100 * time.Millisecond
 	// callTimeoutFactor is the ratio of a call's timeout to its expected time.
 	callTimeoutFactor = 8
 	// slowLatencyRatio is the ratio of actual to expected call time above which
@@ -257,6 +261,8 @@
 	pieces       []*piece
 	startedAt    time.Time
 	expectedTime time.Duration
+	// overdueAt is when overdueTimer is due.
+	overdueAt    time.Time
 	overdueTimer *timer.Timer
 }
 
--- a/kernel/batching/dispatch.go
+++ b/kernel/batching/dispatch.go
@@ -223,7 +223,7 @@
 	b.stats.Calls++
 	b.stats.Pieces += len(pieces)
 	overdueAfter := time.Duration(overdueFactor*float64(c.expectedTime)) + overdueSlack
-	c.overdueTimer = b.config.Timers.After(overdueAfter, func() { b.handleOverdue(c) })
+	b.awaitReply(c, overdueAfter)
 	b.config.Timers.After(inputFetchTime, func() { b.notifyInputsFetched(c) })
 	b.config.Output.StartCall(Call{ID: c.id, Endpoint: e.Name, Address: e.Address, Items: items, Timeout: callTimeoutFactor * c.expectedTime})
 }
@@ -246,6 +246,19 @@
 	}
 }
 
+// awaitReply waits for the reply to a call; after the given time it is overdue. If this
+// process was paused then, the reply may have arrived meanwhile and is waited for again.
+func (b *Batcher) awaitReply(c *call, wait time.Duration) {
+	c.overdueAt = b.now().Add(wait)
+	c.overdueTimer = b.config.Timers.After(wait, func() {
+		if b.now().Sub(c.overdueAt) > maxTimerDelay {
+			b.awaitReply(c, unreadReplyTime)
+			return
+		}
+		b.handleOverdue(c)
+	})
+}
+
 // handleOverdue queues the pieces of an overdue call again, for another
 // endpoint, and marks the endpoint as slow, so that it gets only probe calls.
 func (b *Batcher) handleOverdue(c *call) {
