--- a/anvilload/fleet/limit_test.go
+++ b/anvilload/fleet/limit_test.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"anvilcross/anvilstandin/client"
-	"anvilcross/anvilstandin/worker"
 )
 
 const (
@@ -64,10 +63,9 @@
 	// The model worker is the one that requests of this test prefer.
 	const model, plain, stage = "models-1", "orders-0", "registry-0"
 	setLimit := func(rate string) {
-		f := worker.Faults{RateLimit: rate}
-		r.site.ModelWorkers[model].SetFaults(f)
-		r.site.PlainWorkers[plain].SetFaults(f)
-		r.site.StageWorkers[stage].SetFaults(f)
+		for _, name := range []string{model, plain, stage} {
+			r.site.SetRateLimit(name, rate)
+		}
 	}
 	var sending sync.WaitGroup
 	send := func(length time.Duration) {
--- a/anvilload/soak/check.go
+++ b/anvilload/soak/check.go
@@ -30,6 +30,16 @@
 	retryBudgetWindow = 10 * time.Second
 	retryBudgetRatio  = 0.1
 	retryBudgetSlack  = 20
+	// A worker that names workerRateLimit may get limitFactor times what that allows in
+	// limitWindow, and limitSlack requests more, from limitContactTime on.
+	workerRateLimit  = 2
+	limitFactor      = 1.5
+	limitSlack       = 5
+	limitWindow      = 4 * time.Second
+	limitContactTime = 3 * time.Second
+	// storeRestoreTime is how long the store is away while it is restored, and then until
+	// its content is written again.
+	storeRestoreTime = 300 * time.Millisecond
 	// graceAfterFault is the time after a fault of a daemon, a worker or one of
 	// their links in which the time bounds are not checked for it.
 	graceAfterFault = 3 * time.Second
@@ -70,6 +80,12 @@
 	from, to time.Time
 }
 
+// limitSpan is a time in which a worker named a rate limit.
+type limitSpan struct {
+	worker   string
+	from, to time.Time
+}
+
 // versionProbe is a request to a daemon for a route that a version of the
 // configuration added. Status 404 means that the version is not in force there.
 type versionProbe struct {
@@ -92,6 +108,7 @@
 	problems   []string
 	faultSpans []faultSpan
 	drains     []drainSpan
+	limits     []limitSpan
 	probes     []versionProbe
 }
 
@@ -136,6 +153,7 @@
 	{"inForce", checkVersionDelay},
 	{"left", checkCancellation},
 	{"budget", checkRetryBudget},
+	{"limit", checkRateLimits},
 	{"recovered", checkRecovery},
 }
 
@@ -297,6 +315,34 @@
 	return nil
 }
 
+// checkRateLimits checks that workers got no more than the rate limits that they named from
+// undisturbed daemons.
+func checkRateLimits(h *history) []string {
+	var found []string
+	for _, l := range h.limits {
+		var arrivals []time.Time
+		for _, s := range h.exchanges {
+			for _, v := range h.workerRecords[s.request.ID].Arrivals {
+				if v.Worker == l.worker && v.Start.After(l.from.Add(limitContactTime)) && v.Start.Before(l.to) && h.daemonUndisturbed(s.daemon, v.Start) {
+					arrivals = append(arrivals, v.Start)
+				}
+			}
+		}
+		slices.SortFunc(arrivals, time.Time.Compare)
+		begin := 0
+		for n, at := range arrivals {
+			for at.Sub(arrivals[begin]) >= limitWindow {
+				begin++
+			}
+			if got, allowed := n-begin+1, limitFactor*workerRateLimit*limitWindow.Seconds()+limitSlack; float64(got) > allowed {
+				found = append(found, fmt.Sprintf("%s named a limit of %d and got %d requests in %v, %.0f allowed", l.worker, workerRateLimit, got, limitWindow, allowed))
+				break
+			}
+		}
+	}
+	return found
+}
+
 // checkRecovery checks that minServedShare of the requests were served after the
 // last event.
 func checkRecovery(h *history) []string {
--- a/anvilload/soak/plan.go
+++ b/anvilload/soak/plan.go
@@ -12,7 +12,8 @@
 
 // The events: a signal to a daemon (the first four), an outage, loss of history
 // or link fault of the metadata store, a link fault between daemons, faults of a
-// worker or its link, the draining of a worker, and a new configuration.
+// worker or its link, the draining of a worker, a new configuration, a restore of the store
+// from a copy, and a rate limit that a worker names.
 const (
 	eventKill          eventKind = "kill"
 	eventStop          eventKind = "stop"
@@ -28,6 +29,8 @@
 	eventStreamsCut    eventKind = "streamsCut"
 	eventDrain         eventKind = "drain"
 	eventConfiguration eventKind = "configuration"
+	eventStoreRestored eventKind = "storeRestored"
+	eventWorkerLimited eventKind = "workerLimited"
 )
 
 // eventWeights gives the relative frequency of each kind.
@@ -92,6 +95,21 @@
 			plan = append(plan, e)
 		}
 	}
+	plan = append(plan, newLaterEvents(c, eventsEnd)...)
 	slices.SortStableFunc(plan, func(x, y event) int { return int(x.offset - y.offset) })
 	return plan
 }
+
+// newLaterEvents draws the kinds of events that were added later, from a sequence of their
+// own, so that the others of a seed stay the same.
+func newLaterEvents(c Config, eventsEnd time.Duration) []event {
+	random := rand.New(rand.NewPCG(c.Seed, 1<<32))
+	var events []event
+	for _, k := range []eventKind{eventStoreRestored, eventWorkerLimited} {
+		for range 1 + random.IntN(2) {
+			offset := firstEventOffset + time.Duration(random.Int64N(int64(max(eventsEnd-firstEventOffset, 1))))
+			events = append(events, event{offset: offset, kind: k, duration: time.Duration(200+random.IntN(2500)) * time.Millisecond, target: random.IntN(1 << 16)})
+		}
+	}
+	return events
+}
--- a/anvilload/soak/soak.go
+++ b/anvilload/soak/soak.go
@@ -12,6 +12,7 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -84,6 +85,10 @@
 	incarnations []int
 	signalling   []bool
 	draining     map[string]bool
+	// limited marks the workers that name a rate limit, and restoring a store that is
+	// being restored.
+	limited   map[string]bool
+	restoring bool
 	// version is the number of the newest configuration.
 	version int
 	// publishedAt holds the time at which each version was published.
@@ -93,7 +98,7 @@
 // Run executes one run and returns its report. It returns an error only if the
 // run cannot be set up; violations are in the report.
 func Run(c Config) (*Report, error) {
-	r := &runner{config: c, proxies: map[string]*proxy{}, incarnations: make([]int, c.Daemons), signalling: make([]bool, c.Daemons), draining: map[string]bool{}}
+	r := &runner{config: c, proxies: map[string]*proxy{}, incarnations: make([]int, c.Daemons), signalling: make([]bool, c.Daemons), draining: map[string]bool{}, limited: map[string]bool{}}
 	defer r.close()
 	if err := r.start(); err != nil {
 		return nil, errors.Trace(err)
@@ -248,6 +253,13 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.version++
+	r.writeConfiguration()
+	r.publishedAt = append(r.publishedAt, time.Now())
+}
+
+// writeConfiguration writes the newest version of the configuration. The caller holds the
+// mutex.
+func (r *runner) writeConfiguration() {
 	r.site.PublishConfiguration(10*r.version, func(c map[string]any) {
 		routes := c["routes"].([]any)
 		for version := 1; version <= r.version; version++ {
@@ -260,7 +272,52 @@
 		}
 		c["routes"] = routes
 	})
-	r.publishedAt = append(r.publishedAt, time.Now())
+}
+
+// restoreStore takes the metadata store away and brings it back from a copy that is as old
+// as the event is long. What was written since is written again.
+func (r *runner) restoreStore(e event) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.restoring {
+		return
+	}
+	r.restoring = true
+	store := r.site.MetadataStore
+	copied := store.Copy()
+	r.mutex.Unlock()
+	time.Sleep(e.duration)
+	store.SetDown(true)
+	time.Sleep(storeRestoreTime)
+	r.mutex.Lock()
+	store.Restore(copied)
+	store.SetDown(false)
+	r.mutex.Unlock()
+	time.Sleep(storeRestoreTime)
+	r.mutex.Lock()
+	r.writeConfiguration()
+	r.site.RewriteEntries()
+	r.restoring = false
+}
+
+// limitWorker lets a worker name a rate limit. Only one event at a time limits it.
+func (r *runner) limitWorker(name string, e event) {
+	r.mutex.Lock()
+	if r.limited[name] {
+		r.mutex.Unlock()
+		return
+	}
+	r.limited[name] = true
+	r.mutex.Unlock()
+	l := limitSpan{worker: name, from: time.Now()}
+	r.site.SetRateLimit(name, strconv.Itoa(workerRateLimit))
+	time.Sleep(limitContactTime + limitWindow + e.duration)
+	l.to = time.Now()
+	r.site.SetRateLimit(name, "")
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.limited[name] = false
+	r.history.limits = append(r.history.limits, l)
 }
 
 // applyEvent applies an event, waits until it is over and records the span of its
@@ -279,6 +336,12 @@
 		r.site.MetadataStore.SetDown(true)
 		time.Sleep(e.duration)
 		r.site.MetadataStore.SetDown(false)
+	case eventStoreRestored:
+		s.daemon = everyDaemon
+		r.restoreStore(e)
+	case eventWorkerLimited:
+		r.limitWorker(fmt.Sprintf("%s-%d", []string{"orders", "models"}[e.target%2], e.target/2%site.WorkersPerService), e)
+		return
 	case eventStoreForgets:
 		r.site.MetadataStore.DropHistory()
 		return
--- a/anvilload/soak/soak_test.go
+++ b/anvilload/soak/soak_test.go
@@ -88,6 +88,12 @@
 			s.request.Route, s.leftAt = "verse", s.sentAt
 			r.Runs[0].End = s.sentAt.Add(5 * time.Second)
 		},
+		"limit": func(h *history, _ *exchange, r *worker.Record) {
+			h.limits = []limitSpan{{worker: "orders-0", from: at(-10 * time.Second), to: at(time.Minute)}}
+			for range 30 {
+				r.Arrivals = append(r.Arrivals, r.Arrivals[0])
+			}
+		},
 		"budget": func(_ *history, _ *exchange, r *worker.Record) {
 			for range 30 {
 				r.Arrivals = append(r.Arrivals, r.Arrivals[0])
--- a/anvilstandin/site/site.go
+++ b/anvilstandin/site/site.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"log"
+	"maps"
 	"net"
 	"net/http"
 	"sync"
@@ -248,6 +249,31 @@
 	}
 }
 
+// SetRateLimit sets the requests per second that a worker of any kind says it takes;
+// empty for none.
+func (s *Site) SetRateLimit(name, rate string) {
+	if w := s.PlainWorkers[name]; w != nil {
+		w.SetRateLimit(rate)
+	}
+	if w := s.StageWorkers[name]; w != nil {
+		w.SetRateLimit(rate)
+	}
+	if w := s.ModelWorkers[name]; w != nil {
+		w.SetRateLimit(rate)
+	}
+}
+
+// RewriteEntries writes the entries of all workers again, as they do once the metadata
+// store was restored from a copy.
+func (s *Site) RewriteEntries() {
+	s.mutex.Lock()
+	entries := maps.Clone(s.entries)
+	s.mutex.Unlock()
+	for name, e := range entries {
+		s.PublishEntry(name, e)
+	}
+}
+
 // Drain marks a worker as draining.
 func (s *Site) Drain(name string) {
 	e := s.entry(name)
--- a/anvilstandin/worker/model.go
+++ b/anvilstandin/worker/model.go
@@ -34,6 +34,9 @@
 // SetFaults replaces the worker's faults.
 func (m *Model) SetFaults(f Faults) { m.worker.SetFaults(f) }
 
+// SetRateLimit sets the rate limit that the worker names.
+func (m *Model) SetRateLimit(rate string) { m.worker.SetRateLimit(rate) }
+
 // StreamEvent returns event n of a request's stream, counted from 1, in the
 // server-sent events format.
 func StreamEvent(request string, n int) string {
--- a/anvilstandin/worker/stage.go
+++ b/anvilstandin/worker/stage.go
@@ -104,6 +104,9 @@
 // SetFaults replaces the worker's faults.
 func (s *Stage) SetFaults(f Faults) { s.worker.SetFaults(f) }
 
+// SetRateLimit sets the rate limit that the worker names.
+func (s *Stage) SetRateLimit(rate string) { s.worker.SetRateLimit(rate) }
+
 // pieceRequest is a piece of a call: of the request ID, with the piece key of the
 // caller for a first stage or the handles of its inputs for a later one.
 type pieceRequest struct {
--- a/anvilstandin/worker/worker.go
+++ b/anvilstandin/worker/worker.go
@@ -130,9 +130,6 @@
 	// CrashPart makes model workers crash when they begin to answer a request whose
 	// prompt has this part before its last one; empty for none.
 	CrashPart string
-	// RateLimit is the number of requests per second that the worker says it takes from
-	// all callers together; empty if it says nothing.
-	RateLimit string
 }
 
 // Config describes one worker.
@@ -150,6 +147,9 @@
 	config Config
 	mutex  sync.Mutex
 	faults Faults
+	// rateLimit is the number of requests per second that the worker says it takes from
+	// all callers together; empty if it says nothing.
+	rateLimit string
 }
 
 // NewWorker returns a plain worker.
@@ -162,6 +162,14 @@
 	w.faults = f
 }
 
+// SetRateLimit sets the requests per second that the worker says it takes from all callers
+// together; empty for none.
+func (w *Worker) SetRateLimit(rate string) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.rateLimit = rate
+}
+
 func (w *Worker) currentFaults() Faults {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
@@ -212,8 +220,10 @@
 
 // nameLimit adds the worker's rate limit to a response.
 func (w *Worker) nameLimit(out http.ResponseWriter) {
-	if limit := w.currentFaults().RateLimit; limit != "" {
-		out.Header().Set("Server-Limit", limit)
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if w.rateLimit != "" {
+		out.Header().Set("Server-Limit", w.rateLimit)
 	}
 }
 
