Send a copy of the configuration that earlier eras said

A message to a new member held a pointer to the gateway's own record, which the peer transport may encode after the gateway's lock has been given up, while a read of the store changes its revision. TestStoreRestoredFromACopy passes.

--- a/kernel/gateway/eras.go
+++ b/kernel/gateway/eras.go
@@ -162,8 +162,8 @@
 func (g *Gateway) carried() *message.Carried {
 	era := g.records.AsOf().Era()
 	c := message.Carried{}
-	if g.catalog != nil && g.eras.configuration.Revision.Era() < era {
-		c.Configuration = &g.eras.configuration
+	if r := g.eras.configuration; g.catalog != nil && r.Revision.Era() < era {
+		c.Configuration = &r
 	}
 	for name, k := range g.eras.known {
 		if k.Era < era && (k.Removed || k.Leaving) {
