Run the heaviest tests of the gateway side by side

Four tests that simulate large fleets one after the other take over half of the package's time; each has a fleet of its own. Bounds and cases stay. go test ./kernel/gateway passes.

--- a/kernel/gateway/coldstart_test.go
+++ b/kernel/gateway/coldstart_test.go
@@ -34,6 +34,7 @@
 // The calls to the platform must not grow with the fleet. Instances that start
 // among others get the records from them.
 func TestListingsOfStartingInstances(t *testing.T) {
+	t.Parallel()
 	centres := []ident.DataCentre{"east", "west", "north", "south", "middle"}
 	start := func(t *testing.T, strong, weak int) (*testFleet, *testStore) {
 		f := newIdleFleet(t)
--- a/kernel/gateway/fleet_test.go
+++ b/kernel/gateway/fleet_test.go
@@ -332,6 +332,7 @@
 
 // The bytes that an instance sends for pings must not grow with the fleet.
 func TestPingBytesOfLargeFleets(t *testing.T) {
+	t.Parallel()
 	for _, size := range []int{9, 66, 500} {
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
 			f := newTestFleet(t, 6, size-6)
--- a/kernel/gateway/partition_test.go
+++ b/kernel/gateway/partition_test.go
@@ -202,6 +202,7 @@
 // comes back. The other four lose only what was there; the one that is cut off
 // serves its own callers.
 func TestDataCentreCutOff(t *testing.T) {
+	t.Parallel()
 	anywhere := func(ident.DataCentre) bool { return true }
 	for _, size := range []int{50, 120} {
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
--- a/kernel/gateway/restored_test.go
+++ b/kernel/gateway/restored_test.go
@@ -164,6 +164,7 @@
 // After a restore of the store, instances reject changes as old, or take back the
 // configuration and the endpoints of the copy.
 func TestStoreRestoredFromACopy(t *testing.T) {
+	t.Parallel()
 	for _, size := range []int{6, 66} {
 		t.Run(fmt.Sprintf("the operator writes later, %d instances", size), func(t *testing.T) {
 			f := newRestoredFleet(t, size)
