Log how an endpoint delimited a relayed answer

The logs could not tell an answer whose end its endpoint marked from one that ended with its connection. `relayed` has the field `delimited` now, also for answers that are relayed at once.

--- a/anvilcrossd/entry/buffered.go
+++ b/anvilcrossd/entry/buffered.go
@@ -118,7 +118,7 @@
 		return ""
 	}
 	c.withGateway(func(g *gateway.Gateway) {
-		g.HandleDelivery(c.active.handle, send.Attempt, gateway.Delivery{Status: response.StatusCode})
+		g.HandleDelivery(c.active.handle, send.Attempt, gateway.Delivery{Status: response.StatusCode, Delimited: response.Delimited()})
 	})
 	return relayed
 }
