--- a/anvilload/fleet/fleet_test.go
+++ b/anvilload/fleet/fleet_test.go
@@ -260,10 +260,8 @@
 		r.wantWhole(d, client.NewRequest("order"))
 	})
 	t.Run("a stream that breaks goes on at another worker", func(t *testing.T) {
-		for _, m := range r.site.ModelWorkers {
-			m.SetFaults(worker.Faults{CutAfterEvents: 7})
-			defer m.SetFaults(worker.Faults{})
-		}
+		r.setModelFaults(worker.Faults{CutAfterEvents: 7})
+		defer r.setModelFaults(worker.Faults{})
 		request := client.NewRequest("verse")
 		r.wantWhole(d, request)
 		if runs := r.site.Recorder.WorkersThatRan(request.ID); len(runs) != 2 {
@@ -271,34 +269,27 @@
 		}
 	})
 	t.Run("a stream that cannot be resumed ends visibly incomplete", func(t *testing.T) {
-		for _, m := range r.site.ModelWorkers {
-			m.SetFaults(worker.Faults{CutAfterEvents: 7})
-			defer m.SetFaults(worker.Faults{})
-		}
+		r.setModelFaults(worker.Faults{CutAfterEvents: 7})
+		defer r.setModelFaults(worker.Faults{})
 		if reply := client.Send(context.Background(), r.httpClient, d.CallerAddress, client.NewRequest("draft")); reply.Err == nil {
 			t.Fatalf("the answer looks complete: status %d", reply.Status)
 		}
 	})
-	setModelFaults := func(f worker.Faults) {
-		for _, m := range r.site.ModelWorkers {
-			m.SetFaults(f)
-		}
-	}
 	t.Run("a stream without a length is passed on whole", func(*testing.T) {
-		setModelFaults(worker.Faults{CloseDelimited: true})
-		defer setModelFaults(worker.Faults{})
+		r.setModelFaults(worker.Faults{CloseDelimited: true})
+		defer r.setModelFaults(worker.Faults{})
 		r.wantWhole(d, client.NewRequest("draft"))
 	})
 	t.Run("a stream without a length that ends inside an event ends visibly incomplete", func(t *testing.T) {
-		setModelFaults(worker.Faults{CloseDelimited: true, CutAfterEvents: 7})
-		defer setModelFaults(worker.Faults{})
+		r.setModelFaults(worker.Faults{CloseDelimited: true, CutAfterEvents: 7})
+		defer r.setModelFaults(worker.Faults{})
 		if reply := client.Send(context.Background(), r.httpClient, d.CallerAddress, client.NewRequest("draft")); reply.Err == nil {
 			t.Fatalf("the answer looks complete: status %d", reply.Status)
 		}
 	})
 	t.Run("a stream without a length that ends inside an event goes on at another worker", func(*testing.T) {
-		setModelFaults(worker.Faults{CloseDelimited: true, CutAfterEvents: 7})
-		defer setModelFaults(worker.Faults{})
+		r.setModelFaults(worker.Faults{CloseDelimited: true, CutAfterEvents: 7})
+		defer r.setModelFaults(worker.Faults{})
 		r.wantWhole(d, client.NewRequest("verse"))
 	})
 	t.Run("a stage worker that fails costs no request", func(*testing.T) {
--- a/anvilstandin/client/client.go
+++ b/anvilstandin/client/client.go
@@ -63,6 +63,8 @@
 	Status int
 	Body   string
 	Header http.Header
+	// Framed is set if the end of the answer was marked by a length or chunks.
+	Framed bool
 	// Err is the error of sending the request or of reading the response.
 	Err error
 	// Elapsed is the time from sending the request to the end of the response.
@@ -109,7 +111,8 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(response.Body)
-	return Reply{Status: response.StatusCode, Body: string(body), Header: response.Header, Err: err}
+	framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+	return Reply{Status: response.StatusCode, Body: string(body), Header: response.Header, Framed: framed, Err: err}
 }
 
 // expectedBody returns the body of the whole answer to a request.
--- a/anvilstandin/worker/model.go
+++ b/anvilstandin/worker/model.go
@@ -96,15 +96,21 @@
 	}
 	out.Header().Set("Response-Seal", Signature(m.config.Name, id))
 	out.Header().Set("Content-Type", "text/event-stream")
-	if m.worker.currentFaults().CloseDelimited {
+	f := m.worker.currentFaults()
+	closeDelimited := f.CloseDelimited || f.CloseDelimitedResumes && lastEventID > 0
+	if closeDelimited {
 		delimitByClose(out)
 	}
 	controller := http.NewResponseController(out)
+	_ = controller.Flush()
 	for n := lastEventID + 1; n <= count; n++ {
 		time.Sleep(m.config.EventInterval)
 		if r.Context().Err() != nil {
 			return
 		}
+		if closeDelimited && f.EndsEarly && n-lastEventID > f.EndAfterEvents {
+			return
+		}
 		event := StreamEvent(id, n)
 		if cut := m.worker.currentFaults().CutAfterEvents; cut > 0 && n-lastEventID > cut {
 			_, _ = io.WriteString(out, event[:len(event)/2])
--- a/anvilstandin/worker/worker.go
+++ b/anvilstandin/worker/worker.go
@@ -124,9 +124,15 @@
 	// CloseDelimited makes plain and model workers mark the end of a response only by
 	// closing the connection.
 	CloseDelimited bool
+	// CloseDelimitedResumes does so only for streams that go on after an event.
+	CloseDelimitedResumes bool
 	// CutAfterEvents makes model workers close the connection within the event that
 	// follows this number of events; zero for never.
 	CutAfterEvents int
+	// EndsEarly makes model workers end a stream that is delimited by closing the
+	// connection after EndAfterEvents events, as if it were complete.
+	EndsEarly      bool
+	EndAfterEvents int
 	// CrashPart makes model workers crash when they begin to answer a request whose
 	// prompt has this part before its last one; empty for none.
 	CrashPart string
