Frame an answer only as far as its endpoint framed it

Cause: an answer that has neither a length nor chunks ends with its connection, which an endpoint that crashes ends too. We relayed it in chunks with a last one, or with the length of what had arrived: a claim that nobody had made. Class: a claim that is stronger than what it rests on.

A stream that ends without one before its first event has broken off, so that it is sent again where that is allowed and is a 502 elsewhere; one whose beginning came in chunks from another endpoint is broken off visibly. The same cause the other way round: an answer that ends with its connection, at a caller of HTTP/1.0 too, looks complete if we break it off or die. Its connection is set to be reset by any end but the regular one.

--- a/anvilcrossd/entry/buffered.go
+++ b/anvilcrossd/entry/buffered.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -10,7 +9,6 @@
 
 	"anvilcross/anvilcrossd/h1"
 	"anvilcross/kernel/gateway"
-	"anvilcross/platform"
 )
 
 const (
@@ -106,24 +104,21 @@
 			return ""
 		}
 	}
-	platform.CopyResponseHeader(c.writer, response.Response)
-	if length := responseLength(response, beginning); length >= 0 {
-		c.writer.Header().Set("Content-Length", strconv.FormatInt(length, 10))
-	}
-	c.writer.WriteHeader(response.StatusCode)
+	c.writeHead(response, responseLength(response, beginning))
 	if _, err := c.writer.Write(beginning.data); err != nil {
 		return c.handleCallerLeft()
 	}
 	if !beginning.complete && !c.relayRest(send, response) {
 		return ""
 	}
+	c.finishAnswer()
 	c.withGateway(func(g *gateway.Gateway) {
 		g.HandleDelivery(c.active.handle, send.Attempt, gateway.Delivery{Status: response.StatusCode, Delimited: response.Delimited()})
 	})
 	return relayed
 }
 
-// responseLength returns the length of a response, or -1 if it is not known yet.
+// responseLength returns the length of a response, or unknownLength.
 func responseLength(response *h1.Response, beginning *buffer) int64 {
 	if beginning.complete {
 		return int64(len(beginning.data))
--- a/anvilcrossd/entry/entry.go
+++ b/anvilcrossd/entry/entry.go
@@ -211,6 +211,9 @@
 	// headSent is set once the head of a streamed response has been sent to the
 	// caller.
 	headSent bool
+	// endsWithConnection is set if nothing but the end of the caller's connection marks
+	// the end of the answer.
+	endsWithConnection bool
 }
 
 func (c *callerExchange) withGateway(f func(*gateway.Gateway)) { c.server.config.WithGateway(f) }
--- a/anvilcrossd/entry/stream.go
+++ b/anvilcrossd/entry/stream.go
@@ -11,7 +11,6 @@
 
 	"anvilcross/anvilcrossd/h1"
 	"anvilcross/kernel/gateway"
-	"anvilcross/platform"
 )
 
 // maxEventBytes limits the size of one event of a stream.
@@ -27,9 +26,15 @@
 
 var errEventTooLong = errors.New("an event is too long")
 
-// errEventCutOff is the error of a stream without a length that ends in the
-// middle of an event: nothing else shows that it is incomplete.
-var errEventCutOff = errors.New("the connection ended in the middle of an event")
+// Errors of a stream that has neither a length nor chunks and whose connection ended.
+var (
+	// errEventCutOff: in the middle of an event, so that the stream is incomplete.
+	errEventCutOff = errors.New("the connection ended in the middle of an event")
+	errNoEvent     = errors.New("the connection ended before the first event")
+	// errEndUnproved: after an event, while the answer to the caller, which an earlier
+	// attempt began, needs a mark at its end.
+	errEndUnproved = errors.New("the connection ended after an event of a stream that another endpoint began in chunks")
+)
 
 // next returns the bytes of the next complete event. At the end of the stream
 // it returns io.EOF and any bytes after the last complete event.
@@ -70,16 +75,15 @@
 		if c.request.Context().Err() != nil {
 			return c.handleCallerLeft()
 		}
-		if err == io.EOF && len(event) > 0 && !response.Delimited() {
-			err = errEventCutOff
+		if err == io.EOF && !response.Delimited() {
+			err = c.checkUnmarkedEnd(event, delivery.Events)
 		}
 		if err != nil && err != io.EOF {
 			c.reportFailure(send, gateway.Broken, lastEventID, err.Error())
 			return ""
 		}
 		if !c.headSent && (len(event) > 0 || err == io.EOF) {
-			platform.CopyResponseHeader(c.writer, response.Response)
-			c.writer.WriteHeader(response.StatusCode)
+			c.writeHead(response, unknownLength)
 			c.headSent = true
 		}
 		if len(event) > 0 {
@@ -103,8 +107,24 @@
 			}
 		}
 		if err == io.EOF {
+			c.finishAnswer()
 			c.withGateway(func(g *gateway.Gateway) { g.HandleDelivery(c.active.handle, send.Attempt, delivery) })
 			return relayed
 		}
 	}
 }
+
+// checkUnmarkedEnd returns io.EOF if a stream without a length or chunks may end here, and
+// otherwise why it may not. rest holds the bytes after the last event; events counts those
+// of this attempt.
+func (c *callerExchange) checkUnmarkedEnd(rest []byte, events int) error {
+	switch {
+	case len(rest) > 0:
+		return errEventCutOff
+	case c.headSent && !c.endsWithConnection:
+		return errEndUnproved
+	case events == 0 && !c.headSent:
+		return errNoEvent
+	}
+	return io.EOF
+}
--- a/anvilcrossd/gatewayd/gatewayd.go
+++ b/anvilcrossd/gatewayd/gatewayd.go
@@ -259,6 +259,7 @@
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ConnState:         d.idle.trackState,
+		ConnContext:       entry.WithConnection,
 		ErrorLog:          newErrorLog(d.log),
 	}
 	peerServer := &http.Server{Handler: d.mesh.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: 2 * peerIdleTimeout, ErrorLog: newErrorLog(d.log)}
