Log which requests take a stream up, and the software version of the endpoints they are sent to

What callers saw: streams that held events of two software versions, and streams that did not go on once they were taken up again. The logs named no version and no request that takes a stream up. `arrived` has lastEvent and resumes, `sent` has endpointVersion; a version that is missing or no text counts as none.

No logic is changed.

--- a/kernel/endpoints/endpoints.go
+++ b/kernel/endpoints/endpoints.go
@@ -48,6 +48,8 @@
 	// StartedUnixMillis is the start time of the endpoint's process. It tells
 	// successive processes of the same name apart.
 	StartedUnixMillis int64
+	// Version is the version of the endpoint's software; empty if the listing names none.
+	Version ident.SoftwareVersion
 	// Sequence rises with what the process says of itself.
 	Sequence int64
 }
--- a/kernel/gateway/attempts.go
+++ b/kernel/gateway/attempts.go
@@ -88,7 +88,7 @@
 	r.sends++
 	e.OwnRequests++
 	g.startAttemptTimeout(r, e)
-	g.out.LogEvent("sent", "request", r.incoming.ID, "endpoint", e.Name, "endpointCentre", e.DataCentre, "busy", e.EstimatedInFlight(now), "after", now.Sub(r.arrivedAt), "send", r.sends, "resume", r.lastEventID)
+	g.out.LogEvent("sent", "request", r.incoming.ID, "endpoint", e.Name, "endpointCentre", e.DataCentre, "endpointVersion", e.Version, "busy", e.EstimatedInFlight(now), "after", now.Sub(r.arrivedAt), "send", r.sends, "resume", r.lastEventID)
 	g.out.NextStep(r.handle, Step{Send: &Send{
 		Attempt:     r.attemptCount,
 		Endpoint:    e.Name,
--- a/kernel/gateway/request.go
+++ b/kernel/gateway/request.go
@@ -33,6 +33,10 @@
 	// PieceKey is the input of the stages that depend on no other stage.
 	PieceKey string
 	Prompt   []PromptPart
+	// LastEventID is set if the request takes up a stream that broke off after that event,
+	// and Resumes is the id of the request that brought its first event.
+	LastEventID string
+	Resumes     ident.RequestID
 	// Digest is a hash of the target, the caller's key and the body. It
 	// identifies a request that is sent again under a new id.
 	Digest ident.Digest
@@ -252,7 +256,7 @@
 	r.timeoutTimer = g.timers.After(timeout-timeoutMargin, func() { g.handleTimeout(r) })
 	g.retryBudget.countRequest(now, r.service)
 	g.recordPartUse(r)
-	g.out.LogEvent("arrived", "request", incoming.ID, "route", r.route.Name, "workspace", r.workspaceName(), "service", r.service, "version", g.catalog.Version, "patience", timeout, "pieces", incoming.PieceCounts, "prompt", r.sharedParts)
+	g.out.LogEvent("arrived", "request", incoming.ID, "route", r.route.Name, "workspace", r.workspaceName(), "service", r.service, "version", g.catalog.Version, "patience", timeout, "pieces", incoming.PieceCounts, "prompt", r.sharedParts, "lastEvent", incoming.LastEventID, "resumes", incoming.Resumes)
 	g.setUpStages(r)
 	if len(r.stageServices()) > 0 && g.pools().divided && r.preferredDataCentre == "" {
 		g.answer(r, NotRun, busyRetryAfter, "no data centre within reach can run the stages")
--- a/kernel/ident/ident.go
+++ b/kernel/ident/ident.go
@@ -90,3 +90,6 @@
 
 // PromptPart identifies a part of a prompt that requests may share, as callers name it.
 type PromptPart string
+
+// SoftwareVersion is a version of an endpoint's software.
+type SoftwareVersion string
