Let a stream go on only at the software version that began it

Cause: nothing knew an endpoint's version. An attempt that went on inside an answer went to the cheapest endpoint; a request that took a stream up was sent as a new one. Ruled out so far: a listed version that is not the endpoint's (no case). Class: work that goes on elsewhere without what its beginning fixed.

Change: an endpoint's version is part of its listing, and a request is bound to the version of its first event. Three keepers, by rank for the stream's id, are told of each first event; a request that takes a stream up asks the five first in rank. If none remembers, as after a loss of power, a surveyor asks the endpoints which prompts they hold: who holds the last part of the stream's prompt has begun it. Holders of two versions, or none, leave the version unknown, and the request is refused as not run. Stages run while this is found out. A keeper that stops hands over what it keeps. That one version is listed now is never taken for a proof.

--- a/anvilcrossd/gatewayd/gatewayd.go
+++ b/anvilcrossd/gatewayd/gatewayd.go
@@ -27,6 +27,7 @@
 	"anvilcross/anvilcrossd/metadata"
 	"anvilcross/anvilcrossd/owner"
 	"anvilcross/anvilcrossd/peer"
+	"anvilcross/anvilcrossd/promptlist"
 	"anvilcross/anvilcrossd/settings"
 	"anvilcross/anvilcrossd/stagecall"
 	"anvilcross/kernel/batching"
@@ -152,6 +153,13 @@
 		},
 		LogEvent: d.log.WriteEvent,
 	})
+	prompts := promptlist.NewClient(promptlist.Config{
+		HTTPClient: d.httpClient,
+		OnListed: func(e ident.Endpoint, parts []ident.PromptPart) {
+			d.withGateway(func(g *gateway.Gateway) { g.HandlePrompts(e, parts) })
+		},
+		LogEvent: d.log.WriteEvent,
+	})
 	d.entry = entry.NewServer(entry.Config{
 		WithGateway:   d.withGateway,
 		HTTPClient:    d.httpClient,
@@ -183,6 +191,7 @@
 			FreeResults:     d.stageClient.FreeResults,
 			InspectEndpoint: d.stageClient.InspectEndpoint,
 			CheckEndpoint:   d.checkEndpoint,
+			ListPrompts:     prompts.List,
 		},
 	})})
 	d.follower = d.newFollower()
--- /dev/null
+++ b/anvilcrossd/promptlist/promptlist.go
@@ -0,0 +1,63 @@
+// Package promptlist asks model endpoints which prompt parts they hold.
+package promptlist
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/juju/errors"
+
+	"anvilcross/anvilcrossd/h1"
+	"anvilcross/kernel/ident"
+	"anvilcross/platform"
+)
+
+const (
+	// callTimeout limits a call. Its result is of no use later.
+	callTimeout = 300 * time.Millisecond
+	// maxReplyBytes bounds a reply: tens of thousands of parts.
+	maxReplyBytes = 4 << 20
+)
+
+// Config sets up a Client.
+type Config struct {
+	HTTPClient *h1.Client
+	// OnListed receives the parts that an endpoint holds, or nil if the call failed.
+	OnListed func(ident.Endpoint, []ident.PromptPart)
+	// LogEvent writes one log line; fields alternates keys and values.
+	LogEvent func(name string, fields ...any)
+}
+
+// Client lists prompts, each call in its own goroutine.
+type Client struct{ config Config }
+
+// NewClient returns a client.
+func NewClient(c Config) *Client { return &Client{config: c} }
+
+// List asks the endpoint at an address. It does not block.
+func (c *Client) List(name ident.Endpoint, address string) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+		defer cancel()
+		parts, err := c.read(ctx, address)
+		if err != nil {
+			c.config.LogEvent("promptListFailed", "endpoint", name, "reason", err)
+		}
+		c.config.OnListed(name, parts)
+	}()
+}
+
+func (c *Client) read(ctx context.Context, address string) ([]ident.PromptPart, error) {
+	call := platform.EncodePromptListCall()
+	response, err := c.config.HTTPClient.Do(ctx, h1.Request{Address: address, Method: call.Method, Target: call.Path, Host: address, Header: call.Header, SingleUse: true})
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes))
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	return platform.DecodePromptList(response.StatusCode, body)
+}
--- a/kernel/gateway/attempts.go
+++ b/kernel/gateway/attempts.go
@@ -84,7 +84,7 @@
 		g.throttle.recordAdmission(now, r.service)
 	}
 	r.attemptCount++
-	r.attempt = &attempt{id: r.attemptCount, endpoint: e.Name, address: e.Address, startedAt: now}
+	r.attempt = &attempt{id: r.attemptCount, endpoint: e.Name, address: e.Address, version: e.Version, startedAt: now}
 	r.sends++
 	e.OwnRequests++
 	g.startAttemptTimeout(r, e)
@@ -187,6 +187,7 @@
 		if !r.firstEventSent {
 			r.timeToFirstEvent = g.now().Sub(r.arrivedAt)
 		}
+		g.recordBegun(r)
 		r.firstEventSent = true
 		r.attempt.firstEventAt = g.now()
 		g.releaseAll(r)
@@ -290,12 +291,12 @@
 		g.recomputeFinalInputs(r)
 		return
 	}
+	r.excluded.Add(a.endpoint)
 	if !g.allowRetry(r, f) {
 		g.answer(r, g.failureAnswer(r), busyRetryAfter, "attempt "+f.String())
 		return
 	}
 	g.counters.Retried++
-	r.excluded.Add(a.endpoint)
 	if r.finalInputsReleased() {
 		g.recomputeFinalInputs(r)
 		return
@@ -319,7 +320,7 @@
 	if !r.route.Repeatable() || r.sends >= r.route.MaxAttempts || r.firstEventSent && r.route.Kind != published.Stream {
 		return false
 	}
-	if !r.deadline.After(g.now()) {
+	if !r.deadline.After(g.now()) || r.firstEventSent && !g.canGoOn(r) {
 		return false
 	}
 	if !g.retryBudget.tryTake(g.now(), r.service, g.shareCount(g.now())) {
--- a/kernel/gateway/choose.go
+++ b/kernel/gateway/choose.go
@@ -102,7 +102,7 @@
 // request, or nil if there is none.
 func (g *Gateway) chooseEndpoint(r *request) *endpoints.Endpoint {
 	now := g.now()
-	candidates := g.withoutBlocked(now, g.directory.Candidates(now, r.service, r.excluded))
+	candidates := g.withoutBlocked(now, g.directory.Candidates(now, r.service, g.excludedFor(r)))
 	if r.route.CarriesPrompts {
 		return g.chooseModelEndpoint(now, r, candidates)
 	}
--- a/kernel/gateway/fleet_test.go
+++ b/kernel/gateway/fleet_test.go
@@ -49,6 +49,8 @@
 	freeResults func(ident.Instance, string, []message.ResultHandle)
 	// checkEndpoint carries out an instance's check of an endpoint.
 	checkEndpoint func(ident.Instance, ident.Endpoint)
+	// listPrompts carries out an instance's question for the prompts of an endpoint.
+	listPrompts func(ident.Instance, ident.Endpoint)
 	// onStart is called for each instance that start starts.
 	onStart func(ident.Instance)
 	// path returns what happens to messages between two instances that are up;
@@ -137,6 +139,7 @@
 	f.freeResults = func(ident.Instance, string, []message.ResultHandle) {}
 	f.onStart = func(ident.Instance) {}
 	f.checkEndpoint = func(ident.Instance, ident.Endpoint) {}
+	f.listPrompts = func(ident.Instance, ident.Endpoint) {}
 	return f
 }
 
@@ -179,6 +182,7 @@
 			StartCall:       func(c batching.Call) { f.startCall(m.Name, c) },
 			InspectEndpoint: func(ident.Endpoint, string) {},
 			CheckEndpoint:   func(e ident.Endpoint, _ string) { f.checkEndpoint(m.Name, e) },
+			ListPrompts:     func(e ident.Endpoint, _ string) { f.listPrompts(m.Name, e) },
 			FreeResults:     func(address string, handles []message.ResultHandle) { f.freeResults(m.Name, address, handles) },
 		},
 	})
--- a/kernel/gateway/gateway.go
+++ b/kernel/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"anvilcross/kernel/ident"
 	"anvilcross/kernel/membership"
 	"anvilcross/kernel/message"
+	"anvilcross/kernel/origin"
 	"anvilcross/kernel/published"
 	"anvilcross/kernel/ratelimit"
 	"anvilcross/kernel/replica"
@@ -48,6 +49,9 @@
 	// CheckEndpoint finds out whether the endpoint with the given address refuses
 	// connections. If it does, HandleEndpointRefused is called.
 	CheckEndpoint func(ident.Endpoint, string)
+	// ListPrompts asks a model endpoint, given with its address, which prompt parts it
+	// holds. Its answer comes through HandlePrompts.
+	ListPrompts func(ident.Endpoint, string)
 }
 
 // DecodedRecord is the content of one record of the platform. All fields are
@@ -119,6 +123,12 @@
 	fleetSize fleetSize
 	throttle  *throttle
 
+	// origins holds which software versions began the streams that this instance keeps,
+	// and lookups those that it asks for. survey asks endpoints for the prompts they hold.
+	origins *origin.Table
+	lookups *originLookups
+	survey  *promptSurvey
+
 	requests map[RequestHandle]*request
 	// longestTimeout is the longest timeout that a caller of each route has
 	// sent.
@@ -213,6 +223,9 @@
 	g.issuer = ratelimit.NewIssuer(ratelimit.IssuerConfig{Self: c.Self.Name, Incarnation: c.Self.Incarnation, StartedAt: g.startedAt})
 	g.permits = newPermitClient()
 	g.throttle = newThrottle()
+	g.origins = origin.NewTable(origin.TableConfig{Retention: originRetention, MaxStreams: maxOrigins})
+	g.lookups = newOriginLookups()
+	g.survey = newPromptSurvey()
 	g.retryBudget = newRetryBudget(c.Retry)
 	g.crashes = newCrashTracker()
 	g.batcher = batching.NewBatcher(batching.Config{
@@ -286,6 +299,7 @@
 	g.members.Leave()
 	g.lender.Revoke(g.config.Self.Name, g.config.Self.Incarnation)
 	clear(g.batcherCache)
+	g.handOverOrigins()
 	g.cachedPong = nil
 	g.pingAll()
 	g.updateBatchingClaims(g.now())
@@ -326,6 +340,8 @@
 	g.settleRemovals(now)
 	g.settleListings(now)
 	g.updateLimits(now)
+	g.origins.Expire(now)
+	g.survey.holdings.Expire(now)
 	if g.catalog == nil {
 		return
 	}
--- /dev/null
+++ b/kernel/gateway/origins.go
@@ -0,0 +1,312 @@
+package gateway
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"anvilcross/kernel/endpoints"
+	"anvilcross/kernel/ident"
+	"anvilcross/kernel/message"
+	"anvilcross/kernel/origin"
+	"anvilcross/kernel/published"
+	"anvilcross/kernel/timer"
+	"anvilcross/kernel/value"
+)
+
+const (
+	// originRetention is how long keepers remember a stream, longer than its caller may
+	// take it up, and maxOrigins how many streams one keeper remembers.
+	originRetention = time.Minute
+	maxOrigins      = 50_000
+	// originKeepers is the number of instances that are told of each stream.
+	// originAsked is the number that is asked, since instances that started meanwhile may
+	// have taken the places of some keepers.
+	originKeepers = 3
+	originAsked   = 5
+	// lookupTimeout is how long an instance waits for keepers, and surveyTimeout for the
+	// endpoints' answers of a survey: several round trips between data centres.
+	lookupTimeout = 150 * time.Millisecond
+	surveyTimeout = 300 * time.Millisecond
+	// maxSurveyors is the number of surveyors that are asked in turn until one replies.
+	maxSurveyors = 2
+	// holdingsTTL is the age up to which an endpoint's list of prompts is used again.
+	holdingsTTL = time.Second
+	// maxEntriesPerMessage limits the streams in one message.
+	maxEntriesPerMessage = 500
+)
+
+// originLookup is a search for the origin of a stream that a request takes up.
+type originLookup struct {
+	request *request
+	// waiting is the number of replies that have not come.
+	waiting int
+	timer   *timer.Timer
+	// surveys is the number of surveyors that have been asked since no keeper knew the
+	// stream.
+	surveys int
+}
+
+// originLookups holds the searches of this instance.
+type originLookups struct {
+	lastID  message.LookupID
+	pending map[message.LookupID]*originLookup
+}
+
+func newOriginLookups() *originLookups {
+	return &originLookups{pending: map[message.LookupID]*originLookup{}}
+}
+
+// promptSurvey asks endpoints which prompts they hold, for the instances that ask it.
+type promptSurvey struct {
+	holdings *origin.Holdings
+	// asked holds the endpoints that have not answered, questions what to do once all have.
+	asked     map[ident.Endpoint]origin.Holder
+	questions []func()
+}
+
+func newPromptSurvey() *promptSurvey {
+	return &promptSurvey{holdings: origin.NewHoldings(holdingsTTL), asked: map[ident.Endpoint]origin.Holder{}}
+}
+
+// takesUp reports whether a request takes up a stream whose beginning its caller has.
+func (r *request) takesUp() bool {
+	return r.route.Kind == published.Stream && r.route.Resumable && r.incoming.LastEventID != ""
+}
+
+// streamID returns the id under which a stream is kept: that of the request that brought
+// its first event.
+func (r *request) streamID() ident.RequestID {
+	if r.takesUp() {
+		return r.incoming.Resumes
+	}
+	return r.incoming.ID
+}
+
+// keepersOf returns the instances that are to know a stream, by rank.
+func (g *Gateway) keepersOf(stream ident.RequestID, count int) []ident.Instance {
+	return g.members.Ranked(g.now(), "stream/"+string(stream), count)
+}
+
+// recordBegun keeps which version began a stream, and tells its keepers, when an event is
+// about to be the first that this request brings.
+func (g *Gateway) recordBegun(r *request) {
+	if r.firstEventSent || !r.route.Resumable {
+		return
+	}
+	r.origin = origin.Origin{Service: r.service, Version: r.attempt.version}
+	if r.origin.Known() && r.streamID() != "" {
+		g.tellKeepers([]origin.Entry{{Stream: r.streamID(), Origin: r.origin}})
+	}
+}
+
+// tellKeepers tells the keepers of streams their origins.
+func (g *Gateway) tellKeepers(entries []origin.Entry) {
+	byKeeper := map[ident.Instance][]origin.Entry{}
+	for _, e := range entries {
+		for _, keeper := range g.keepersOf(e.Stream, originKeepers) {
+			byKeeper[keeper] = append(byKeeper[keeper], e)
+		}
+	}
+	for _, keeper := range value.SortedKeys(byKeeper) {
+		if keeper == g.config.Self.Name {
+			g.recordOrigins(byKeeper[keeper])
+			continue
+		}
+		for part := range slices.Chunk(byKeeper[keeper], maxEntriesPerMessage) {
+			g.sendToMember(keeper, message.Envelope{StreamOrigins: &message.StreamOrigins{Streams: part}})
+		}
+	}
+}
+
+func (g *Gateway) recordOrigins(entries []origin.Entry) {
+	for _, e := range entries {
+		if e.Known() {
+			g.origins.Record(g.now(), e)
+		}
+	}
+}
+
+// handOverOrigins tells what this instance keeps to those that keep it from now on.
+func (g *Gateway) handOverOrigins() { g.tellKeepers(g.origins.Entries(g.now())) }
+
+// lookUpOrigin finds out which version began the stream that a request takes up. The
+// request is not sent before.
+func (g *Gateway) lookUpOrigin(r *request) {
+	if o, known := g.origins.Lookup(r.streamID()); known {
+		g.resolveOrigin(r, o, "kept")
+		return
+	}
+	r.awaitsOrigin = true
+	g.lookups.lastID++
+	id := g.lookups.lastID
+	l := &originLookup{request: r}
+	g.lookups.pending[id] = l
+	l.timer = g.timers.After(lookupTimeout, func() { g.surveyPrompts(id) })
+	for _, keeper := range g.keepersOf(r.streamID(), originAsked) {
+		if keeper != g.config.Self.Name && r.streamID() != "" {
+			l.waiting++
+			g.sendToMember(keeper, message.Envelope{OriginRequest: &message.OriginRequest{ID: id, Stream: r.streamID()}})
+		}
+	}
+	if l.waiting == 0 {
+		g.surveyPrompts(id)
+	}
+}
+
+// surveyPrompts has the surveyor ask the endpoints that may have begun a stream whether
+// they hold its prompt, because no keeper remembers the stream.
+func (g *Gateway) surveyPrompts(id message.LookupID) {
+	l := g.lookups.pending[id]
+	g.timers.Stop(l.timer)
+	prompt := l.request.incoming.Prompt
+	surveyors := g.members.Ranked(g.now(), "prompts", maxSurveyors)
+	if len(prompt) == 0 || l.surveys >= len(surveyors) {
+		g.finishLookup(id, origin.Origin{}, "none")
+		return
+	}
+	m := message.OriginRequest{ID: id, Services: l.request.route.Services(), Part: ident.PromptPart(prompt[len(prompt)-1].ID)}
+	g.sendToMember(surveyors[l.surveys], message.Envelope{OriginRequest: &m})
+	l.surveys++
+	l.waiting = 1
+	l.timer = g.timers.After(lookupTimeout+surveyTimeout, func() { g.surveyPrompts(id) })
+}
+
+// handleOriginRequest answers another instance's question, or this one's own.
+func (g *Gateway) handleOriginRequest(from ident.Instance, m message.OriginRequest) {
+	if len(m.Services) > 0 {
+		g.askEndpoints(m.Services, func() {
+			o, known := g.survey.holdings.Find(m.Services, m.Part)
+			g.replyOrigin(from, m.ID, o, known)
+		})
+		return
+	}
+	o, known := g.origins.Lookup(m.Stream)
+	g.replyOrigin(from, m.ID, o, known)
+}
+
+func (g *Gateway) replyOrigin(to ident.Instance, id message.LookupID, o origin.Origin, known bool) {
+	reply := &message.OriginReply{ID: id}
+	if known {
+		reply.Origin = &o
+	}
+	g.sendToMember(to, message.Envelope{OriginReply: reply})
+}
+
+// handleOriginReply handles the answer of a keeper or of the surveyor. A late one is
+// ignored.
+func (g *Gateway) handleOriginReply(m message.OriginReply) {
+	l := g.lookups.pending[m.ID]
+	if l == nil {
+		return
+	}
+	l.waiting--
+	switch {
+	case m.Origin != nil && l.surveys > 0:
+		g.finishLookup(m.ID, *m.Origin, "prompt held")
+	case m.Origin != nil:
+		g.finishLookup(m.ID, *m.Origin, "keeper")
+	case l.waiting > 0:
+	case l.surveys > 0:
+		g.finishLookup(m.ID, origin.Origin{}, "prompt not held")
+	default:
+		g.surveyPrompts(m.ID)
+	}
+}
+
+// finishLookup ends a search. The origin is empty if it was not found.
+func (g *Gateway) finishLookup(id message.LookupID, o origin.Origin, source string) {
+	l := g.lookups.pending[id]
+	delete(g.lookups.pending, id)
+	g.timers.Stop(l.timer)
+	l.request.awaitsOrigin = false
+	if !l.request.finished {
+		g.resolveOrigin(l.request, o, source)
+		g.advance(l.request)
+	}
+}
+
+// resolveOrigin binds a request to the version that began its stream, or answers it if
+// nothing can go on with the stream.
+func (g *Gateway) resolveOrigin(r *request, o origin.Origin, source string) {
+	g.out.LogEvent("originResolved", "request", r.incoming.ID, "stream", r.streamID(), "service", o.Service, "originVersion", o.Version, "source", source)
+	if !o.Known() || !slices.Contains(r.route.Services(), o.Service) {
+		g.answer(r, NotRun, 0, "the software version that began the stream is not known")
+		return
+	}
+	r.origin, r.service = o, o.Service
+	if !g.canGoOn(r) {
+		g.answer(r, NotRun, busyRetryAfter, "no endpoint has the software version that began the stream")
+	}
+}
+
+// canGoOn reports whether an endpoint may get the stream that a request has begun or takes
+// up.
+func (g *Gateway) canGoOn(r *request) bool {
+	excluded := g.excludedFor(r)
+	return slices.ContainsFunc(g.directory.ByService(r.service), func(e *endpoints.Endpoint) bool { return !e.Leaving && !excluded.Has(e.Name) })
+}
+
+// excludedFor returns the endpoints that must not get a request: those at which it failed
+// and, once its stream has begun, those of other versions.
+func (g *Gateway) excludedFor(r *request) value.Set[ident.Endpoint] {
+	if !r.firstEventSent && !r.takesUp() {
+		return r.excluded
+	}
+	excluded := maps.Clone(r.excluded)
+	for _, e := range g.directory.ByService(r.service) {
+		if e.Version != r.origin.Version || !r.origin.Known() {
+			excluded.Add(e.Name)
+		}
+	}
+	return excluded
+}
+
+// askEndpoints has the endpoints of services list their prompts, unless they have just done
+// so, and calls then once all have answered or surveyTimeout has passed.
+func (g *Gateway) askEndpoints(services []ident.Service, then func()) {
+	now := g.now()
+	for _, s := range services {
+		for _, e := range g.directory.ByService(s) {
+			holder := origin.Holder{Endpoint: e.Name, StartedUnixMillis: e.StartedUnixMillis, Origin: origin.Origin{Service: s, Version: e.Version}}
+			if e.Leaving || e.Ejected(now) || g.isLimited(e) || g.survey.asked[e.Name] == holder || g.survey.holdings.Fresh(now, holder) {
+				continue
+			}
+			g.survey.asked[e.Name] = holder
+			g.out.ListPrompts(e.Name, e.Address)
+		}
+	}
+	if len(g.survey.asked) == 0 {
+		then()
+		return
+	}
+	answered := false
+	g.survey.questions = append(g.survey.questions, func() {
+		if !answered {
+			answered = true
+			then()
+		}
+	})
+	g.timers.After(surveyTimeout, g.survey.questions[len(g.survey.questions)-1])
+}
+
+// HandlePrompts handles an endpoint's list of the prompt parts that it holds; it is nil if
+// the endpoint could not be asked.
+func (g *Gateway) HandlePrompts(name ident.Endpoint, parts []ident.PromptPart) {
+	holder, asked := g.survey.asked[name]
+	if !asked {
+		return
+	}
+	delete(g.survey.asked, name)
+	if parts != nil {
+		g.survey.holdings.Record(g.now(), holder, parts)
+	}
+	if len(g.survey.asked) > 0 {
+		return
+	}
+	questions := g.survey.questions
+	g.survey.questions = nil
+	for _, answer := range questions {
+		answer()
+	}
+}
--- a/kernel/gateway/peers.go
+++ b/kernel/gateway/peers.go
@@ -166,6 +166,12 @@
 		g.handlePermitRequest(m.From, *m.PermitRequest)
 	case m.PermitReply != nil:
 		g.handlePermitReply(*m.PermitReply)
+	case m.StreamOrigins != nil:
+		g.recordOrigins(m.StreamOrigins.Streams)
+	case m.OriginRequest != nil:
+		g.handleOriginRequest(m.From, *m.OriginRequest)
+	case m.OriginReply != nil:
+		g.handleOriginReply(*m.OriginReply)
 	}
 }
 
--- a/kernel/gateway/permits.go
+++ b/kernel/gateway/permits.go
@@ -205,7 +205,7 @@
 	p := r.granted
 	r.granted = ratelimit.Process{}
 	e := g.directory.Lookup(p.Endpoint)
-	if e == nil || processOf(e) != p || e.Leaving || e.Ejected(g.now()) || r.excluded.Has(e.Name) {
+	if e == nil || processOf(e) != p || e.Leaving || e.Ejected(g.now()) || g.excludedFor(r).Has(e.Name) {
 		return nil
 	}
 	return e
@@ -217,7 +217,7 @@
 func (g *Gateway) noEndpointRetryAfter(r *request) time.Duration {
 	now := g.now()
 	var waits []time.Duration
-	for _, e := range g.directory.Candidates(now, r.service, r.excluded) {
+	for _, e := range g.directory.Candidates(now, r.service, g.excludedFor(r)) {
 		if g.isLimited(e) {
 			waits = append(waits, max(g.permits.blockedUntil[processOf(e)].Sub(now), g.permits.pausedUntil.Sub(now)))
 		}
--- a/kernel/gateway/request.go
+++ b/kernel/gateway/request.go
@@ -5,6 +5,7 @@
 
 	"anvilcross/kernel/ident"
 	"anvilcross/kernel/message"
+	"anvilcross/kernel/origin"
 	"anvilcross/kernel/published"
 	"anvilcross/kernel/ratelimit"
 	"anvilcross/kernel/timer"
@@ -115,9 +116,11 @@
 
 // attempt is one sending of a request to an endpoint.
 type attempt struct {
-	id        AttemptID
-	endpoint  ident.Endpoint
-	address   string
+	id       AttemptID
+	endpoint ident.Endpoint
+	address  string
+	// version is that of the endpoint's software.
+	version   ident.SoftwareVersion
 	startedAt time.Time
 	// firstEventAt is when the first event of its stream was relayed; zero before.
 	firstEventAt time.Time
@@ -203,6 +206,11 @@
 	excluded            value.Set[ident.Endpoint]
 	preferredDataCentre ident.DataCentre
 	finished            bool
+	// origin is the service and the software version that began the stream; its version
+	// is empty if no event has been sent, or if the endpoint named none. awaitsOrigin is
+	// set while the origin of a stream that is taken up is looked up.
+	origin       origin.Origin
+	awaitsOrigin bool
 	// awaitsPermit is set while the request waits for a permit, and granted is the
 	// process of an endpoint for which it has one.
 	awaitsPermit bool
@@ -270,6 +278,9 @@
 		g.answer(r, NotRun, 0, "the stages take longer than the caller waits")
 		return
 	}
+	if r.takesUp() {
+		g.lookUpOrigin(r)
+	}
 	g.advance(r)
 }
 
--- a/kernel/gateway/stages.go
+++ b/kernel/gateway/stages.go
@@ -68,7 +68,7 @@
 			g.submitStage(r, i)
 		}
 	}
-	if allDone && r.attempt == nil && !r.awaitsPermit {
+	if allDone && r.attempt == nil && !r.awaitsPermit && !r.awaitsOrigin {
 		g.dispatch(r)
 	}
 }
--- a/kernel/gateway/testgateway_test.go
+++ b/kernel/gateway/testgateway_test.go
@@ -61,6 +61,7 @@
 			StartCall:       func(c batching.Call) { tg.calls = append(tg.calls, c) },
 			InspectEndpoint: func(ident.Endpoint, string) {},
 			CheckEndpoint:   func(ident.Endpoint, string) {},
+			ListPrompts:     func(ident.Endpoint, string) {},
 			FreeResults:     func(_ string, h []message.ResultHandle) { tg.freed = append(tg.freed, h...) },
 		},
 	})
--- a/kernel/gateway/versions_test.go
+++ b/kernel/gateway/versions_test.go
@@ -9,6 +9,7 @@
 	"anvilcross/kernel/endpoints"
 	"anvilcross/kernel/ident"
 	"anvilcross/kernel/replica"
+	"anvilcross/kernel/value"
 )
 
 const (
@@ -71,6 +72,7 @@
 	t.Helper()
 	f := &versionFleet{testFleet: startTestFleet(t, min(size, 6), max(size-6, 0), []ident.DataCentre{"east", "west", "north"}), random: rand.New(rand.NewPCG(seed, 9)), byHandle: map[RequestHandle]*tracedStream{}}
 	f.nextStep = f.takeStep
+	f.listPrompts = f.list
 	f.publish(f.records(models))
 	f.advance(4 * time.Second)
 	f.timers.Every(time.Second/streamsPerSecond, func() {
@@ -183,6 +185,20 @@
 	})
 }
 
+// list tells an instance which prompts an endpoint holds.
+func (f *versionFleet) list(name ident.Instance, e ident.Endpoint) {
+	f.timers.After(2*linkDelay, func() {
+		var parts []ident.PromptPart
+		if m := f.model(e); m != nil {
+			parts = []ident.PromptPart{}
+			for _, part := range value.SortedKeys(m.held) {
+				parts = append(parts, ident.PromptPart(part))
+			}
+		}
+		f.gateways[name].HandlePrompts(e, parts)
+	})
+}
+
 // crash ends an endpoint's process: its streams break off, and it holds nothing.
 func (f *versionFleet) crash(m *versioned) {
 	broken := m.running
@@ -312,6 +328,7 @@
 		f.paused = false
 		f.advance(8 * time.Second)
 		f.wantOneVersion()
+		f.wantTakenUp()
 	})
 }
 
--- a/kernel/membership/core.go
+++ b/kernel/membership/core.go
@@ -119,6 +119,12 @@
 	return t.sortByRank(core, key)[0]
 }
 
+// Ranked returns the core members with the highest ranks for a key, at most count.
+func (t *Table) Ranked(now time.Time, key string, count int) []ident.Instance {
+	ranks := t.sortByRank(t.Core(now), key)
+	return ranks[:min(count, len(ranks))]
+}
+
 // FirstPerDataCentre returns the highest-ranked core member of each data centre,
 // and further core members by rank until there are minCount, if there are so
 // many.
--- a/kernel/message/message.go
+++ b/kernel/message/message.go
@@ -53,6 +53,9 @@
 	StageRelease       *StageRelease       `json:"stageRelease,omitempty"`
 	PermitRequest      *PermitRequest      `json:"permitRequest,omitempty"`
 	PermitReply        *PermitReply        `json:"permitReply,omitempty"`
+	StreamOrigins      *StreamOrigins      `json:"origins,omitempty"`
+	OriginRequest      *OriginRequest      `json:"originRequest,omitempty"`
+	OriginReply        *OriginReply        `json:"originReply,omitempty"`
 }
 
 // Sync sends a recovering seat what the sender remembers for it. It answers a
--- a/kernel/message/valid.go
+++ b/kernel/message/valid.go
@@ -36,6 +36,12 @@
 		}
 	case e.PermitRequest != nil:
 		return errors.Annotatef(e.PermitRequest.Limit.Check(), "permit for endpoint %q", e.PermitRequest.Endpoint)
+	case e.StreamOrigins != nil:
+		for _, o := range e.StreamOrigins.Streams {
+			if o.Age < 0 {
+				return errors.Errorf("negative age of stream %q", o.Stream)
+			}
+		}
 	case e.PermitReply != nil && e.PermitReply.RetryAfter < 0:
 		return errors.New("negative wait for a permit")
 	case e.StageInputsFetched != nil:
--- /dev/null
+++ b/kernel/origin/origin.go
@@ -0,0 +1,158 @@
+// Package origin keeps what is known of the software versions that began streams. What
+// two versions write does not fit together, and endpoints do not check it, so a stream
+// may go on only at the version that began it. Instances that hear of a stream's first
+// event keep its origin in a Table. If none of them remembers it, the prompts that
+// endpoints hold tell who has read the stream's prompt: these are in Holdings.
+package origin
+
+import (
+	"slices"
+	"time"
+
+	"anvilcross/kernel/ident"
+	"anvilcross/kernel/value"
+)
+
+// Origin is the service and the software version of the endpoint that began a stream.
+type Origin struct {
+	Service ident.Service         `json:"service"`
+	Version ident.SoftwareVersion `json:"version"`
+}
+
+// Known reports whether the version is known: endpoints that name none may differ.
+func (o Origin) Known() bool { return o.Version != "" }
+
+// Entry is the origin of one stream.
+type Entry struct {
+	// Stream is the id of the request that brought the first event.
+	Stream ident.RequestID `json:"stream"`
+	Origin
+	// Age is the time since the first event.
+	Age time.Duration `json:"age,omitempty"`
+}
+
+// TableConfig sets up a Table.
+type TableConfig struct {
+	// Retention is how long an origin is kept, and MaxStreams how many are. The oldest
+	// ones are dropped for others.
+	Retention  time.Duration
+	MaxStreams int
+}
+
+type tableEntry struct {
+	origin  Origin
+	begunAt time.Time
+}
+
+// Table holds the origins of streams.
+type Table struct {
+	config  TableConfig
+	streams map[ident.RequestID]tableEntry
+	// order holds the streams in the order in which they were recorded.
+	order []ident.RequestID
+}
+
+// NewTable returns an empty table.
+func NewTable(c TableConfig) *Table {
+	return &Table{config: c, streams: map[ident.RequestID]tableEntry{}}
+}
+
+// Record keeps a stream's origin. The first one that is recorded for a stream holds.
+func (t *Table) Record(now time.Time, e Entry) {
+	if _, known := t.streams[e.Stream]; known || e.Age >= t.config.Retention {
+		return
+	}
+	if len(t.order) >= t.config.MaxStreams {
+		t.dropOldest()
+	}
+	t.streams[e.Stream] = tableEntry{origin: e.Origin, begunAt: now.Add(-e.Age)}
+	t.order = append(t.order, e.Stream)
+}
+
+func (t *Table) dropOldest() {
+	delete(t.streams, t.order[0])
+	t.order = t.order[1:]
+}
+
+// Lookup returns a stream's origin, and whether it is known.
+func (t *Table) Lookup(stream ident.RequestID) (Origin, bool) {
+	e, known := t.streams[stream]
+	return e.origin, known
+}
+
+// Expire drops the streams whose retention has passed.
+func (t *Table) Expire(now time.Time) {
+	for len(t.order) > 0 && now.Sub(t.streams[t.order[0]].begunAt) >= t.config.Retention {
+		t.dropOldest()
+	}
+}
+
+// Entries returns all origins, in the order in which they were recorded.
+func (t *Table) Entries(now time.Time) []Entry {
+	entries := make([]Entry, 0, len(t.order))
+	for _, stream := range t.order {
+		e := t.streams[stream]
+		entries = append(entries, Entry{Stream: stream, Origin: e.origin, Age: now.Sub(e.begunAt)})
+	}
+	return entries
+}
+
+// Holder is a process of an endpoint.
+type Holder struct {
+	Endpoint          ident.Endpoint
+	StartedUnixMillis int64
+	Origin
+}
+
+type holding struct {
+	holder Holder
+	parts  value.Set[ident.PromptPart]
+	at     time.Time
+}
+
+// Holdings holds what endpoints last said of the prompt parts in their memories.
+type Holdings struct {
+	ttl        time.Duration
+	byEndpoint map[ident.Endpoint]holding
+}
+
+// NewHoldings returns holdings in which a report counts for the given time.
+func NewHoldings(ttl time.Duration) *Holdings {
+	return &Holdings{ttl: ttl, byEndpoint: map[ident.Endpoint]holding{}}
+}
+
+// Record stores an endpoint's report.
+func (h *Holdings) Record(now time.Time, holder Holder, parts []ident.PromptPart) {
+	h.byEndpoint[holder.Endpoint] = holding{holder: holder, parts: value.NewSet(parts...), at: now}
+}
+
+// Fresh reports whether there is a valid report of an endpoint's process.
+func (h *Holdings) Fresh(now time.Time, holder Holder) bool {
+	report, known := h.byEndpoint[holder.Endpoint]
+	return known && report.holder == holder && now.Sub(report.at) < h.ttl
+}
+
+// Find returns the origin that all endpoints of the services that hold a part have in
+// common, and whether there is one.
+func (h *Holdings) Find(services []ident.Service, part ident.PromptPart) (Origin, bool) {
+	var found Origin
+	for _, report := range h.byEndpoint {
+		switch {
+		case !slices.Contains(services, report.holder.Service) || !report.parts.Has(part):
+		case found == Origin{}:
+			found = report.holder.Origin
+		case found != report.holder.Origin:
+			return Origin{}, false
+		}
+	}
+	return found, found.Known()
+}
+
+// Expire drops the reports that are not valid any more.
+func (h *Holdings) Expire(now time.Time) {
+	for name, report := range h.byEndpoint {
+		if now.Sub(report.at) >= h.ttl {
+			delete(h.byEndpoint, name)
+		}
+	}
+}
--- a/kernel/published/published.go
+++ b/kernel/published/published.go
@@ -91,6 +91,15 @@
 	noTimeout = time.Duration(math.MaxInt64)
 )
 
+// Services returns the services to which the route may send a request.
+func (r *Route) Services() []ident.Service {
+	services := make([]ident.Service, len(r.Targets))
+	for i, t := range r.Targets {
+		services[i] = t.Service
+	}
+	return services
+}
+
 // AbandonAfter returns how long callers wait for the first event of a stream before
 // they abandon the request. For other kinds of routes it is the maximum duration.
 func (r *Route) AbandonAfter() time.Duration {
