Give streams that are taken up room at the stages

Cause: a request that takes a stream up has its stages computed again and little patience left, so it counted as a late new one: refused within 20 ms (59 of 132 take-ups), or held until downstream queues were short. Ruled out: endpoints that decline them (none), a missing endpoint of the version (none). The rest, 65, have less patience than the stages take and are still refused at once, truthfully.

Change: its pieces count as work that was begun, as those of a request that has lost results do; such pieces are not held back for being late, and their target is their deadline if that comes before their results would expire.

Listings in the kernel's tests have a version now, as the platform's do: since streams are bound to versions TestBrokenStreamResumesAfterLastEvent failed without.

--- a/kernel/batching/order.go
+++ b/kernel/batching/order.go
@@ -49,7 +49,7 @@
 // result would only take up capacity and expire.
 func (b *Batcher) mustHold(p *piece, queueWaits map[ident.Pool]time.Duration) bool {
 	maxWait := maxDownstreamWait + time.Duration(p.work.Weight*float64(extraDownstreamWait))
-	if p.late {
+	if p.late && !p.hasPriorWork() {
 		maxWait = maxLateDownstreamWait
 	}
 	for _, s := range p.work.DownstreamServices {
@@ -247,15 +247,19 @@
 }
 
 // updateTarget updates p.late and returns when the piece has to be done: when its
-// request needs it or, if it is late, before the results that it builds on expire.
-// It returns false for a late piece without prior work, which has no target.
+// request needs it or, if it is late, before the results that it builds on expire and
+// before its deadline. It returns false for a late piece without prior work, which has no target.
 func (p *piece) updateTarget(now time.Time, profile *published.BatchProfile) (time.Time, bool) {
 	p.late = !p.work.dueAt.After(now.Add(profile.CallOverhead))
 	if !p.late {
 		return p.work.dueAt, true
 	}
 	if p.hasPriorWork() {
-		return p.work.receivedAt.Add(maxInputWait), true
+		target := p.work.receivedAt.Add(maxInputWait)
+		if p.work.deadline.Before(target) {
+			target = p.work.deadline
+		}
+		return target, true
 	}
 	return time.Time{}, false
 }
--- a/kernel/gateway/stages.go
+++ b/kernel/gateway/stages.go
@@ -205,7 +205,7 @@
 		PreferredDataCentre: r.preferredDataCentre,
 		Weight:              r.weight(),
 		Recompute:           s.recompute,
-		Recovering:          r.recomputes > 0,
+		Recovering:          r.recomputes > 0 || r.takesUp(),
 	}
 	s.recompute = false
 	if len(s.stage.DependsOn) == 0 {
--- a/kernel/gateway/testgateway_test.go
+++ b/kernel/gateway/testgateway_test.go
@@ -127,6 +127,7 @@
 		DataCentre: centres[n%len(centres)],
 		Address:    fmt.Sprintf("%s-%d:80", service, n),
 		Slots:      6,
+		Version:    "v1",
 	}
 }
 
--- a/kernel/message/gateway.go
+++ b/kernel/message/gateway.go
@@ -180,7 +180,7 @@
 	// must not answer with them.
 	Recompute bool `json:"anew,omitempty"`
 	// Recovering is set if the request has lost results of these pieces or of
-	// later stages before.
+	// later stages before, or takes up a stream that has begun.
 	Recovering bool `json:"begun,omitempty"`
 	// Weight is the importance of the request when not all can be on time.
 	Weight float64 `json:"weight"`
