Test with real daemons that streams go on at the version that began them

Three daemons before model workers of two versions, which list their prompts: streams that break inside an answer, whose daemon is killed, and after all daemons were killed.

--- a/anvilload/fleet/fleet_test.go
+++ b/anvilload/fleet/fleet_test.go
@@ -45,7 +45,13 @@
 
 func startTestFleet(t *testing.T, count int) *testFleet {
 	t.Helper()
-	s, err := site.Start(site.Config{})
+	return startTestFleetAt(t, count, site.Config{})
+}
+
+// startTestFleetAt starts a fleet in front of a site that is set up.
+func startTestFleetAt(t *testing.T, count int, c site.Config) *testFleet {
+	t.Helper()
+	s, err := site.Start(c)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/anvilstandin/site/site.go
+++ b/anvilstandin/site/site.go
@@ -61,6 +61,17 @@
 	// name and the address it listens on: that of a proxy, for example. It may be
 	// nil, in which case the worker's own address is published.
 	AdvertisedAddress func(name, address string) (string, error)
+	// ModelVersions holds the software versions of the model workers, which have them in
+	// turn; v1 if it is empty. Other workers have v1.
+	ModelVersions []string
+}
+
+// ModelVersion returns the software version of a model worker, given its number.
+func (c Config) ModelVersion(n int) string {
+	if len(c.ModelVersions) == 0 {
+		return "v1"
+	}
+	return c.ModelVersions[n%len(c.ModelVersions)]
 }
 
 // workerEntry is a worker's record in the metadata store.
@@ -214,7 +225,11 @@
 	if address, err = s.config.AdvertisedAddress(name, address); err != nil {
 		return err
 	}
-	s.PublishEntry(name, workerEntry{Service: service, Address: address, Zone: zone, Version: "v1", Slots: 6, State: "ready", Sequence: 1, StartedAtMillis: time.Now().UnixMilli()})
+	version := "v1"
+	if service == "models" {
+		version = s.config.ModelVersion(n)
+	}
+	s.PublishEntry(name, workerEntry{Service: service, Address: address, Zone: zone, Version: version, Slots: 6, State: "ready", Sequence: 1, StartedAtMillis: time.Now().UnixMilli()})
 	return nil
 }
 
@@ -230,6 +245,9 @@
 	s.MetadataStore.Put("servers/"+name, value)
 }
 
+// Version returns the software version that a worker's entry names.
+func (s *Site) Version(name string) string { return s.entry(name).Version }
+
 func (s *Site) entry(name string) workerEntry {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
--- a/anvilstandin/worker/model.go
+++ b/anvilstandin/worker/model.go
@@ -1,12 +1,15 @@
 package worker
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 )
 
@@ -22,14 +25,20 @@
 	Crash func()
 }
 
-// Model is a model worker: it streams the events of a generation.
+// Model is a model worker: it streams the events of a generation, and holds the prompts
+// that it has read.
 type Model struct {
 	config ModelConfig
 	worker *Worker
+	// mutex guards held, the prompt parts by the number of their tokens.
+	mutex sync.Mutex
+	held  map[string]int
 }
 
 // NewModel returns a model worker.
-func NewModel(c ModelConfig) *Model { return &Model{config: c, worker: NewWorker(c.Config)} }
+func NewModel(c ModelConfig) *Model {
+	return &Model{config: c, worker: NewWorker(c.Config), held: map[string]int{}}
+}
 
 // SetFaults replaces the worker's faults.
 func (m *Model) SetFaults(f Faults) { m.worker.SetFaults(f) }
@@ -47,6 +56,10 @@
 // allows output tokens. A request whose inputs are gone is declined with the
 // status 409 Conflict.
 func (m *Model) ServeHTTP(out http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodGet && r.URL.Path == "/api/kv-list" {
+		m.listPrompts(out)
+		return
+	}
 	id := r.Header.Get("Request-Id")
 	if _, err := io.Copy(io.Discard, r.Body); err != nil || !m.worker.admit(out, r) {
 		return
@@ -64,12 +77,48 @@
 	}
 	defer m.config.Recorder.RecordRun(id, m.config.Name)()
 	if part := m.worker.currentFaults().CrashPart; part != "" && hasSharedPart(r.Header.Get("Prompt-Prefix"), part) {
+		m.setHeld(nil)
 		m.config.Crash()
 		panic(http.ErrAbortHandler)
 	}
+	m.hold(r.Header.Get("Prompt-Prefix"))
 	m.stream(out, r, id)
 }
 
+// hold keeps the parts of a prompt, given as a comma-separated list of ID:TOKENS.
+func (m *Model) hold(prompt string) {
+	held := map[string]int{}
+	for part := range strings.SplitSeq(prompt, ",") {
+		id, text, _ := strings.Cut(part, ":")
+		if tokens, err := strconv.Atoi(text); err == nil {
+			held[id] = tokens
+		}
+	}
+	m.setHeld(held)
+}
+
+// setHeld adds parts to those that the worker holds; nil removes all.
+func (m *Model) setHeld(parts map[string]int) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if parts == nil {
+		clear(m.held)
+	}
+	maps.Copy(m.held, parts)
+}
+
+// listPrompts lists the parts that the worker holds.
+func (m *Model) listPrompts(out http.ResponseWriter) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	held := [][]any{}
+	for id, tokens := range m.held {
+		held = append(held, []any{"", id, tokens, "m"})
+	}
+	out.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(out).Encode(map[string]any{"epoch": 1, "next": len(held), "held": held})
+}
+
 // hasSharedPart reports whether a prompt, given as a comma-separated list of ID:TOKENS,
 // has a part before its last one.
 func hasSharedPart(prompt, part string) bool {
