Send a test's requests to the workers whose limit has ended, whichever answer sooner

A trace of the arrivals in the 3 s after the limit: orders 3, 12, 21, registry 17, 55, 8, where registry-2, which never had a limit, got 8 and models-0 none. So requests go to the worker that answers sooner, as they should, and the share that the test counted says nothing of limits. The other workers leave first now; the bound stays at 6 in 3 s.

--- a/anvilload/fleet/limit_test.go
+++ b/anvilload/fleet/limit_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -83,6 +84,12 @@
 		r.wantWithinLimit(name, since)
 	}
 	setLimit("")
+	// Requests go to these three from now on, whichever workers answer sooner.
+	for _, name := range r.site.Workers() {
+		if name != model && name != plain && name != stage && !strings.HasPrefix(name, "planning-") {
+			r.site.Drain(name)
+		}
+	}
 	send(2 * time.Second)
 	ended := time.Now()
 	send(3 * time.Second)
--- a/anvilstandin/site/site.go
+++ b/anvilstandin/site/site.go
@@ -12,6 +12,7 @@
 	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -245,6 +246,13 @@
 	s.MetadataStore.Put("servers/"+name, value)
 }
 
+// Workers returns the names of all workers.
+func (s *Site) Workers() []string {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return slices.Sorted(maps.Keys(s.entries))
+}
+
 // Version returns the software version that a worker's entry names.
 func (s *Site) Version(name string) string { return s.entry(name).Version }
 
