Make the stages of a stream that is taken up due by its caller's patience

The first of three had the whole patience but for the shortest time of the others, which then had no time to wait for a call: nine requests ended as "stage piece late" after a second or two, eight with all stages done and no time left. Ruled out: an unknown version (3 of 120 take-ups), refusals for want of room (none).

Change: it is due when its caller leaves, so that each stage leaves time to the next.

TestStagesOfTakenUpStreamsShareTheirCallersPatience failed before (due at once).

--- a/kernel/gateway/request.go
+++ b/kernel/gateway/request.go
@@ -261,6 +261,10 @@
 	r.deadline = now.Add(timeout)
 	r.abandonAt = now.Add(min(timeout, r.route.AbandonAfter()))
 	r.dueAt = now.Add(r.route.LatencyObjective - g.estimateWaited(r.route, incoming.Timeout))
+	if r.takesUp() {
+		// The objective was about the first event, which the caller has.
+		r.dueAt = r.abandonAt
+	}
 	r.timeoutTimer = g.timers.After(timeout-timeoutMargin, func() { g.handleTimeout(r) })
 	g.retryBudget.countRequest(now, r.service)
 	g.recordPartUse(r)
