--- a/anvilload/fleet/versions_test.go
+++ b/anvilload/fleet/versions_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net/http"
 	"strings"
 	"sync"
@@ -49,9 +48,7 @@
 	var wentOn atomic.Int64
 	var sending sync.WaitGroup
 	for _, s := range streams {
-		again := client.NewRequest("verse")
-		again.EventCount = s.request.EventCount
-		again.Header = http.Header{"Last-Event-Id": {fmt.Sprint(s.lastEvent)}, "Resumes": {s.request.ID}, "Prompt-Prefix": {"5c1e07a2:500," + s.request.ID + ":200"}}
+		again := s.request.TakeUp(s.lastEvent)
 		sending.Go(func() {
 			reply := client.Send(context.Background(), r.httpClient, d.CallerAddress, again)
 			if reply.Err != nil || reply.Status != http.StatusOK {
--- a/anvilstandin/client/client.go
+++ b/anvilstandin/client/client.go
@@ -58,6 +58,18 @@
 	return r
 }
 
+// TakeUp returns a request that takes up the stream of another one after an event.
+func (r Request) TakeUp(lastEvent int) Request {
+	again := NewRequest(r.Route)
+	again.EventCount = r.EventCount
+	again.Header = http.Header{
+		"Last-Event-Id": {strconv.Itoa(lastEvent)},
+		"Resumes":       {r.ID},
+		"Prompt-Prefix": {"5c1e07a2:500," + r.ID + ":200"},
+	}
+	return again
+}
+
 // Reply is what the caller received.
 type Reply struct {
 	Status int
