Test that permits are not saved up for a rush, and that a moved lease ends

Two mutations of kernel/ratelimit were not caught by its tests: a burst time of 4 s in place of 250 ms (160 permits in 4 s at a limit of 20, 125 are allowed), and an issuer that keeps a share its sender has leased to another. Each of the two tests fails under its mutation and passes on the code. No code is changed.

--- a/kernel/ratelimit/ratelimit_test.go
+++ b/kernel/ratelimit/ratelimit_test.go
@@ -205,3 +205,53 @@
 		})
 	}
 }
+
+// newSoleIssuer returns an issuer to which one instance leases the whole limit for a time.
+func newSoleIssuer(ttl time.Duration) *Issuer {
+	i := NewIssuer(IssuerConfig{Self: "one", Incarnation: 1, StartedAt: at(0)})
+	i.HandleLease("one", &Lease{Issuer: "one", Incarnation: 1, TTL: ttl})
+	return i
+}
+
+// Permits that an idle endpoint's issuer saved up make a rush of requests break the limit.
+func TestRushAtAnIdleEndpoint(t *testing.T) {
+	const allowedFactor, allowedExtra, windowMillis = 6, 5, 4000
+	for _, limit := range []Rate{1, 20, 200} {
+		t.Run(fmt.Sprint(limit), func(t *testing.T) {
+			i, p := newSoleIssuer(time.Hour), Process{Endpoint: "e"}
+			i.Refill(at(0), 1, func(Process) Rate { return limit })
+			i.Issue(at(0), p, limit)
+			const idleUntil = 60_000
+			for millis := 0; millis <= idleUntil; millis += 100 {
+				i.Refill(at(millis), 1, func(Process) Rate { return limit })
+			}
+			issued := 0
+			for millis := idleUntil; millis < idleUntil+windowMillis; millis++ {
+				for ok := true; ok; {
+					if ok, _ = i.Issue(at(millis), p, limit); ok {
+						issued++
+					}
+				}
+			}
+			if allowed := allowedFactor*int(limit) + allowedExtra; issued > allowed {
+				t.Fatalf("%d permits in %d ms, %d are allowed", issued, windowMillis, allowed)
+			}
+		})
+	}
+}
+
+// An issuer keeps a share that its sender has leased to another one since.
+func TestLeaseThatMovesEndsAtTheIssuerBefore(t *testing.T) {
+	for name, l := range map[string]Lease{"another instance": {Issuer: "two", Incarnation: 1}, "another process": {Issuer: "one", Incarnation: 2}} {
+		t.Run(name, func(t *testing.T) {
+			i := newSoleIssuer(time.Hour)
+			if n := i.Shares(at(1)); n != 1 {
+				t.Fatalf("%d shares, want 1", n)
+			}
+			i.HandleLease("one", &l)
+			if n := i.Shares(at(2)); n != 0 {
+				t.Fatalf("%d shares after the lease moved, want none", n)
+			}
+		})
+	}
+}
