--- a/kernel/gateway/versions_test.go
+++ b/kernel/gateway/versions_test.go
@@ -61,7 +61,6 @@
 	*testFleet
 	random   *rand.Rand
 	models   []*versioned
-	revision int
 	streams  []*tracedStream
 	byHandle map[RequestHandle]*tracedStream
 	handles  int
