Log what endpoints say of themselves in their answers

Requests went on to endpoints that had said that they leave, or that they want nothing for a while. The logs named neither header, so that the three hypotheses of the postmortem could not be told apart. One place in platform/ reads all three headers now, for answers to requests, stage calls, releases of results, inspections and lists of prompts; a line endpointNotice names the endpoint, its process and what it says. It is read before the caller is found to have left. No decision has changed.

A process of an endpoint is identified in ident, since more than rate limits need it.

--- a/anvilcrossd/entry/entry.go
+++ b/anvilcrossd/entry/entry.go
@@ -281,6 +281,9 @@
 			return allowed
 		},
 	})
+	if err == nil {
+		c.reportNotice(send, response.Response, time.Since(started))
+	}
 	if c.request.Context().Err() != nil {
 		if err == nil {
 			_ = response.Body.Close()
@@ -297,7 +300,6 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	head := platform.ReadResponseHead(response.Response)
-	c.reportLimit(send.Endpoint, response.Response, head, time.Since(started))
 	if !head.Usable {
 		discard(response)
 		c.reportFailure(send, head.Failure, "", response.Status)
@@ -310,17 +312,16 @@
 	return c.relayBuffered(send, response, head.ErrorResponse)
 }
 
-// reportLimit tells the gateway which rate limit an endpoint names in a response.
-func (c *callerExchange) reportLimit(e ident.Endpoint, response *http.Response, head platform.ResponseHead, sentAgo time.Duration) {
-	if !head.Usable && head.Failure == gateway.Replaced {
+// reportNotice tells the gateway what an endpoint says of itself in a response.
+func (c *callerExchange) reportNotice(send *gateway.Send, response *http.Response, sentAgo time.Duration) {
+	if platform.FromAnotherEndpoint(response) {
 		return
 	}
-	rate, err := platform.ReadRateLimit(response)
+	notice, err := platform.ReadNotice(response)
 	if err != nil {
-		c.server.config.LogEvent("limitRejected", "endpoint", e, "reason", err)
-		return
+		c.server.config.LogEvent("noticeRejected", "endpoint", send.Endpoint, "reason", err)
 	}
-	c.withGateway(func(g *gateway.Gateway) { g.HandleNamedLimit(e, rate, sentAgo) })
+	c.withGateway(func(g *gateway.Gateway) { g.HandleNotice(send.Process(), notice, sentAgo) })
 }
 
 // reportFailure tells the gateway that an attempt failed. lastEventID is the id
--- a/anvilcrossd/gatewayd/gatewayd.go
+++ b/anvilcrossd/gatewayd/gatewayd.go
@@ -31,12 +31,12 @@
 	"anvilcross/anvilcrossd/settings"
 	"anvilcross/anvilcrossd/stagecall"
 	"anvilcross/kernel/batching"
+	"anvilcross/kernel/endpoints"
 	"anvilcross/kernel/gateway"
 	"anvilcross/kernel/ident"
 	"anvilcross/kernel/membership"
 	"anvilcross/kernel/message"
 	"anvilcross/kernel/published"
-	"anvilcross/kernel/ratelimit"
 	"anvilcross/kernel/replica"
 	"anvilcross/kernel/timer"
 	"anvilcross/platform"
@@ -148,9 +148,7 @@
 		OnInspected: func(e ident.Endpoint, freeBytes int) {
 			d.withGateway(func(g *gateway.Gateway) { g.Batcher().HandleInspection(e, freeBytes) })
 		},
-		OnLimit: func(address string, rate ratelimit.Rate, sentAgo time.Duration) {
-			d.withGateway(func(g *gateway.Gateway) { g.HandleNamedLimitAt(address, rate, sentAgo) })
-		},
+		OnNotice: d.handleNoticeAt,
 		LogEvent: d.log.WriteEvent,
 	})
 	prompts := promptlist.NewClient(promptlist.Config{
@@ -158,6 +156,7 @@
 		OnListed: func(e ident.Endpoint, parts []ident.PromptPart) {
 			d.withGateway(func(g *gateway.Gateway) { g.HandlePrompts(e, parts) })
 		},
+		OnNotice: d.handleNoticeAt,
 		LogEvent: d.log.WriteEvent,
 	})
 	d.entry = entry.NewServer(entry.Config{
@@ -237,6 +236,11 @@
 	}()
 }
 
+// handleNoticeAt tells the gateway what the endpoint at an address says of itself.
+func (d *daemon) handleNoticeAt(address string, n endpoints.Notice, sentAgo time.Duration) {
+	d.withGateway(func(g *gateway.Gateway) { g.HandleNoticeAt(address, n, sentAgo) })
+}
+
 func (d *daemon) withGateway(f func(*gateway.Gateway)) { d.owner.WithKernel(f) }
 
 // answerPing returns the reply to a batch of messages from another instance:
--- a/anvilcrossd/promptlist/promptlist.go
+++ b/anvilcrossd/promptlist/promptlist.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 
 	"anvilcross/anvilcrossd/h1"
+	"anvilcross/kernel/endpoints"
 	"anvilcross/kernel/ident"
 	"anvilcross/platform"
 )
@@ -25,6 +26,9 @@
 	HTTPClient *h1.Client
 	// OnListed receives the parts that an endpoint holds, or nil if the call failed.
 	OnListed func(ident.Endpoint, []ident.PromptPart)
+	// OnNotice receives what the endpoint at an address says of itself in a response, and
+	// how long ago the call was sent.
+	OnNotice func(address string, n endpoints.Notice, sentAgo time.Duration)
 	// LogEvent writes one log line; fields alternates keys and values.
 	LogEvent func(name string, fields ...any)
 }
@@ -50,11 +54,19 @@
 
 func (c *Client) read(ctx context.Context, address string) ([]ident.PromptPart, error) {
 	call := platform.EncodePromptListCall()
+	started := time.Now()
 	response, err := c.config.HTTPClient.Do(ctx, h1.Request{Address: address, Method: call.Method, Target: call.Path, Host: address, Header: call.Header, SingleUse: true})
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
 	defer func() { _ = response.Body.Close() }()
+	if !platform.FromAnotherEndpoint(response.Response) {
+		notice, err := platform.ReadNotice(response.Response)
+		if err != nil {
+			c.config.LogEvent("noticeRejected", "address", address, "reason", err)
+		}
+		c.config.OnNotice(address, notice, time.Since(started))
+	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes))
 	if err != nil {
 		return nil, errors.Trace(err)
--- a/anvilcrossd/stagecall/stagecall.go
+++ b/anvilcrossd/stagecall/stagecall.go
@@ -14,9 +14,9 @@
 
 	"anvilcross/anvilcrossd/h1"
 	"anvilcross/kernel/batching"
+	"anvilcross/kernel/endpoints"
 	"anvilcross/kernel/ident"
 	"anvilcross/kernel/message"
-	"anvilcross/kernel/ratelimit"
 	"anvilcross/platform"
 )
 
@@ -43,9 +43,9 @@
 	OnFreed func([]message.ResultHandle)
 	// OnInspected receives an endpoint's free result capacity in bytes.
 	OnInspected func(ident.Endpoint, int)
-	// OnLimit receives the rate limit that a response of the endpoint at an address
-	// names, and how long ago the call was sent.
-	OnLimit func(address string, rate ratelimit.Rate, sentAgo time.Duration)
+	// OnNotice receives what the endpoint at an address says of itself in a response, and
+	// how long ago the call was sent.
+	OnNotice func(address string, n endpoints.Notice, sentAgo time.Duration)
 	// LogEvent writes one log line; fields alternates keys and values.
 	LogEvent func(name string, fields ...any)
 }
@@ -115,20 +115,19 @@
 		Body:      call.Body,
 		SingleUse: singleUse,
 	})
-	if err == nil && response.StatusCode != http.StatusMisdirectedRequest {
-		c.reportLimit(address, response.Response, time.Since(started))
+	if err == nil && !platform.FromAnotherEndpoint(response.Response) {
+		c.reportNotice(address, response.Response, time.Since(started))
 	}
 	return response, errors.Trace(err)
 }
 
-// reportLimit reports the rate limit that a response names.
-func (c *Client) reportLimit(address string, response *http.Response, sentAgo time.Duration) {
-	rate, err := platform.ReadRateLimit(response)
+// reportNotice reports what an endpoint says of itself in a response.
+func (c *Client) reportNotice(address string, response *http.Response, sentAgo time.Duration) {
+	notice, err := platform.ReadNotice(response)
 	if err != nil {
-		c.config.LogEvent("limitRejected", "address", address, "reason", err)
-		return
+		c.config.LogEvent("noticeRejected", "address", address, "reason", err)
 	}
-	c.config.OnLimit(address, rate, sentAgo)
+	c.config.OnNotice(address, notice, sentAgo)
 }
 
 // FreeResults frees results at the endpoint with the address. It does not
--- a/kernel/endpoints/endpoints.go
+++ b/kernel/endpoints/endpoints.go
@@ -54,6 +54,11 @@
 	Sequence int64
 }
 
+// Process identifies the process that the listing is about.
+func (l Listing) Process() ident.EndpointProcess {
+	return ident.EndpointProcess{Endpoint: l.Name, StartedUnixMillis: l.StartedUnixMillis}
+}
+
 // Load is an endpoint's own report of its requests: how many it is running and
 // how many are waiting there, and how many it can run at once.
 type Load struct {
--- a/kernel/gateway/attempts.go
+++ b/kernel/gateway/attempts.go
@@ -65,7 +65,7 @@
 			g.answer(r, g.failureAnswer(r), g.noEndpointRetryAfter(r), "no endpoint can take it")
 			return
 		}
-		process := processOf(e)
+		process := e.Process()
 		switch g.acquirePermit(e, func(issued bool) { g.resumeDispatch(r, process, issued) }) {
 		case permitPending:
 			r.awaitsPermit = true
@@ -90,16 +90,17 @@
 	g.startAttemptTimeout(r, e)
 	g.out.LogEvent("sent", "request", r.incoming.ID, "endpoint", e.Name, "endpointCentre", e.DataCentre, "endpointVersion", e.Version, "busy", e.EstimatedInFlight(now), "after", now.Sub(r.arrivedAt), "send", r.sends, "resume", r.lastEventID)
 	g.out.NextStep(r.handle, Step{Send: &Send{
-		Attempt:     r.attemptCount,
-		Endpoint:    e.Name,
-		Address:     e.Address,
-		Workspace:   r.workspaceName(),
-		Remaining:   r.deadline.Sub(now),
-		Inputs:      r.finalInputs(),
-		Stream:      r.route.Kind == published.Stream,
-		Repeatable:  r.route.Repeatable(),
-		LastEventID: r.lastEventID,
-		HeadSent:    r.firstEventSent,
+		Attempt:                   r.attemptCount,
+		Endpoint:                  e.Name,
+		EndpointStartedUnixMillis: e.StartedUnixMillis,
+		Address:                   e.Address,
+		Workspace:                 r.workspaceName(),
+		Remaining:                 r.deadline.Sub(now),
+		Inputs:                    r.finalInputs(),
+		Stream:                    r.route.Kind == published.Stream,
+		Repeatable:                r.route.Repeatable(),
+		LastEventID:               r.lastEventID,
+		HeadSent:                  r.firstEventSent,
 	}})
 }
 
--- a/kernel/gateway/limits.go
+++ b/kernel/gateway/limits.go
@@ -18,31 +18,18 @@
 // HandleNamedLimit handles the rate limit that an answer of an endpoint names, or
 // Unlimited if it names none. The request was sent the given time ago.
 func (g *Gateway) HandleNamedLimit(name ident.Endpoint, rate ratelimit.Rate, sentAgo time.Duration) {
-	if e := g.directory.Lookup(name); e != nil && g.limits.Record(g.now(), processOf(e), rate, sentAgo) {
+	if e := g.directory.Lookup(name); e != nil && g.limits.Record(g.now(), e.Process(), rate, sentAgo) {
 		g.logLimit(e, "answer")
 	}
 }
 
-// HandleNamedLimitAt handles the rate limit that an answer of the endpoint at an
-// address names.
-func (g *Gateway) HandleNamedLimitAt(address string, rate ratelimit.Rate, sentAgo time.Duration) {
-	if e := g.directory.ByAddress(address); e != nil {
-		g.HandleNamedLimit(e.Name, rate, sentAgo)
-	}
-}
-
 // logLimit logs a change of an endpoint's limit. source is the instance that told it,
 // or answer.
 func (g *Gateway) logLimit(e *endpoints.Endpoint, source string) {
 	g.out.LogEvent("endpointLimit", "endpoint", e.Name, "service", e.Service, "rate", float64(g.limitOf(e)), "source", source, "issuer", g.lender.Issuer(g.now()))
 }
 
-// processOf identifies the present process of an endpoint.
-func processOf(e *endpoints.Endpoint) ratelimit.Process {
-	return ratelimit.Process{Endpoint: e.Name, StartedUnixMillis: e.StartedUnixMillis}
-}
-
-func (g *Gateway) limitOf(e *endpoints.Endpoint) ratelimit.Rate { return g.limits.Rate(processOf(e)) }
+func (g *Gateway) limitOf(e *endpoints.Endpoint) ratelimit.Rate { return g.limits.Rate(e.Process()) }
 
 func (g *Gateway) isLimited(e *endpoints.Endpoint) bool {
 	return g.limitOf(e) != ratelimit.Unlimited
@@ -113,6 +100,6 @@
 		return candidates
 	}
 	return slices.DeleteFunc(slices.Clone(candidates), func(e *endpoints.Endpoint) bool {
-		return g.isLimited(e) && g.permits.blocked(now, processOf(e))
+		return g.isLimited(e) && g.permits.blocked(now, e.Process())
 	})
 }
--- a/kernel/gateway/permits.go
+++ b/kernel/gateway/permits.go
@@ -47,7 +47,7 @@
 // permitWait is a permit that the issuer has been asked for.
 type permitWait struct {
 	issuer  ident.Instance
-	process ratelimit.Process
+	process ident.EndpointProcess
 	then    func(issued bool)
 	timer   *timer.Timer
 }
@@ -65,7 +65,7 @@
 	waits  map[message.PermitID]permitWait
 	// blockedUntil holds when a permit may be had for an endpoint again, and
 	// pausedUntil when one may be asked for at all.
-	blockedUntil map[ratelimit.Process]time.Time
+	blockedUntil map[ident.EndpointProcess]time.Time
 	pausedUntil  time.Time
 	// callPermits holds until when a call to a stage endpoint may be sent, and
 	// callsAsked the endpoints for which a permit has been asked.
@@ -76,17 +76,17 @@
 }
 
 func newPermitClient() *permitClient {
-	return &permitClient{waits: map[message.PermitID]permitWait{}, blockedUntil: map[ratelimit.Process]time.Time{}, callPermits: map[ident.Endpoint]time.Time{}, callsAsked: value.NewSet[ident.Endpoint](), heldFrees: map[string]*heldFree{}}
+	return &permitClient{waits: map[message.PermitID]permitWait{}, blockedUntil: map[ident.EndpointProcess]time.Time{}, callPermits: map[ident.Endpoint]time.Time{}, callsAsked: value.NewSet[ident.Endpoint](), heldFrees: map[string]*heldFree{}}
 }
 
 // blocked reports whether there is no permit for an endpoint at present.
-func (c *permitClient) blocked(now time.Time, p ratelimit.Process) bool {
+func (c *permitClient) blocked(now time.Time, p ident.EndpointProcess) bool {
 	return now.Before(c.pausedUntil) || now.Before(c.blockedUntil[p])
 }
 
 // purge forgets what is over.
 func (c *permitClient) purge(now time.Time) {
-	maps.DeleteFunc(c.blockedUntil, func(_ ratelimit.Process, until time.Time) bool { return !now.Before(until) })
+	maps.DeleteFunc(c.blockedUntil, func(_ ident.EndpointProcess, until time.Time) bool { return !now.Before(until) })
 	maps.DeleteFunc(c.callPermits, func(_ ident.Endpoint, until time.Time) bool { return !now.Before(until) })
 }
 
@@ -95,7 +95,7 @@
 // blocked for a while.
 func (g *Gateway) acquirePermit(e *endpoints.Endpoint, then func(issued bool)) permitOutcome {
 	now := g.now()
-	limit, process := g.limitOf(e), processOf(e)
+	limit, process := g.limitOf(e), e.Process()
 	if limit == ratelimit.Unlimited {
 		return permitIssued
 	}
@@ -120,7 +120,7 @@
 }
 
 // issuePermit issues a permit as the issuer.
-func (g *Gateway) issuePermit(now time.Time, p ratelimit.Process) (bool, time.Duration) {
+func (g *Gateway) issuePermit(now time.Time, p ident.EndpointProcess) (bool, time.Duration) {
 	limit := g.limits.Rate(p)
 	switch {
 	case g.shuttingDown:
@@ -138,7 +138,7 @@
 }
 
 // askForPermit asks the issuer for a permit.
-func (g *Gateway) askForPermit(issuer ident.Instance, p ratelimit.Process, then func(issued bool)) {
+func (g *Gateway) askForPermit(issuer ident.Instance, p ident.EndpointProcess, then func(issued bool)) {
 	g.permits.lastID++
 	id := g.permits.lastID
 	wait := permitWait{issuer: issuer, process: p}
@@ -161,7 +161,7 @@
 func (g *Gateway) handlePermitRequest(from ident.Instance, m message.PermitRequest) {
 	now := g.now()
 	g.limits.Merge(now, m.Endpoint, m.Limit)
-	issued, wait := g.issuePermit(now, ratelimit.Process{Endpoint: m.Endpoint, StartedUnixMillis: m.Limit.StartedUnixMillis})
+	issued, wait := g.issuePermit(now, ident.EndpointProcess{Endpoint: m.Endpoint, StartedUnixMillis: m.Limit.StartedUnixMillis})
 	g.sendToMember(from, message.Envelope{PermitReply: &message.PermitReply{ID: m.ID, Issued: issued, RetryAfter: wait}})
 }
 
@@ -188,7 +188,7 @@
 }
 
 // resumeDispatch goes on with a request once the issuer has replied.
-func (g *Gateway) resumeDispatch(r *request, p ratelimit.Process, issued bool) {
+func (g *Gateway) resumeDispatch(r *request, p ident.EndpointProcess, issued bool) {
 	r.awaitsPermit = false
 	if r.finished {
 		return
@@ -203,9 +203,9 @@
 // still get it, else nil. The permit is used up.
 func (g *Gateway) grantedEndpoint(r *request) *endpoints.Endpoint {
 	p := r.granted
-	r.granted = ratelimit.Process{}
+	r.granted = ident.EndpointProcess{}
 	e := g.directory.Lookup(p.Endpoint)
-	if e == nil || processOf(e) != p || e.Leaving || e.Ejected(g.now()) || g.excludedFor(r).Has(e.Name) {
+	if e == nil || e.Process() != p || e.Leaving || e.Ejected(g.now()) || g.excludedFor(r).Has(e.Name) {
 		return nil
 	}
 	return e
@@ -219,7 +219,7 @@
 	var waits []time.Duration
 	for _, e := range g.directory.Candidates(now, r.service, g.excludedFor(r)) {
 		if g.isLimited(e) {
-			waits = append(waits, max(g.permits.blockedUntil[processOf(e)].Sub(now), g.permits.pausedUntil.Sub(now)))
+			waits = append(waits, max(g.permits.blockedUntil[e.Process()].Sub(now), g.permits.pausedUntil.Sub(now)))
 		}
 	}
 	if len(waits) == 0 {
--- a/kernel/gateway/request.go
+++ b/kernel/gateway/request.go
@@ -7,7 +7,6 @@
 	"anvilcross/kernel/message"
 	"anvilcross/kernel/origin"
 	"anvilcross/kernel/published"
-	"anvilcross/kernel/ratelimit"
 	"anvilcross/kernel/timer"
 	"anvilcross/kernel/value"
 )
@@ -76,10 +75,12 @@
 // Send asks the entry server to send a request to an endpoint.
 type Send struct {
 	// Attempt is passed back with every report on this attempt.
-	Attempt   AttemptID
-	Endpoint  ident.Endpoint
-	Address   string
-	Workspace ident.Workspace
+	Attempt  AttemptID
+	Endpoint ident.Endpoint
+	// EndpointStartedUnixMillis is when the process of the endpoint started, as listed.
+	EndpointStartedUnixMillis int64
+	Address                   string
+	Workspace                 ident.Workspace
 	// Remaining is the time until the request's deadline.
 	Remaining time.Duration
 	// Inputs are the stage results that a model endpoint fetches.
@@ -99,6 +100,11 @@
 	HeadSent bool
 }
 
+// Process identifies the process of the endpoint.
+func (s Send) Process() ident.EndpointProcess {
+	return ident.EndpointProcess{Endpoint: s.Endpoint, StartedUnixMillis: s.EndpointStartedUnixMillis}
+}
+
 // Step tells the entry server what to do next with a request: send it to an
 // endpoint, or answer the caller.
 type Step struct {
@@ -214,7 +220,7 @@
 	// awaitsPermit is set while the request waits for a permit, and granted is the
 	// process of an endpoint for which it has one.
 	awaitsPermit bool
-	granted      ratelimit.Process
+	granted      ident.EndpointProcess
 }
 
 const (
--- a/kernel/gateway/stagelimit_test.go
+++ b/kernel/gateway/stagelimit_test.go
@@ -58,7 +58,7 @@
 	if !limited {
 		rate = ratelimit.Unlimited
 	}
-	f.timers.After(2*linkDelay, func() { f.gateways[name].HandleNamedLimitAt(address, rate, 2*linkDelay) })
+	f.timers.After(2*linkDelay, func() { f.gateways[name].HandleNoticeAt(address, endpoints.Notice{RateLimit: &rate}, 2*linkDelay) })
 }
 
 // runCall lets a stage endpoint compute pieces.
--- a/kernel/ident/ident.go
+++ b/kernel/ident/ident.go
@@ -93,3 +93,10 @@
 
 // SoftwareVersion is a version of an endpoint's software.
 type SoftwareVersion string
+
+// EndpointProcess identifies one of the successive processes of an endpoint by its start
+// time, in milliseconds since the Unix epoch.
+type EndpointProcess struct {
+	Endpoint          Endpoint
+	StartedUnixMillis int64
+}
--- a/kernel/ratelimit/issuer.go
+++ b/kernel/ratelimit/issuer.go
@@ -32,7 +32,7 @@
 	startedAt   time.Time
 	// leaseEnds holds the end of each instance's lease to this one.
 	leaseEnds map[ident.Instance]time.Time
-	buckets   map[Process]*bucket
+	buckets   map[ident.EndpointProcess]*bucket
 	// instances is the number of equal shares into which each limit is divided.
 	instances int
 }
@@ -46,7 +46,7 @@
 
 // NewIssuer returns an issuer without leases.
 func NewIssuer(c IssuerConfig) *Issuer {
-	return &Issuer{self: c.Self, incarnation: c.Incarnation, startedAt: c.StartedAt, leaseEnds: map[ident.Instance]time.Time{}, buckets: map[Process]*bucket{}}
+	return &Issuer{self: c.Self, incarnation: c.Incarnation, startedAt: c.StartedAt, leaseEnds: map[ident.Instance]time.Time{}, buckets: map[ident.EndpointProcess]*bucket{}}
 }
 
 // Clock returns the time since the start of this process, for leases.
@@ -66,7 +66,7 @@
 
 // Refill adds the permits of the time since the last call, while the given number of
 // instances divide the limits between them. rates returns the limit of an endpoint.
-func (i *Issuer) Refill(now time.Time, instances int, rates func(Process) Rate) {
+func (i *Issuer) Refill(now time.Time, instances int, rates func(ident.EndpointProcess) Rate) {
 	i.instances = instances
 	for p, b := range i.buckets {
 		rate := rates(p)
@@ -99,7 +99,7 @@
 
 // Issue issues a permit for one request to an endpoint with a limit. If it returns
 // false, there may be one after the returned time.
-func (i *Issuer) Issue(now time.Time, p Process, limit Rate) (bool, time.Duration) {
+func (i *Issuer) Issue(now time.Time, p ident.EndpointProcess, limit Rate) (bool, time.Duration) {
 	b := i.buckets[p]
 	if b == nil {
 		// The issuer before may have used up its burst just now.
--- a/kernel/ratelimit/ratelimit.go
+++ b/kernel/ratelimit/ratelimit.go
@@ -43,12 +43,6 @@
 	renewalStep = 500 * time.Millisecond
 )
 
-// Process identifies one process of an endpoint.
-type Process struct {
-	Endpoint          ident.Endpoint
-	StartedUnixMillis int64
-}
-
 // statement is what one answer of an endpoint said. The endpoint said it at some time
 // between askedAt and toldAt.
 type statement struct {
@@ -75,14 +69,14 @@
 
 // Table holds the limits that are known. It is not safe for concurrent use.
 type Table struct {
-	known map[Process]statement
+	known map[ident.EndpointProcess]statement
 }
 
 // NewTable returns an empty table.
-func NewTable() *Table { return &Table{known: map[Process]statement{}} }
+func NewTable() *Table { return &Table{known: map[ident.EndpointProcess]statement{}} }
 
 // Rate returns the rate limit of an endpoint, or Unlimited.
-func (t *Table) Rate(p Process) Rate {
+func (t *Table) Rate(p ident.EndpointProcess) Rate {
 	if s, known := t.known[p]; known {
 		return s.rate
 	}
@@ -94,14 +88,14 @@
 
 // Record records the rate that an answer named, to a request that was sent the given
 // time ago. It reports whether the limit has changed.
-func (t *Table) Record(now time.Time, p Process, rate Rate, sentAgo time.Duration) bool {
+func (t *Table) Record(now time.Time, p ident.EndpointProcess, rate Rate, sentAgo time.Duration) bool {
 	return t.merge(p, statement{rate: rate, askedAt: now.Add(-sentAgo), toldAt: now})
 }
 
 // merge merges a statement. Answers overtake each other, so a statement replaces
 // another one only if its request was sent after the other one had arrived. While the
 // order is unknown, the stricter one holds.
-func (t *Table) merge(p Process, s statement) bool {
+func (t *Table) merge(p ident.EndpointProcess, s statement) bool {
 	old, known := t.known[p]
 	switch {
 	case !known && s.rate == Unlimited:
@@ -139,7 +133,7 @@
 	if len(t.known) == 0 {
 		return nil
 	}
-	order := slices.SortedFunc(maps.Keys(t.known), func(x, y Process) int {
+	order := slices.SortedFunc(maps.Keys(t.known), func(x, y ident.EndpointProcess) int {
 		return cmp.Or(t.known[y].toldAt.Compare(t.known[x].toldAt), cmp.Compare(x.Endpoint, y.Endpoint), cmp.Compare(y.StartedUnixMillis, x.StartedUnixMillis))
 	})
 	reports := map[ident.Endpoint]Report{}
@@ -153,7 +147,7 @@
 }
 
 // Report returns what is known of one endpoint's limit for another instance.
-func (t *Table) Report(now time.Time, p Process) Report {
+func (t *Table) Report(now time.Time, p ident.EndpointProcess) Report {
 	s, known := t.known[p]
 	if !known {
 		return Report{Rate: Unlimited, StartedUnixMillis: p.StartedUnixMillis}
@@ -164,7 +158,7 @@
 // Merge merges another instance's report on an endpoint, and reports whether the limit
 // has changed.
 func (t *Table) Merge(now time.Time, e ident.Endpoint, r Report) bool {
-	p := Process{e, r.StartedUnixMillis}
+	p := ident.EndpointProcess{Endpoint: e, StartedUnixMillis: r.StartedUnixMillis}
 	s := statement{rate: r.Rate, askedAt: now.Add(-r.AskedAgo - transitSlack), toldAt: now.Add(-r.ToldAgo)}
 	if old, known := t.known[p]; known && s.rate == old.rate && s.toldAt.Sub(old.toldAt) < renewalStep {
 		return false
@@ -175,7 +169,7 @@
 // Purge forgets limits that have ended a while ago, or of which no answer has told for
 // long.
 func (t *Table) Purge(now time.Time) {
-	maps.DeleteFunc(t.known, func(_ Process, s statement) bool {
+	maps.DeleteFunc(t.known, func(_ ident.EndpointProcess, s statement) bool {
 		age := now.Sub(s.toldAt)
 		return age > forgetAfter || s.rate == Unlimited && age > endedRetention
 	})
--- a/kernel/ratelimit/ratelimit_test.go
+++ b/kernel/ratelimit/ratelimit_test.go
@@ -21,7 +21,7 @@
 	sent, got int
 }
 
-func wantRate(t *testing.T, table *Table, p Process, want Rate) {
+func wantRate(t *testing.T, table *Table, p ident.EndpointProcess, want Rate) {
 	t.Helper()
 	if got := table.Rate(p); got != want {
 		t.Fatalf("got rate %v, want %v", got, want)
@@ -46,7 +46,7 @@
 		{"nothing is taken", []answer{{3, 0, 20}, {0, 20, 30}}, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			table, p := NewTable(), Process{Endpoint: "e"}
+			table, p := NewTable(), ident.EndpointProcess{Endpoint: "e"}
 			for _, a := range c.answers {
 				table.Record(at(a.got), p, a.rate, time.Duration(a.got-a.sent)*time.Millisecond)
 			}
@@ -58,14 +58,14 @@
 // Reports go round between instances: an old one must not bring a limit back, nor go on
 // for ever.
 func TestReports(t *testing.T) {
-	p := Process{Endpoint: "e", StartedUnixMillis: 7}
+	p := ident.EndpointProcess{Endpoint: "e", StartedUnixMillis: 7}
 	told := NewTable()
 	told.Record(at(100), p, 2, 50*time.Millisecond)
 	t.Run("an instance hears of a limit from another", func(t *testing.T) {
 		other := NewTable()
 		other.Merge(at(110), "e", told.Reports(at(105))["e"])
 		wantRate(t, other, p, 2)
-		wantRate(t, other, Process{Endpoint: "e", StartedUnixMillis: 8}, Unlimited)
+		wantRate(t, other, ident.EndpointProcess{Endpoint: "e", StartedUnixMillis: 8}, Unlimited)
 	})
 	t.Run("an ended limit does not come back", func(t *testing.T) {
 		other := NewTable()
@@ -188,10 +188,10 @@
 			for n := range c.shares {
 				i.HandleLease(ident.Instance(fmt.Sprint(n)), &Lease{Issuer: "i", Incarnation: 1, TTL: time.Minute})
 			}
-			issued, p := 0, Process{Endpoint: "e"}
+			issued, p := 0, ident.EndpointProcess{Endpoint: "e"}
 			for millis := 0; millis <= 10_000; millis += 10 {
 				if millis%100 == 0 {
-					i.Refill(at(millis), c.instances, func(Process) Rate { return c.limit })
+					i.Refill(at(millis), c.instances, func(ident.EndpointProcess) Rate { return c.limit })
 				}
 				if ok, wait := i.Issue(at(millis), p, c.limit); ok {
 					issued++
@@ -218,12 +218,12 @@
 	const allowedFactor, allowedExtra, windowMillis = 6, 5, 4000
 	for _, limit := range []Rate{1, 20, 200} {
 		t.Run(fmt.Sprint(limit), func(t *testing.T) {
-			i, p := newSoleIssuer(time.Hour), Process{Endpoint: "e"}
-			i.Refill(at(0), 1, func(Process) Rate { return limit })
+			i, p := newSoleIssuer(time.Hour), ident.EndpointProcess{Endpoint: "e"}
+			i.Refill(at(0), 1, func(ident.EndpointProcess) Rate { return limit })
 			i.Issue(at(0), p, limit)
 			const idleUntil = 60_000
 			for millis := 0; millis <= idleUntil; millis += 100 {
-				i.Refill(at(millis), 1, func(Process) Rate { return limit })
+				i.Refill(at(millis), 1, func(ident.EndpointProcess) Rate { return limit })
 			}
 			issued := 0
 			for millis := idleUntil; millis < idleUntil+windowMillis; millis++ {
