--- a/anvilstandin/worker/model.go
+++ b/anvilstandin/worker/model.go
@@ -57,6 +57,7 @@
 // status 409 Conflict.
 func (m *Model) ServeHTTP(out http.ResponseWriter, r *http.Request) {
 	if r.Method == http.MethodGet && r.URL.Path == "/api/kv-list" {
+		m.worker.describeItself(out)
 		m.listPrompts(out)
 		return
 	}
--- a/anvilstandin/worker/stage.go
+++ b/anvilstandin/worker/stage.go
@@ -125,7 +125,7 @@
 
 // ServeHTTP serves calls that run pieces, free results or report the load.
 func (s *Stage) ServeHTTP(out http.ResponseWriter, r *http.Request) {
-	s.worker.nameLimit(out)
+	s.worker.describeItself(out)
 	s.config.Recorder.RecordArrival(r.URL.Path, s.config.Name)
 	switch r.Method + " " + r.URL.Path {
 	case "POST /api/stage-run":
@@ -162,15 +162,18 @@
 		out.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	f := s.worker.currentFaults()
+	if f.Full {
+		s.worker.decline(out)
+		return
+	}
 	select {
 	case s.callSlot <- struct{}{}:
 		defer func() { <-s.callSlot }()
 	default:
-		out.Header().Set("Not-Executed", "1")
-		out.WriteHeader(http.StatusServiceUnavailable)
+		s.worker.decline(out)
 		return
 	}
-	f := s.worker.currentFaults()
 	time.Sleep(s.config.CallTime + time.Duration(len(call.Items))*s.config.PieceTime)
 	if f.Disconnects {
 		panic(http.ErrAbortHandler)
--- a/anvilstandin/worker/worker.go
+++ b/anvilstandin/worker/worker.go
@@ -116,8 +116,13 @@
 
 // Faults are a worker's switchable faults.
 type Faults struct {
-	// Full makes plain and model workers decline every request as not executed.
+	// Full makes workers decline every request or call as not executed.
 	Full bool
+	// Rest is the Retry-After, in seconds, with which a full worker declines; empty for
+	// none.
+	Rest string
+	// Leaving makes workers say in all their answers that they leave.
+	Leaving bool
 	// Disconnects makes plain and stage workers close the connection after the
 	// work, without a response.
 	Disconnects bool
@@ -200,7 +205,7 @@
 func (w *Worker) admit(out http.ResponseWriter, r *http.Request) bool {
 	id := r.Header.Get("Request-Id")
 	out.Header().Set("Request-Id", id)
-	w.nameLimit(out)
+	w.describeItself(out)
 	if expected := r.Header.Get("Expect-Instance"); expected != w.config.Name {
 		out.Header().Set("Instance-Id", w.config.Name)
 		out.WriteHeader(http.StatusMisdirectedRequest)
@@ -208,8 +213,7 @@
 	}
 	w.config.Recorder.RecordArrival(id, w.config.Name)
 	if w.currentFaults().Full {
-		out.Header().Set("Not-Executed", "1")
-		out.WriteHeader(http.StatusServiceUnavailable)
+		w.decline(out)
 		return false
 	}
 	if r.Header.Get("Authorization") != "" {
@@ -224,13 +228,25 @@
 	return true
 }
 
-// nameLimit adds the worker's rate limit to a response.
-func (w *Worker) nameLimit(out http.ResponseWriter) {
+// describeItself adds to a response what the worker says of itself in all of them.
+func (w *Worker) describeItself(out http.ResponseWriter) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	if w.rateLimit != "" {
 		out.Header().Set("Server-Limit", w.rateLimit)
 	}
+	if w.faults.Leaving {
+		out.Header().Set("Server-Leaving", "1")
+	}
+}
+
+// decline answers that the worker is full and did not run the request.
+func (w *Worker) decline(out http.ResponseWriter) {
+	if rest := w.currentFaults().Rest; rest != "" {
+		out.Header().Set("Retry-After", rest)
+	}
+	out.Header().Set("Not-Executed", "1")
+	out.WriteHeader(http.StatusServiceUnavailable)
 }
 
 // delimitByClose gives a response neither a length nor chunks.
