--- a/kernel/gateway/notice_test.go
+++ b/kernel/gateway/notice_test.go
@@ -201,8 +201,8 @@
 	}
 }
 
-// fleetSizes returns the sizes of the fleets that a case is played with.
-func fleetSizes(large bool) []int {
+// noticeFleetSizes returns the sizes of the fleets that a case is played with.
+func noticeFleetSizes(large bool) []int {
 	if large {
 		return []int{6, 66, 295}
 	}
@@ -240,7 +240,7 @@
 		}},
 	}
 	for _, c := range cases {
-		for _, size := range fleetSizes(c.large) {
+		for _, size := range noticeFleetSizes(c.large) {
 			t.Run(fmt.Sprintf("%s, %d instances", c.name, size), func(t *testing.T) {
 				t.Parallel()
 				f := newNoticeFleet(t, size, 7, 25)
@@ -288,7 +288,7 @@
 func TestEndpointThatWantsARest(t *testing.T) {
 	for _, connectTime := range []time.Duration{linkDelay, 700 * time.Millisecond} {
 		for _, rest := range []time.Duration{1500 * time.Millisecond, 3500 * time.Millisecond, 8 * time.Second} {
-			for _, size := range fleetSizes(connectTime == linkDelay && rest == 3500*time.Millisecond) {
+			for _, size := range noticeFleetSizes(connectTime == linkDelay && rest == 3500*time.Millisecond) {
 				t.Run(fmt.Sprintf("%d instances, rest %v, connecting takes %v", size, rest, connectTime), func(t *testing.T) {
 					t.Parallel()
 					f := newNoticeFleet(t, size, 7, 25)
