Leave endpoints alone that have said in an answer that they leave

What callers saw: their requests reached endpoints that had said that they leave, and were lost or slow when these ended. Cause: nothing read the header; the store's listing alone told who leaves. Class: what an endpoint says itself is taken for less than what others say of it.

Change: the directory keeps, by process of an endpoint, that it has said so, and attaches it to each listing of that process. Everything that chooses an endpoint asks the directory: first attempts, retries, streams that go on, stage calls, permits, surveys, inspections, releases of results. A request that was chosen before and has not been written goes elsewhere. Pings tell the others. An answer counts for the process that the request was sent to, so that a late one says nothing of the next process.

--- a/kernel/endpoints/endpoints.go
+++ b/kernel/endpoints/endpoints.go
@@ -97,6 +97,8 @@
 	// peerReportUntil is when the latest report of another instance that it
 	// could not reach the endpoint expires.
 	peerReportUntil time.Time
+	// said is what the process has said of itself; never nil.
+	said *statements
 }
 
 // Directory holds the known endpoints, indexed by name, service and address.
@@ -104,14 +106,18 @@
 	byName    map[ident.Endpoint]*Endpoint
 	byService map[ident.Service][]*Endpoint
 	byAddress map[string]*Endpoint
-	inOutage  bool
+	// statements holds what processes have said of themselves, listed or not.
+	statements map[ident.EndpointProcess]*statements
+	inOutage   bool
 	// partitioned holds the data centres that this instance can probably not
 	// reach.
 	partitioned value.Set[ident.DataCentre]
 }
 
 // NewDirectory returns an empty directory.
-func NewDirectory() *Directory { return &Directory{byName: map[ident.Endpoint]*Endpoint{}} }
+func NewDirectory() *Directory {
+	return &Directory{byName: map[ident.Endpoint]*Endpoint{}, statements: map[ident.EndpointProcess]*statements{}}
+}
 
 // Upsert adds an endpoint or updates its listing. It returns true when the
 // endpoint is new or is another process than before.
@@ -123,6 +129,10 @@
 		d.byName[l.Name] = e
 	}
 	e.Listing = l
+	e.said = d.statements[l.Process()]
+	if e.said == nil {
+		e.said = &statements{}
+	}
 	e.unconfirmedUntil = time.Time{}
 	d.rebuildIndexes()
 	return isNew
@@ -138,7 +148,7 @@
 	if e == nil {
 		return
 	}
-	if !e.Leaving && unconfirmedFor > 0 {
+	if !e.IsLeaving() && unconfirmedFor > 0 {
 		if e.unconfirmedUntil.IsZero() {
 			e.unconfirmedUntil = now.Add(min(unconfirmedFor, outageGrace))
 		}
@@ -245,7 +255,7 @@
 	var usable, doubtful []*Endpoint
 	for _, e := range all {
 		switch {
-		case e.Leaving || excluded.Has(e.Name) || now.Before(e.ejectedUntil):
+		case e.IsLeaving() || excluded.Has(e.Name) || now.Before(e.ejectedUntil):
 		case now.Before(e.peerReportUntil) || d.partitioned.Has(e.DataCentre):
 			doubtful = append(doubtful, e)
 		default:
--- a/kernel/gateway/attempts.go
+++ b/kernel/gateway/attempts.go
@@ -30,11 +30,14 @@
 	// InvalidResponse means that the response is not usable; the request has
 	// run.
 	InvalidResponse
+	// Withheld means that no byte of the request was written, because the endpoint had
+	// come to want no requests since it was chosen.
+	Withheld
 )
 
 // String returns the failure's name in logs and answers.
 func (f AttemptFailure) String() string {
-	return [...]string{"unreached", "declined", "replaced", "inputsGone", "broken", "spoiled"}[f]
+	return [...]string{"unreached", "declined", "replaced", "inputsGone", "broken", "spoiled", "withheld"}[f]
 }
 
 const (
@@ -155,12 +158,16 @@
 // endpoint; the entry server calls it right before the first byte. If it returns
 // true, the request counts as one that may have run. If it returns false, nothing
 // may be written: the caller may have been told by now that the request has not
-// run.
+// run, or the endpoint has said since that it wants no requests.
 func (g *Gateway) BeginWrite(h RequestHandle, id AttemptID) bool {
 	r := g.requestOfAttempt(h, id)
 	if r == nil {
 		return false
 	}
+	if e := g.directory.Lookup(r.attempt.endpoint); e != nil && e.IsLeaving() {
+		r.attempt.withheld = true
+		return false
+	}
 	r.attempt.written = true
 	return true
 }
@@ -260,6 +267,9 @@
 	if lastEventID != "" {
 		r.lastEventID = lastEventID
 	}
+	if f == NotSent && r.attempt.withheld {
+		f = Withheld
+	}
 	g.retryOrEnd(r, f, detail)
 }
 
@@ -310,7 +320,7 @@
 // taken from the budget; only attempts that were not sent are free.
 func (g *Gateway) allowRetry(r *request, f AttemptFailure) bool {
 	switch f {
-	case NotSent:
+	case NotSent, Withheld:
 		r.sends--
 		r.unsentAttempts++
 		return r.unsentAttempts <= maxUnsentAttempts && g.now().Before(r.abandonAt)
--- a/kernel/gateway/gateway.go
+++ b/kernel/gateway/gateway.go
@@ -340,6 +340,7 @@
 	g.settleRemovals(now)
 	g.settleListings(now)
 	g.updateLimits(now)
+	g.directory.ExpireStatements(now)
 	g.origins.Expire(now)
 	g.survey.holdings.Expire(now)
 	if g.catalog == nil {
--- a/kernel/gateway/notices.go
+++ b/kernel/gateway/notices.go
@@ -5,16 +5,25 @@
 
 	"anvilcross/kernel/endpoints"
 	"anvilcross/kernel/ident"
+	"anvilcross/kernel/message"
+	"anvilcross/kernel/value"
 )
 
+// maxNoticesPerPing bounds the endpoints in one ping of which the sender tells what they
+// have said of themselves.
+const maxNoticesPerPing = 32
+
+// ownAnswer is the source of what an endpoint has said to this instance itself.
+const ownAnswer = "answer"
+
 // HandleNotice handles what the process of an endpoint says of itself in an answer. The
 // request was sent to it the given time ago.
 func (g *Gateway) HandleNotice(p ident.EndpointProcess, n endpoints.Notice, sentAgo time.Duration) {
 	if n.RateLimit != nil {
 		g.HandleNamedLimit(p.Endpoint, *n.RateLimit, sentAgo)
 	}
-	if n.Leaving || n.Rest > 0 {
-		g.out.LogEvent("endpointNotice", "endpoint", p.Endpoint, "started", p.StartedUnixMillis, "leaving", n.Leaving, "rest", n.Rest, "sentAgo", sentAgo)
+	if n.Leaving {
+		g.recordLeaving(p, ownAnswer)
 	}
 }
 
@@ -24,3 +33,30 @@
 		g.HandleNotice(e.Process(), n, sentAgo)
 	}
 }
+
+// recordLeaving records that a process of an endpoint has said that it leaves. source is
+// the instance that tells it, or ownAnswer.
+func (g *Gateway) recordLeaving(p ident.EndpointProcess, source string) {
+	if g.directory.RecordLeaving(g.now(), p) {
+		g.out.LogEvent("endpointLeaves", "endpoint", p.Endpoint, "started", p.StartedUnixMillis, "source", source)
+		g.cachedPong = nil
+	}
+}
+
+// addNotices adds to a ping what endpoints have said of themselves.
+func (g *Gateway) addNotices(p *message.Ping) {
+	for _, process := range g.directory.SaidToLeave(maxNoticesPerPing) {
+		if p.SaidToLeave == nil {
+			p.SaidToLeave = map[ident.Endpoint]int64{}
+		}
+		p.SaidToLeave[process.Endpoint] = process.StartedUnixMillis
+	}
+}
+
+// mergeNotices merges what endpoints have said of themselves to a member or to those that
+// told it.
+func (g *Gateway) mergeNotices(p message.Ping) {
+	for _, name := range value.SortedKeys(p.SaidToLeave) {
+		g.recordLeaving(ident.EndpointProcess{Endpoint: name, StartedUnixMillis: p.SaidToLeave[name]}, string(p.Member.Name))
+	}
+}
--- a/kernel/gateway/origins.go
+++ b/kernel/gateway/origins.go
@@ -229,7 +229,7 @@
 // up.
 func (g *Gateway) canGoOn(r *request) bool {
 	excluded := g.excludedFor(r)
-	return slices.ContainsFunc(g.directory.ByService(r.service), func(e *endpoints.Endpoint) bool { return !e.Leaving && !excluded.Has(e.Name) })
+	return slices.ContainsFunc(g.directory.ByService(r.service), func(e *endpoints.Endpoint) bool { return !e.IsLeaving() && !excluded.Has(e.Name) })
 }
 
 // excludedFor returns the endpoints that must not get a request: those at which it failed
--- a/kernel/gateway/permits.go
+++ b/kernel/gateway/permits.go
@@ -205,7 +205,7 @@
 	p := r.granted
 	r.granted = ident.EndpointProcess{}
 	e := g.directory.Lookup(p.Endpoint)
-	if e == nil || e.Process() != p || e.Leaving || e.Ejected(g.now()) || g.excludedFor(r).Has(e.Name) {
+	if e == nil || e.Process() != p || e.IsLeaving() || e.Ejected(g.now()) || g.excludedFor(r).Has(e.Name) {
 		return nil
 	}
 	return e
@@ -260,18 +260,21 @@
 	g.out.StartCall(c)
 }
 
-// inspectEndpoint asks a stage endpoint for its free result capacity, unless it has a
-// rate limit: its calls go first.
+// inspectEndpoint asks a stage endpoint for its free result capacity, unless it leaves or
+// has a rate limit: its calls go first.
 func (g *Gateway) inspectEndpoint(name ident.Endpoint, address string) {
-	if e := g.directory.Lookup(name); e == nil || !g.isLimited(e) {
+	if e := g.directory.Lookup(name); e == nil || !g.isLimited(e) && !e.IsLeaving() {
 		g.out.InspectEndpoint(name, address)
 	}
 }
 
 // freeResults frees results. Those at an endpoint with a rate limit are collected
-// first.
+// first, and those at one that leaves end with it.
 func (g *Gateway) freeResults(address string, handles []message.ResultHandle) {
 	e := g.directory.ByAddress(address)
+	if e != nil && e.IsLeaving() {
+		return
+	}
 	if e == nil || !g.isLimited(e) {
 		g.out.FreeResults(address, handles)
 		return
@@ -290,7 +293,7 @@
 	for _, address := range value.SortedKeys(g.permits.heldFrees) {
 		held := g.permits.heldFrees[address]
 		e := g.directory.ByAddress(address)
-		if e == nil {
+		if e == nil || e.IsLeaving() {
 			delete(g.permits.heldFrees, address)
 			continue
 		}
--- a/kernel/gateway/request.go
+++ b/kernel/gateway/request.go
@@ -130,8 +130,10 @@
 	startedAt time.Time
 	// firstEventAt is when the first event of its stream was relayed; zero before.
 	firstEventAt time.Time
-	// written is set once the first byte may have reached the endpoint.
-	written bool
+	// written is set once the first byte may have reached the endpoint, withheld if none
+	// was written because the endpoint had come to want no requests.
+	written  bool
+	withheld bool
 	// responseStarted is set once the head of a usable response has arrived.
 	responseStarted bool
 	// timeoutTimer ends the attempt if no response starts in time; nil if the
--- a/kernel/ident/ident.go
+++ b/kernel/ident/ident.go
@@ -4,6 +4,7 @@
 package ident
 
 import (
+	"cmp"
 	"fmt"
 
 	"github.com/cespare/xxhash/v2"
@@ -100,3 +101,8 @@
 	Endpoint          Endpoint
 	StartedUnixMillis int64
 }
+
+// Compare orders processes by endpoint and start time.
+func (p EndpointProcess) Compare(o EndpointProcess) int {
+	return cmp.Or(cmp.Compare(p.Endpoint, o.Endpoint), cmp.Compare(p.StartedUnixMillis, o.StartedUnixMillis))
+}
--- a/kernel/message/gateway.go
+++ b/kernel/message/gateway.go
@@ -58,6 +58,9 @@
 	Limits      map[ident.Endpoint]ratelimit.Report `json:"limits,omitempty"`
 	PermitClock time.Duration                       `json:"permitClock,omitempty"`
 	PermitLease *ratelimit.Lease                    `json:"permitLease,omitempty"`
+	// SaidToLeave holds endpoints that have said in an answer that they leave, with the
+	// start time of the process in milliseconds since the Unix epoch.
+	SaidToLeave map[ident.Endpoint]int64 `json:"saidToLeave,omitempty"`
 }
 
 // PermitID numbers the permits that an instance asks for.
--- a/kernel/message/valid.go
+++ b/kernel/message/valid.go
@@ -20,6 +20,9 @@
 	maxPartsPerCrash = 1000
 )
 
+// maxNotices limits the endpoints in one ping that have said something of themselves.
+const maxNotices = 256
+
 // CheckGateway returns an error if a message of package gateway has values that
 // no instance sends, for which its handlers are not prepared.
 func (e Envelope) CheckGateway() error {
@@ -76,6 +79,9 @@
 			return errors.Errorf("crash at %q: age %v, %d parts", c.Address, c.Age, len(c.Parts))
 		}
 	}
+	if len(p.SaidToLeave) > maxNotices {
+		return errors.Errorf("%d endpoints that leave", len(p.SaidToLeave))
+	}
 	return p.checkLimits()
 }
 
