Leave endpoints alone for as long as they want no requests

What callers saw: an endpoint that turned requests away with 503 and a time in Retry-After got more of them in that time, and their callers got 503 while other endpoints had room. Cause: nothing read the header of an endpoint's 503. Class: as for endpoints that leave, and a refusal taken for one of a moment.

Change: the directory keeps until when a process wants nothing from this instance. Until then it is no candidate for anything that is sent: requests, retries, streams that go on, stage calls, permits, surveys, inspections; releases of results are held back. A request that was chosen before and is not written yet goes elsewhere. A shorter time neither ends nor prolongs a longer one, and a huge one is cut to ten minutes. It is no sign of a fault: no ejection, no crash, no share of failures.

Others hear of it in pings, directly or through one more instance, and use the endpoint last until the told ones have tried it again.

If all endpoints of a service rest, requests are refused at once with the earliest end, spread over 2 s, those that were late before first; before their stages run if the rest outlasts these. Stage pieces that cannot be done before their deadline are refused at once, also if all endpoints of the pool leave.

--- a/anvilload/fleet/notice_test.go
+++ b/anvilload/fleet/notice_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -88,6 +89,13 @@
 			r := startTestFleet(t, 1)
 			var sending sync.WaitGroup
 			defer sending.Wait()
+			// The worker is the only one of its service, so that all requests are for it.
+			service, _, _ := strings.Cut(c.worker, "-")
+			for _, name := range r.site.Workers() {
+				if name != c.worker && strings.HasPrefix(name, service+"-") {
+					r.site.Drain(name)
+				}
+			}
 			r.sendAll(&sending, time.Second, c.route)
 			r.site.SetFaults(c.worker, worker.Faults{Full: true, Rest: restText})
 			declined := time.Now()
--- a/kernel/batching/order.go
+++ b/kernel/batching/order.go
@@ -127,6 +127,7 @@
 func (b *Batcher) orderWaiting(pool ident.Pool, q *queue, profile *published.BatchProfile) {
 	now := b.now()
 	b.dropExpired(q, now)
+	b.refuseWithheld(pool, q, profile)
 	estimate := b.estimateCompletion(pool, profile)
 	queueWaits := map[ident.Pool]time.Duration{}
 	// withTarget holds the pieces that have a target and are not held back: those
@@ -204,11 +205,35 @@
 	if len(refused) == 0 {
 		return
 	}
+	b.refuse(q, retryAfter, func(p *piece) bool { return refused.Has(p.work.Request) && !p.hasPriorWork() })
+	b.config.Output.LogEvent("piecesRefused", "service", pool.Service, "poolCentre", pool.DataCentre, "requests", len(refused), "timely", meetsTargetCount, "late", len(missesTarget), "retryAfter", retryAfter)
+}
+
+// refuseWithheld refuses the pieces that cannot be done before their deadline because all
+// endpoints of a pool want no calls until then.
+func (b *Batcher) refuseWithheld(pool ident.Pool, q *queue, profile *published.BatchProfile) {
+	now := b.now()
+	wait, ever, withheld := b.config.Directory.PoolWithheldFor(now, pool)
+	if !withheld {
+		return
+	}
+	earliest := now.Add(wait + profile.CallOverhead + profile.TimePerPiece)
+	refused := b.refuse(q, max(wait, minBurstRetryAfter), func(p *piece) bool { return !ever || p.work.deadline.Before(earliest) })
+	if refused > 0 {
+		b.config.Output.LogEvent("piecesRefused", "service", pool.Service, "poolCentre", pool.DataCentre, "pieces", refused, "withheldFor", wait, "ever", ever)
+	}
+}
+
+// refuse removes the selected pieces from a queue, reports them as refused and returns
+// their number.
+func (b *Batcher) refuse(q *queue, retryAfter time.Duration, selected func(*piece) bool) int {
 	results := map[ident.Instance]*message.StageResults{}
+	refused := 0
 	q.waiting = slices.DeleteFunc(q.waiting, func(p *piece) bool {
-		if !refused.Has(p.work.Request) || p.hasPriorWork() {
+		if !selected(p) {
 			return false
 		}
+		refused++
 		b.stats.Refused++
 		b.drop(p)
 		addResult(results, p, message.PieceRefused)
@@ -219,7 +244,7 @@
 	for _, to := range value.SortedKeys(results) {
 		b.config.Output.SendResults(to, *results[to])
 	}
-	b.config.Output.LogEvent("piecesRefused", "service", pool.Service, "poolCentre", pool.DataCentre, "requests", len(refused), "timely", meetsTargetCount, "late", len(missesTarget), "retryAfter", retryAfter)
+	return refused
 }
 
 // retryOffset returns the extra delay for the retry of a refused request. It is
@@ -298,6 +323,9 @@
 			t.freeIn = append(t.freeIn, busyFor[e.Name])
 		}
 	}
+	if wait, ever, withheld := b.config.Directory.PoolWithheldFor(now, pool); withheld && ever {
+		t.freeIn = []time.Duration{wait}
+	}
 	slices.Sort(t.freeIn)
 	return t
 }
--- a/kernel/endpoints/endpoints.go
+++ b/kernel/endpoints/endpoints.go
@@ -229,9 +229,9 @@
 func (d *Directory) Count() int { return len(d.byName) }
 
 // Candidates returns the endpoints of a service that may get new work: those that
-// are not leaving, excluded or ejected. Endpoints that only other instances could
-// not reach, or that are in a partitioned data centre, are returned if there are
-// no others.
+// are not leaving, excluded or ejected and want no rest. Endpoints that only other
+// instances could not reach or have to leave alone, or that are in a partitioned
+// data centre, are returned if there are no others.
 func (d *Directory) Candidates(now time.Time, s ident.Service, excluded value.Set[ident.Endpoint]) []*Endpoint {
 	return d.filterCandidates(now, d.byService[s], excluded)
 }
@@ -239,8 +239,13 @@
 // PoolCandidates returns the endpoints of a pool that may get new work, by the same
 // rules as Candidates.
 func (d *Directory) PoolCandidates(now time.Time, pool ident.Pool) []*Endpoint {
+	return d.filterCandidates(now, d.poolMembers(pool), nil)
+}
+
+// poolMembers returns all endpoints of a pool.
+func (d *Directory) poolMembers(pool ident.Pool) []*Endpoint {
 	if pool.DataCentre == "" {
-		return d.Candidates(now, pool.Service, nil)
+		return d.byService[pool.Service]
 	}
 	var members []*Endpoint
 	for _, e := range d.byService[pool.Service] {
@@ -248,15 +253,15 @@
 			members = append(members, e)
 		}
 	}
-	return d.filterCandidates(now, members, nil)
+	return members
 }
 
 func (d *Directory) filterCandidates(now time.Time, all []*Endpoint, excluded value.Set[ident.Endpoint]) []*Endpoint {
 	var usable, doubtful []*Endpoint
 	for _, e := range all {
 		switch {
-		case e.IsLeaving() || excluded.Has(e.Name) || now.Before(e.ejectedUntil):
-		case now.Before(e.peerReportUntil) || d.partitioned.Has(e.DataCentre):
+		case e.Withheld(now) || excluded.Has(e.Name) || now.Before(e.ejectedUntil):
+		case now.Before(e.peerReportUntil) || now.Before(e.said.avoidUntil) || d.partitioned.Has(e.DataCentre):
 			doubtful = append(doubtful, e)
 		default:
 			usable = append(usable, e)
--- a/kernel/endpoints/notice_test.go
+++ b/kernel/endpoints/notice_test.go
@@ -107,3 +107,86 @@
 		t.Fatalf("got %v, want those whose listing does not tell it", got)
 	}
 }
+
+// A rest ends too early because of a second answer, or is prolonged without end by reports
+// that go round.
+func TestRest(t *testing.T) {
+	one := Listing{Name: "one", Service: "s", Address: "a:1", StartedUnixMillis: 1}
+	two := Listing{Name: "two", Service: "s", Address: "b:1"}
+	after := func(d time.Duration) time.Time { return testStart.Add(d) }
+	t.Run("a second, shorter one", func(t *testing.T) {
+		d := newListedDirectory(one, two)
+		d.RecordRest(testStart, one.Process(), 4*time.Second)
+		if d.RecordRest(after(time.Second), one.Process(), time.Second) {
+			t.Fatal("a shorter rest is news")
+		}
+		wantCandidates(t, d, after(3999*time.Millisecond), "two")
+		wantCandidates(t, d, after(4*time.Second), "one", "two")
+	})
+	t.Run("a huge one", func(t *testing.T) {
+		d := newListedDirectory(one, two)
+		d.RecordRest(testStart, one.Process(), 1<<63-1)
+		wantCandidates(t, d, after(maxRest-time.Second), "two")
+		wantCandidates(t, d, after(maxRest), "one", "two")
+	})
+	t.Run("another process", func(t *testing.T) {
+		d := newListedDirectory(one, two)
+		d.RecordRest(testStart, one.Process(), 4*time.Second)
+		next := one
+		next.StartedUnixMillis = 2
+		d.Upsert(next)
+		wantCandidates(t, d, testStart, "one", "two")
+	})
+	t.Run("a sound response in between", func(t *testing.T) {
+		d := newListedDirectory(one, two)
+		d.RecordRest(testStart, one.Process(), 4*time.Second)
+		d.Lookup("one").RecordResponse(after(time.Second), false, time.Millisecond, Load{})
+		wantCandidates(t, d, after(2*time.Second), "two")
+	})
+	t.Run("of another instance", func(t *testing.T) {
+		d := newListedDirectory(one, two)
+		d.MergeRest(testStart, "one", RestReport{StartedUnixMillis: 1, Left: 2 * time.Second}, time.Second)
+		wantCandidates(t, d, after(2900*time.Millisecond), "two")
+		wantCandidates(t, d, after(3*time.Second), "one", "two")
+		d.RecordRest(testStart, two.Process(), time.Second)
+		wantCandidates(t, d, testStart, "one")
+	})
+	t.Run("reports that go round", func(t *testing.T) {
+		const transit = 400 * time.Millisecond
+		ring := []*Directory{newListedDirectory(one, two), newListedDirectory(one, two), newListedDirectory(one, two)}
+		ring[0].RecordRest(testStart, one.Process(), 2*time.Second)
+		for at := time.Duration(0); at < 20*time.Second; at += 100 * time.Millisecond {
+			for n, d := range ring {
+				for name, r := range d.RestReports(after(at), 9) {
+					ring[(n+1)%len(ring)].MergeRest(after(at+transit), name, r, 0)
+				}
+			}
+		}
+		for _, d := range ring {
+			wantCandidates(t, d, after(2*time.Second+2*transit), "one", "two")
+		}
+	})
+}
+
+// A pool is taken for one that gets no calls while an endpoint would take them.
+func TestPoolWithheldFor(t *testing.T) {
+	one := Listing{Name: "one", Service: "s", DataCentre: "east", Address: "a:1"}
+	two := Listing{Name: "two", Service: "s", DataCentre: "west", Address: "b:1"}
+	want := func(t *testing.T, d *Directory, centre ident.DataCentre, wait time.Duration, ever, withheld bool) {
+		t.Helper()
+		if gotWait, gotEver, got := d.PoolWithheldFor(testStart, ident.Pool{Service: "s", DataCentre: centre}); gotWait != wait || gotEver != ever || got != withheld {
+			t.Fatalf("%q: got %v, %v, %v; want %v, %v, %v", centre, gotWait, gotEver, got, wait, ever, withheld)
+		}
+	}
+	d := newListedDirectory(one, two)
+	want(t, d, "", 0, true, false)
+	want(t, d, "north", 0, false, false)
+	d.RecordRest(testStart, one.Process(), 3*time.Second)
+	want(t, d, "", 0, true, false)
+	want(t, d, "east", 3*time.Second, true, true)
+	d.RecordRest(testStart, two.Process(), 2*time.Second)
+	want(t, d, "", 2*time.Second, true, true)
+	d.RecordLeaving(testStart, two.Process())
+	want(t, d, "", 3*time.Second, true, true)
+	want(t, d, "west", 0, false, true)
+}
--- a/kernel/gateway/attempts.go
+++ b/kernel/gateway/attempts.go
@@ -164,8 +164,9 @@
 	if r == nil {
 		return false
 	}
-	if e := g.directory.Lookup(r.attempt.endpoint); e != nil && e.IsLeaving() {
+	if e := g.directory.Lookup(r.attempt.endpoint); e != nil && e.Withheld(g.now()) {
 		r.attempt.withheld = true
+		g.counters.AttemptsWithheld++
 		return false
 	}
 	r.attempt.written = true
@@ -182,7 +183,7 @@
 	}
 	now := g.now()
 	if e := g.directory.Lookup(r.attempt.endpoint); e != nil {
-		e.RecordResponse(now, errorResponse, now.Sub(r.attempt.startedAt), load)
+		e.RecordResponse(now, errorResponse && e.RestLeft(now) == 0, now.Sub(r.attempt.startedAt), load)
 		g.crashes.recordResponse(e.Name)
 	}
 	r.attempt.responseStarted = true
--- a/kernel/gateway/gateway.go
+++ b/kernel/gateway/gateway.go
@@ -191,6 +191,9 @@
 	// PermitsIssued and PermitsDenied count this instance's decisions as the issuer,
 	// PermitsTimedOut the requests for permits without a reply.
 	PermitsIssued, PermitsDenied, PermitsTimedOut int
+	// AttemptsWithheld counts the attempts of which no byte was written because their
+	// endpoint had come to want no requests.
+	AttemptsWithheld int
 }
 
 // NewGateway returns a gateway without a configuration and starts its timers.
--- a/kernel/gateway/notices.go
+++ b/kernel/gateway/notices.go
@@ -13,6 +13,10 @@
 // have said of themselves.
 const maxNoticesPerPing = 32
 
+// restReportPings is the number of ping periods within which an instance hears that an
+// endpoint wants no requests from another one.
+const restReportPings = 2
+
 // ownAnswer is the source of what an endpoint has said to this instance itself.
 const ownAnswer = "answer"
 
@@ -25,6 +29,9 @@
 	if n.Leaving {
 		g.recordLeaving(p, ownAnswer)
 	}
+	if n.Rest > 0 && g.directory.RecordRest(g.now(), p, n.Rest) {
+		g.out.LogEvent("endpointRests", "endpoint", p.Endpoint, "started", p.StartedUnixMillis, "rest", n.Rest, "sentAgo", sentAgo)
+	}
 }
 
 // HandleNoticeAt handles what the endpoint at an address says of itself in an answer.
@@ -43,20 +50,28 @@
 	}
 }
 
+// WithheldCounts returns how many endpoints leave, by their listing or their own word, and
+// how many others want no requests from this instance now.
+func (g *Gateway) WithheldCounts() (leaving, resting int) { return g.directory.WithheldCounts(g.now()) }
+
 // addNotices adds to a ping what endpoints have said of themselves.
-func (g *Gateway) addNotices(p *message.Ping) {
+func (g *Gateway) addNotices(now time.Time, p *message.Ping) {
 	for _, process := range g.directory.SaidToLeave(maxNoticesPerPing) {
 		if p.SaidToLeave == nil {
 			p.SaidToLeave = map[ident.Endpoint]int64{}
 		}
 		p.SaidToLeave[process.Endpoint] = process.StartedUnixMillis
 	}
+	p.Resting = g.directory.RestReports(now, maxNoticesPerPing)
 }
 
-// mergeNotices merges what endpoints have said of themselves to a member or to those that
-// told it.
-func (g *Gateway) mergeNotices(p message.Ping) {
+// mergeNotices merges what endpoints have said of themselves to a member and, if they leave,
+// to those that told it.
+func (g *Gateway) mergeNotices(now time.Time, p message.Ping) {
 	for _, name := range value.SortedKeys(p.SaidToLeave) {
 		g.recordLeaving(ident.EndpointProcess{Endpoint: name, StartedUnixMillis: p.SaidToLeave[name]}, string(p.Member.Name))
 	}
+	for name, r := range p.Resting {
+		g.directory.MergeRest(now, name, r, restReportPings*g.members.PingPeriod())
+	}
 }
--- a/kernel/gateway/origins.go
+++ b/kernel/gateway/origins.go
@@ -235,14 +235,25 @@
 // excludedFor returns the endpoints that must not get a request: those at which it failed
 // and, once its stream has begun, those of other versions.
 func (g *Gateway) excludedFor(r *request) value.Set[ident.Endpoint] {
-	if !r.firstEventSent && !r.takesUp() {
+	others := g.otherVersions(r)
+	if len(others) == 0 {
 		return r.excluded
 	}
-	excluded := maps.Clone(r.excluded)
+	maps.Copy(others, r.excluded)
+	return others
+}
+
+// otherVersions returns the endpoints that must not get a request's stream, once that has
+// begun, because another software version began it.
+func (g *Gateway) otherVersions(r *request) value.Set[ident.Endpoint] {
+	if !r.firstEventSent && !r.takesUp() {
+		return nil
+	}
+	others := value.NewSet[ident.Endpoint]()
 	for _, e := range g.directory.ByService(r.service) {
 		if e.Version != r.origin.Version || !r.origin.Known() {
-			excluded.Add(e.Name)
+			others.Add(e.Name)
 		}
 	}
-	return excluded
+	return others
 }
--- a/kernel/gateway/peers.go
+++ b/kernel/gateway/peers.go
@@ -111,7 +111,7 @@
 	}
 	g.addPartNews(now, &p)
 	g.addLimits(now, &p)
-	g.addNotices(&p)
+	g.addNotices(now, &p)
 	return p
 }
 
@@ -197,7 +197,7 @@
 	g.crashes.mergeReports(now, p.CrashReports)
 	g.mergePartNews(now, p)
 	g.mergeLimits(now, p)
-	g.mergeNotices(p)
+	g.mergeNotices(now, p)
 	g.recordBatcherStatus(now, p.Member.Name, p.BatcherStatuses)
 	g.recordContact(now, p.Member.Name, p.PlatformContactAge)
 	if p.AsOf > 0 && g.recordsOfferedAt.IsZero() {
--- a/kernel/gateway/permits.go
+++ b/kernel/gateway/permits.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"slices"
 	"time"
 
 	"anvilcross/kernel/batching"
@@ -81,7 +80,12 @@
 
 // blocked reports whether there is no permit for an endpoint at present.
 func (c *permitClient) blocked(now time.Time, p ident.EndpointProcess) bool {
-	return now.Before(c.pausedUntil) || now.Before(c.blockedUntil[p])
+	return c.blockedFor(now, p) > 0
+}
+
+// blockedFor returns how long there is no permit for an endpoint.
+func (c *permitClient) blockedFor(now time.Time, p ident.EndpointProcess) time.Duration {
+	return max(c.pausedUntil.Sub(now), c.blockedUntil[p].Sub(now), 0)
 }
 
 // purge forgets what is over.
@@ -204,28 +208,57 @@
 func (g *Gateway) grantedEndpoint(r *request) *endpoints.Endpoint {
 	p := r.granted
 	r.granted = ident.EndpointProcess{}
-	e := g.directory.Lookup(p.Endpoint)
-	if e == nil || e.Process() != p || e.IsLeaving() || e.Ejected(g.now()) || g.excludedFor(r).Has(e.Name) {
+	e, now := g.directory.Lookup(p.Endpoint), g.now()
+	if e == nil || e.Process() != p || e.Withheld(now) || e.Ejected(now) || g.excludedFor(r).Has(e.Name) {
 		return nil
 	}
 	return e
 }
 
+// sendableIn returns how long an endpoint gets no requests because it or the issuer of its
+// rate limit does not want any; ever is false if it gets none again.
+func (g *Gateway) sendableIn(now time.Time, e *endpoints.Endpoint) (wait time.Duration, ever bool) {
+	switch {
+	case e.IsLeaving():
+		return 0, false
+	case g.isLimited(e):
+		return max(e.RestLeft(now), g.permits.blockedFor(now, e.Process())), true
+	}
+	return e.RestLeft(now), true
+}
+
 // noEndpointRetryAfter returns when a request may come back for which there is no
-// endpoint: once there is a permit for one, if limits are the reason, spread over the
-// time of the next permits.
+// endpoint. If all want no requests for a while, that is once the first of them takes some,
+// spread over a while; requests that were late before come back first.
 func (g *Gateway) noEndpointRetryAfter(r *request) time.Duration {
 	now := g.now()
-	var waits []time.Duration
-	for _, e := range g.directory.Candidates(now, r.service, g.excludedFor(r)) {
-		if g.isLimited(e) {
-			waits = append(waits, max(g.permits.blockedUntil[e.Process()].Sub(now), g.permits.pausedUntil.Sub(now)))
+	earliest, found := time.Duration(0), false
+	others := g.otherVersions(r)
+	for _, e := range g.directory.ByService(r.service) {
+		wait, ever := g.sendableIn(now, e)
+		switch {
+		case !ever || e.Ejected(now) || others.Has(e.Name):
+		case wait == 0 && !g.isLimited(e):
+			return busyRetryAfter
+		case !found || wait < earliest:
+			earliest, found = wait, true
 		}
 	}
-	if len(waits) == 0 {
+	if !found {
 		return busyRetryAfter
 	}
-	return max(busyRetryAfter, slices.Min(waits)) + time.Duration(g.random.Int64N(int64(maxRetrySpread)))
+	spread := maxRetrySpread
+	if r.takesUp() || r.dueAt.Before(r.arrivedAt) {
+		spread = maxRetrySpread / 4
+	}
+	return max(busyRetryAfter, earliest) + time.Duration(g.random.Int64N(int64(spread)))
+}
+
+// restsRefuse reports whether to refuse a request whose stages have not run yet, because no
+// endpoint of its service wants a request when they are done at the earliest.
+func (g *Gateway) restsRefuse(r *request) bool {
+	wait, ever, withheld := g.directory.PoolWithheldFor(g.now(), ident.Pool{Service: r.service})
+	return withheld && len(r.stageServices()) > 0 && (!ever || wait > g.minStageTime(r))
 }
 
 // mayCall reports whether a call may be sent to a stage endpoint now. If it needs a
@@ -260,22 +293,22 @@
 	g.out.StartCall(c)
 }
 
-// inspectEndpoint asks a stage endpoint for its free result capacity, unless it leaves or
-// has a rate limit: its calls go first.
+// inspectEndpoint asks a stage endpoint for its free result capacity, unless it wants no
+// requests or has a rate limit: its calls go first.
 func (g *Gateway) inspectEndpoint(name ident.Endpoint, address string) {
-	if e := g.directory.Lookup(name); e == nil || !g.isLimited(e) && !e.IsLeaving() {
+	if e := g.directory.Lookup(name); e == nil || !g.isLimited(e) && !e.Withheld(g.now()) {
 		g.out.InspectEndpoint(name, address)
 	}
 }
 
-// freeResults frees results. Those at an endpoint with a rate limit are collected
-// first, and those at one that leaves end with it.
+// freeResults frees results. Those at an endpoint that has a rate limit or wants a rest are
+// collected first, and those at one that leaves end with it.
 func (g *Gateway) freeResults(address string, handles []message.ResultHandle) {
 	e := g.directory.ByAddress(address)
 	if e != nil && e.IsLeaving() {
 		return
 	}
-	if e == nil || !g.isLimited(e) {
+	if e == nil || !g.isLimited(e) && e.RestLeft(g.now()) == 0 {
 		g.out.FreeResults(address, handles)
 		return
 	}
@@ -297,7 +330,7 @@
 			delete(g.permits.heldFrees, address)
 			continue
 		}
-		if held.waiting || g.isLimited(e) && now.Sub(held.since) < freeHoldTime {
+		if held.waiting || e.RestLeft(now) > 0 || g.isLimited(e) && now.Sub(held.since) < freeHoldTime {
 			continue
 		}
 		free := func() {
--- a/kernel/gateway/request.go
+++ b/kernel/gateway/request.go
@@ -286,6 +286,10 @@
 		g.answer(r, NotRun, g.noEndpointRetryAfter(r), "all endpoints have rate limits without room")
 		return
 	}
+	if g.restsRefuse(r) {
+		g.answer(r, NotRun, g.noEndpointRetryAfter(r), "all endpoints want no requests")
+		return
+	}
 	if need := g.minStageTime(r); need > r.abandonAt.Sub(now) {
 		g.answer(r, NotRun, 0, "the stages take longer than the caller waits")
 		return
--- a/kernel/gateway/survey.go
+++ b/kernel/gateway/survey.go
@@ -33,7 +33,7 @@
 	for _, s := range services {
 		for _, e := range g.directory.ByService(s) {
 			holder := origin.Holder{Endpoint: e.Name, StartedUnixMillis: e.StartedUnixMillis, Origin: origin.Origin{Service: s, Version: e.Version}}
-			if e.IsLeaving() || e.Ejected(now) || g.isLimited(e) || g.survey.asked[e.Name] == holder || g.survey.holdings.Fresh(now, holder) {
+			if e.Withheld(now) || e.Ejected(now) || g.isLimited(e) || g.survey.asked[e.Name] == holder || g.survey.holdings.Fresh(now, holder) {
 				continue
 			}
 			g.survey.asked[e.Name] = holder
--- a/kernel/message/gateway.go
+++ b/kernel/message/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"anvilcross/kernel/endpoints"
 	"anvilcross/kernel/ident"
 	"anvilcross/kernel/membership"
 	"anvilcross/kernel/ratelimit"
@@ -61,6 +62,8 @@
 	// SaidToLeave holds endpoints that have said in an answer that they leave, with the
 	// start time of the process in milliseconds since the Unix epoch.
 	SaidToLeave map[ident.Endpoint]int64 `json:"saidToLeave,omitempty"`
+	// Resting holds the endpoints that want no requests for a while.
+	Resting map[ident.Endpoint]endpoints.RestReport `json:"resting,omitempty"`
 }
 
 // PermitID numbers the permits that an instance asks for.
--- a/kernel/message/valid.go
+++ b/kernel/message/valid.go
@@ -79,8 +79,13 @@
 			return errors.Errorf("crash at %q: age %v, %d parts", c.Address, c.Age, len(c.Parts))
 		}
 	}
-	if len(p.SaidToLeave) > maxNotices {
-		return errors.Errorf("%d endpoints that leave", len(p.SaidToLeave))
+	if len(p.SaidToLeave) > maxNotices || len(p.Resting) > maxNotices {
+		return errors.Errorf("%d endpoints that leave, %d that want a rest", len(p.SaidToLeave), len(p.Resting))
+	}
+	for e, r := range p.Resting {
+		if r.Left < 0 {
+			return errors.Errorf("negative rest of endpoint %q", e)
+		}
 	}
 	return p.checkLimits()
 }
