--- a/anvilcrossd/entry/entry.go
+++ b/anvilcrossd/entry/entry.go
@@ -15,6 +15,7 @@
 
 	"github.com/juju/errors"
 
+	"anvilcross/anvilcrossd/forward"
 	"anvilcross/anvilcrossd/h1"
 	"anvilcross/kernel/gateway"
 	"anvilcross/kernel/ident"
@@ -63,6 +64,8 @@
 	lastHandle     atomic.Uint64
 	mutex          sync.Mutex
 	activeRequests map[gateway.RequestHandle]*activeRequest
+	// activeForwarded counts the requests of other instances.
+	activeForwarded atomic.Int64
 }
 
 // NewServer returns a server without active requests. It does not listen by
@@ -101,14 +104,37 @@
 // ServeHTTP serves one request. It panics with http.ErrAbortHandler, which
 // aborts the connection, if the caller has received only part of a response.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	started := time.Now()
-	if s.config.ShuttingDown() {
-		w.Header().Set("Connection", "close")
-	}
 	if limit := s.config.Limits().MaxHeaderBytes; limit > 0 && headerBytes(r) > limit {
 		s.reject(w, r, http.StatusRequestHeaderFieldsTooLarge, "the header is too large")
 		return
 	}
+	r.Header.Del(forward.HeaderRequest)
+	s.serve(w, r, nil)
+}
+
+// ServeForwarded serves a request that another instance has forwarded. It panics as
+// ServeHTTP does.
+func (s *Server) ServeForwarded(w http.ResponseWriter, r *http.Request) {
+	s.activeForwarded.Add(1)
+	defer s.activeForwarded.Add(-1)
+	forwarding, err := forward.TakeRequest(r.Header)
+	if err != nil {
+		s.reject(w, r, http.StatusBadRequest, err.Error())
+		return
+	}
+	s.serve(w, r, &forwarding)
+}
+
+// ActiveForwarded returns the number of requests of other instances that are not finished.
+func (s *Server) ActiveForwarded() int64 { return s.activeForwarded.Load() }
+
+// serve serves a caller's request; forwarding is nil unless another instance has forwarded
+// it.
+func (s *Server) serve(w http.ResponseWriter, r *http.Request, forwarding *gateway.Forwarding) {
+	started := time.Now()
+	if s.config.ShuttingDown() {
+		w.Header().Set("Connection", "close")
+	}
 	body, status := s.readBody(w, r)
 	if status != 0 {
 		s.reject(w, r, status, "the body is too large, too slow or cut off")
@@ -119,6 +145,7 @@
 		s.reject(w, r, http.StatusBadRequest, err.Error())
 		return
 	}
+	incoming.Forwarded = forwarding
 	incoming.Digest = ident.NewDigest(ident.Pipeline(incoming.Host+r.RequestURI+" "+incoming.Key), string(body))
 	active := &activeRequest{handle: gateway.RequestHandle(s.lastHandle.Add(1)), steps: make(chan gateway.Step, maxQueuedSteps)}
 	s.mutex.Lock()
@@ -130,7 +157,7 @@
 		s.mutex.Unlock()
 	}()
 	s.config.WithGateway(func(g *gateway.Gateway) { g.HandleRequest(active.handle, incoming) })
-	c := &callerExchange{server: s, active: active, writer: w, request: r, body: body}
+	c := &callerExchange{server: s, active: active, writer: w, request: r, body: body, forwarded: forwarding != nil}
 	outcome := c.run()
 	s.config.RecordRequest(outcome, time.Since(started))
 	if outcome == brokenOff {
@@ -208,6 +235,8 @@
 	writer  http.ResponseWriter
 	request *http.Request
 	body    []byte
+	// forwarded is set if another instance has forwarded the request.
+	forwarded bool
 	// headSent is set once the head of a streamed response has been sent to the
 	// caller.
 	headSent bool
@@ -252,6 +281,9 @@
 	if c.headSent || step.Answer == gateway.BrokenOff {
 		return brokenOff
 	}
+	if c.forwarded {
+		forward.SetAnswer(c.writer.Header(), gateway.ForwardAnswer{Answer: step.Answer, RetryAfter: step.RetryAfter, Reason: step.Reason, Elsewhere: step.Elsewhere, NoPath: step.NoPath})
+	}
 	platform.WriteAnswer(c.writer, c.request, step)
 	return step.Answer.String()
 }
@@ -272,7 +304,7 @@
 		Method:          c.request.Method,
 		Target:          c.request.RequestURI,
 		Host:            c.request.Host,
-		Header:          platform.EndpointHeader(c.request.Header, *send),
+		Header:          c.header(send),
 		Body:            c.body,
 		AvoidStale:      !send.Repeatable,
 		MatchesResponse: func(r *http.Response) bool { return platform.ResponseMatchesRequest(c.request, r) },
@@ -281,7 +313,7 @@
 			return allowed
 		},
 	})
-	if err == nil {
+	if err == nil && send.Member == "" {
 		c.reportNotice(send, response.Response, time.Since(started))
 	}
 	if c.request.Context().Err() != nil {
@@ -299,6 +331,9 @@
 		return ""
 	}
 	defer func() { _ = response.Body.Close() }()
+	if send.Member != "" && c.handleForwardAnswer(send, response) {
+		return ""
+	}
 	head := platform.ReadResponseHead(response.Response)
 	if !head.Usable {
 		discard(response)
@@ -312,6 +347,32 @@
 	return c.relayBuffered(send, response, head.ErrorResponse)
 }
 
+// header returns the header of the request as it is sent to an endpoint or an instance.
+func (c *callerExchange) header(send *gateway.Send) http.Header {
+	if send.Member == "" {
+		return platform.EndpointHeader(c.request.Header, *send)
+	}
+	h := platform.ForwardHeader(c.request.Header, *send)
+	forward.SetRequest(h, send.Forwarding)
+	return h
+}
+
+// handleForwardAnswer passes the own answer of an instance to which the request was forwarded
+// to the gateway. It returns false if the response is that of an endpoint.
+func (c *callerExchange) handleForwardAnswer(send *gateway.Send, response *h1.Response) bool {
+	answer, isAnswer, err := forward.ReadAnswer(response.Header)
+	if !isAnswer {
+		return false
+	}
+	discard(response)
+	if err != nil {
+		c.reportFailure(send, gateway.InvalidResponse, "", err.Error())
+		return true
+	}
+	c.withGateway(func(g *gateway.Gateway) { g.HandleForwardAnswer(c.active.handle, send.Attempt, answer) })
+	return true
+}
+
 // reportNotice tells the gateway what an endpoint says of itself in a response.
 func (c *callerExchange) reportNotice(send *gateway.Send, response *http.Response, sentAgo time.Duration) {
 	if platform.FromAnotherEndpoint(response) {
--- a/anvilcrossd/entry/framing.go
+++ b/anvilcrossd/entry/framing.go
@@ -5,6 +5,7 @@
 	"net"
 	"strconv"
 
+	"anvilcross/anvilcrossd/forward"
 	"anvilcross/anvilcrossd/h1"
 	"anvilcross/platform"
 )
@@ -27,6 +28,7 @@
 // of the body or unknownLength.
 func (c *callerExchange) writeHead(response *h1.Response, length int64) {
 	platform.CopyResponseHeader(c.writer, response.Response)
+	c.writer.Header().Del(forward.HeaderAnswer)
 	switch {
 	case !response.Delimited():
 		// net/http then sends neither a length nor chunks.
--- a/anvilcrossd/gatewayd/gatewayd.go
+++ b/anvilcrossd/gatewayd/gatewayd.go
@@ -22,6 +22,7 @@
 
 	"anvilcross/anvilcrossd/entry"
 	"anvilcross/anvilcrossd/eventlog"
+	"anvilcross/anvilcrossd/forward"
 	"anvilcross/anvilcrossd/h1"
 	"anvilcross/anvilcrossd/link"
 	"anvilcross/anvilcrossd/metadata"
@@ -36,6 +37,7 @@
 	"anvilcross/kernel/ident"
 	"anvilcross/kernel/membership"
 	"anvilcross/kernel/message"
+	"anvilcross/kernel/paths"
 	"anvilcross/kernel/published"
 	"anvilcross/kernel/replica"
 	"anvilcross/kernel/timer"
@@ -62,6 +64,9 @@
 	// refuseUnsentMargin is how long before that limit the requests that have
 	// certainly not run are refused.
 	refuseUnsentMargin = 2 * time.Second
+	// forwardedPollPeriod is the interval at which a shutdown looks for unfinished requests
+	// of other instances.
+	forwardedPollPeriod = 20 * time.Millisecond
 	// settingsPollPeriod is the interval at which the settings file is read.
 	settingsPollPeriod = 2 * time.Second
 	// memoryLimitShare is the share of the allowed memory that is set as the Go
@@ -88,6 +93,9 @@
 	SettingsPath string
 	// Overrides are section.key=value pairs that take precedence over the file.
 	Overrides []string
+	// DialEndpoint opens the connections to endpoints; nil stands for TCP to their
+	// addresses.
+	DialEndpoint func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 type daemon struct {
@@ -123,7 +131,7 @@
 	d.log = eventlog.NewLog(eventlog.Config{Writer: os.Stdout, Fields: []any{"seat", s.Seat, "dataCentre", s.DataCentre}})
 	debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.MemoryMegabytes) * (1 << 20)))
 	d.metrics = newGatewayMetrics(metricsConfig{CollectGauges: d.collectGauges})
-	d.httpClient = h1.NewClient()
+	d.httpClient = h1.NewClient(h1.Config{DialContext: c.DialEndpoint})
 	d.mesh = peer.NewMesh(peer.Config{
 		DataCentre:     s.DataCentre,
 		LocalTransport: link.NewTransport(link.Config{IdleTimeout: peerIdleTimeout, MaxConnectionsPerHost: maxConnectionsPerPeer}),
@@ -175,6 +183,8 @@
 			DataCentre:  s.DataCentre,
 			Incarnation: ident.Incarnation(rand.Uint64() >> 12),
 			Capacity:    s.Capacity(),
+
+			AcceptsForwards: true,
 		},
 		Seeds:        s.Seeds,
 		Retry:        gateway.RetryLimits{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow},
@@ -227,15 +237,34 @@
 	})
 }
 
-// checkEndpoint tells the gateway if an endpoint refuses connections. It does not block.
+// checkEndpoint connects to an endpoint and tells the gateway the result. It does not block.
 func (d *daemon) checkEndpoint(name ident.Endpoint, address string) {
 	go func() {
-		if d.httpClient.Refuses(context.Background(), address) {
-			d.withGateway(func(g *gateway.Gateway) { g.HandleEndpointRefused(name) })
+		err := d.httpClient.Connect(context.Background(), address)
+		result := paths.Accepted
+		switch {
+		case h1.ConnectionRefused(err):
+			result = paths.Refused
+		case err != nil:
+			result = paths.Silent
 		}
+		d.withGateway(func(g *gateway.Gateway) { g.HandleEndpointChecked(name, result) })
 	}()
 }
 
+// peerHandler returns the handler for messages of other instances and for the requests that
+// they forward.
+func (d *daemon) peerHandler() http.Handler {
+	mesh := d.mesh.Handler()
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if forward.IsForwarded(r.Header) {
+			d.entry.ServeForwarded(w, r)
+			return
+		}
+		mesh.ServeHTTP(w, r)
+	})
+}
+
 // handleNoticeAt tells the gateway what the endpoint at an address says of itself.
 func (d *daemon) handleNoticeAt(address string, n endpoints.Notice, sentAgo time.Duration) {
 	d.withGateway(func(g *gateway.Gateway) { g.HandleNoticeAt(address, n, sentAgo) })
@@ -275,7 +304,7 @@
 		ConnContext:       entry.WithConnection,
 		ErrorLog:          newErrorLog(d.log),
 	}
-	peerServer := &http.Server{Handler: d.mesh.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: 2 * peerIdleTimeout, ErrorLog: newErrorLog(d.log)}
+	peerServer := &http.Server{Handler: d.peerHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: 2 * peerIdleTimeout, ConnContext: entry.WithConnection, ErrorLog: newErrorLog(d.log)}
 	readyServer := &http.Server{Handler: http.HandlerFunc(d.serveReady), ReadHeaderTimeout: headerTimeout, ErrorLog: newErrorLog(d.log)}
 	metricsServer := &http.Server{Handler: d.metrics.handler(), ReadHeaderTimeout: headerTimeout, ErrorLog: newErrorLog(d.log)}
 	serveErrors := make(chan error, 4)
@@ -351,7 +380,11 @@
 		d.withGateway(func(g *gateway.Gateway) { g.RefuseUnsent() })
 	})
 	defer refuseTimer.Stop()
-	if err := callerServer.Shutdown(ctx); err != nil {
+	err := callerServer.Shutdown(ctx)
+	if err == nil {
+		err = d.finishForwarded(ctx)
+	}
+	if err != nil {
 		inFlight := 0
 		d.withGateway(func(g *gateway.Gateway) { inFlight = g.InFlight() })
 		d.log.WriteEvent("stopLimitReached", "inFlight", inFlight, "after", time.Since(startedAt))
@@ -360,6 +393,20 @@
 	d.log.WriteEvent("stopComplete", "after", time.Since(startedAt))
 }
 
+// finishForwarded waits for the requests that other instances have forwarded.
+func (d *daemon) finishForwarded(ctx context.Context) error {
+	ticker := time.NewTicker(forwardedPollPeriod)
+	defer ticker.Stop()
+	for d.entry.ActiveForwarded() > 0 {
+		select {
+		case <-ctx.Done():
+			return errors.Trace(ctx.Err())
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
+
 // watchSettings reloads the settings when their file changes, so that no signal
 // is needed.
 func (d *daemon) watchSettings(stop <-chan struct{}) {
--- a/anvilcrossd/gatewayd/metrics.go
+++ b/anvilcrossd/gatewayd/metrics.go
@@ -81,6 +81,8 @@
 		gauges["permits_denied"] = float64(c.PermitsDenied)
 		gauges["permits_timed_out"] = float64(c.PermitsTimedOut)
 		gauges["attempts_withheld"] = float64(c.AttemptsWithheld)
+		gauges["paths_lost"] = float64(c.PathsLost)
+		gauges["forwarded"] = float64(c.Forwarded)
 		leaving, resting := g.WithheldCounts()
 		gauges["endpoints_leaving"] = float64(leaving)
 		gauges["endpoints_resting"] = float64(resting)
--- a/anvilcrossd/h1/endless_test.go
+++ b/anvilcrossd/h1/endless_test.go
@@ -43,7 +43,7 @@
 	var before, after runtime.MemStats
 	runtime.ReadMemStats(&before)
 	started := time.Now()
-	body, err := get(NewClient(), address, "a")
+	body, err := get(NewClient(Config{}), address, "a")
 	took := time.Since(started)
 	runtime.ReadMemStats(&after)
 	allocated := after.TotalAlloc - before.TotalAlloc
@@ -100,7 +100,7 @@
 		}
 	}()
 	started := time.Now()
-	if _, err := get(NewClient(), listener.Addr().String(), "a"); err == nil {
+	if _, err := get(NewClient(Config{}), listener.Addr().String(), "a"); err == nil {
 		t.Fatal("no error for a response that never came")
 	}
 	if took := time.Since(started); took > 2*time.Second {
--- a/anvilcrossd/h1/h1.go
+++ b/anvilcrossd/h1/h1.go
@@ -68,10 +68,10 @@
 // Client sends requests and keeps idle connections. It is safe for concurrent
 // use.
 type Client struct {
-	dialer net.Dialer
-	mutex  sync.Mutex
-	idle   map[string][]*connection
-	opened atomic.Int64
+	dialContext func(ctx context.Context, network, address string) (net.Conn, error)
+	mutex       sync.Mutex
+	idle        map[string][]*connection
+	opened      atomic.Int64
 	// sleep waits while a new connection is watched; tests replace it.
 	sleep func(time.Duration)
 }
@@ -140,24 +140,33 @@
 	idleTimeout time.Duration
 }
 
+// Config configures a Client.
+type Config struct {
+	// DialContext opens a TCP connection; nil stands for one to the address itself.
+	DialContext func(ctx context.Context, network, address string) (net.Conn, error)
+}
+
 // NewClient returns a client without connections.
-func NewClient() *Client {
-	return &Client{
-		idle:  map[string][]*connection{},
-		sleep: time.Sleep,
-		dialer: net.Dialer{
-			Timeout:         dialTimeout,
-			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: 500 * time.Millisecond, Count: 3},
-			Control: func(_, _ string, raw syscall.RawConn) error {
-				var optionErr error
-				err := raw.Control(func(fd uintptr) {
-					optionErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, soTCPUserTimeout, int(tcpUserTimeout/time.Millisecond))
-				})
-				if err != nil {
-					return err
-				}
-				return optionErr
-			},
+func NewClient(c Config) *Client {
+	if c.DialContext == nil {
+		c.DialContext = newDialer().DialContext
+	}
+	return &Client{idle: map[string][]*connection{}, sleep: time.Sleep, dialContext: c.DialContext}
+}
+
+func newDialer() *net.Dialer {
+	return &net.Dialer{
+		Timeout:         dialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: 500 * time.Millisecond, Count: 3},
+		Control: func(_, _ string, raw syscall.RawConn) error {
+			var optionErr error
+			err := raw.Control(func(fd uintptr) {
+				optionErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, soTCPUserTimeout, int(tcpUserTimeout/time.Millisecond))
+			})
+			if err != nil {
+				return err
+			}
+			return optionErr
 		},
 	}
 }
@@ -224,7 +233,7 @@
 // have reset the connection, and fails if it did.
 func (c *Client) dial(ctx context.Context, address string, detectReset bool) (*connection, error) {
 	dialStart := time.Now()
-	n, err := c.dialer.DialContext(ctx, "tcp4", address)
+	n, err := c.dialContext(ctx, "tcp4", address)
 	if err != nil {
 		return nil, errors.Annotate(ErrNotSent, err.Error())
 	}
@@ -242,17 +251,22 @@
 	return k, nil
 }
 
-// Refuses reports whether a connection to the address is refused, so that no process
-// listens there. It reports false if it cannot tell.
-func (c *Client) Refuses(ctx context.Context, address string) bool {
-	n, err := c.dialer.DialContext(ctx, "tcp4", address)
-	if err == nil {
-		c.opened.Add(1)
-		_ = n.Close()
+// Connect connects to an address and closes the connection. It returns nil if the
+// connection was accepted. ConnectionRefused tells whether an error proves that no process
+// listens there.
+func (c *Client) Connect(ctx context.Context, address string) error {
+	n, err := c.dialContext(ctx, "tcp4", address)
+	if err != nil {
+		return errors.Trace(err)
 	}
-	return errors.Is(err, syscall.ECONNREFUSED)
+	c.opened.Add(1)
+	return n.Close()
 }
 
+// ConnectionRefused reports whether an error of Connect means that no process listens at the
+// address.
+func ConnectionRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
 // Response is an endpoint's response. Body must be closed; the connection is
 // reused if the body was read to its end.
 type Response struct {
--- a/anvilcrossd/h1/h1_test.go
+++ b/anvilcrossd/h1/h1_test.go
@@ -85,7 +85,7 @@
 func TestResponsesAndConnectionReuse(t *testing.T) {
 	t.Run("a connection is used again", func(t *testing.T) {
 		address, _ := startEndpoint(t, ownResponse, ownResponse)
-		c := NewClient()
+		c := NewClient(Config{})
 		for range 2 {
 			body, err := get(c, address, "a")
 			wantBody(t, body, err, "own")
@@ -96,12 +96,12 @@
 	})
 	t.Run("an answer to another request is skipped", func(t *testing.T) {
 		address, _ := startEndpoint(t, "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 5\r\n\r\nstray"+ownResponse)
-		body, err := get(NewClient(), address, "a")
+		body, err := get(NewClient(Config{}), address, "a")
 		wantBody(t, body, err, "own")
 	})
 	t.Run("a connection with surplus bytes is dropped", func(t *testing.T) {
 		address, _ := startEndpoint(t, ownResponse+"surplus", ownResponse)
-		c := NewClient()
+		c := NewClient(Config{})
 		for range 2 {
 			body, err := get(c, address, "a")
 			wantBody(t, body, err, "own")
@@ -112,7 +112,7 @@
 	})
 	t.Run("a late copy of an answer cannot reach a request with its own connection", func(t *testing.T) {
 		address, _ := startEndpoint(t, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst")
-		c := NewClient()
+		c := NewClient(Config{})
 		for range 2 {
 			response, err := c.Do(t.Context(), Request{Address: address, Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}, SingleUse: true})
 			if err != nil {
@@ -128,13 +128,13 @@
 	})
 	t.Run("an answer that ends early is no whole answer", func(t *testing.T) {
 		address, _ := startEndpoint(t, "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 9\r\n\r\nown")
-		if body, err := get(NewClient(), address, "a"); err == nil {
+		if body, err := get(NewClient(Config{}), address, "a"); err == nil {
 			t.Fatalf("got %q without an error", body)
 		}
 	})
 	t.Run("bytes that are no answer are an error", func(t *testing.T) {
 		address, _ := startEndpoint(t, "noise\r\n\r\n")
-		if body, err := get(NewClient(), address, "a"); err == nil {
+		if body, err := get(NewClient(Config{}), address, "a"); err == nil {
 			t.Fatalf("got %q without an error", body)
 		}
 	})
@@ -144,7 +144,7 @@
 // have run. It must not be sent again on a new connection.
 func TestNothingIsSentTwice(t *testing.T) {
 	address, requests := startEndpoint(t, ownResponse, "")
-	c := NewClient()
+	c := NewClient(Config{})
 	if _, err := get(c, address, "a"); err != nil {
 		t.Fatal(err)
 	}
@@ -164,13 +164,13 @@
 		}
 		address := listener.Addr().String()
 		_ = listener.Close()
-		if _, err := get(NewClient(), address, "a"); !NotSent(err) {
+		if _, err := get(NewClient(Config{}), address, "a"); !NotSent(err) {
 			t.Fatalf("got %v, want an error that proves that nothing was written", err)
 		}
 	})
 	t.Run("the request was given up before its first byte", func(t *testing.T) {
 		address, requests := startEndpoint(t, ownResponse)
-		_, err := NewClient().Do(context.Background(), Request{Address: address, Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}, MayWrite: func() bool { return false }})
+		_, err := NewClient(Config{}).Do(context.Background(), Request{Address: address, Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}, MayWrite: func() bool { return false }})
 		if !NotSent(err) || requests.Load() != 0 {
 			t.Fatalf("got %v and %d requests, want an error that proves that nothing was written, and none", err, requests.Load())
 		}
@@ -183,7 +183,7 @@
 	address, _ := startEndpoint(t, ownResponse)
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
-	response, err := NewClient().Do(ctx, Request{Address: address, Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, Body: []byte(strings.Repeat("x", 1<<20)), MatchesResponse: matchesID("a")})
+	response, err := NewClient(Config{}).Do(ctx, Request{Address: address, Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, Body: []byte(strings.Repeat("x", 1<<20)), MatchesResponse: matchesID("a")})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -214,7 +214,7 @@
 		}
 	}()
 	for range 20 {
-		c := NewClient()
+		c := NewClient(Config{})
 		c.sleep = func(d time.Duration) {
 			if d < acceptDelay {
 				t.Errorf("a new connection is watched for %v, less than the endpoint's delay of %v", d, acceptDelay)
@@ -235,17 +235,17 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	address, c := listener.Addr().String(), NewClient()
-	if c.Refuses(context.Background(), address) {
-		t.Error("a listener counts as refusing")
+	address, c := listener.Addr().String(), NewClient(Config{})
+	if err := c.Connect(context.Background(), address); err != nil {
+		t.Errorf("a listener does not accept: %v", err)
 	}
 	_ = listener.Close()
-	if !c.Refuses(context.Background(), address) {
-		t.Error("an address without a listener does not count as refusing")
+	if err := c.Connect(context.Background(), address); !ConnectionRefused(err) {
+		t.Errorf("an address without a listener does not count as refusing: %v", err)
 	}
 	ended, end := context.WithCancel(context.Background())
 	end()
-	if c.Refuses(ended, address) {
-		t.Error("a check that was not made counts as refused")
+	if err := c.Connect(ended, address); err == nil || ConnectionRefused(err) {
+		t.Errorf("a check that was not made counts as accepted or refused: %v", err)
 	}
 }
--- a/kernel/batching/batching.go
+++ b/kernel/batching/batching.go
@@ -99,7 +99,9 @@
 	InspectEndpoint   func(ident.Endpoint, string)
 	SendResults       func(to ident.Instance, r message.StageResults)
 	SendInputsFetched func(to ident.Instance, f message.StageInputsFetched)
-	LogEvent          func(name string, fields ...any)
+	// SuspectEndpoint is called when a call to an endpoint brought no reply.
+	SuspectEndpoint func(*endpoints.Endpoint)
+	LogEvent        func(name string, fields ...any)
 }
 
 // Config configures a Batcher.
--- a/kernel/batching/dispatch.go
+++ b/kernel/batching/dispatch.go
@@ -266,6 +266,9 @@
 	b.config.Output.LogEvent("stageCallOverdue", "service", c.pool.Service, "endpoint", c.endpoint, "pieces", len(c.pieces), "expected", c.expectedTime)
 	es := b.endpointState(c.endpoint)
 	es.latencyRatio = max(es.latencyRatio, 2*slowLatencyRatio)
+	if e := b.config.Directory.Lookup(c.endpoint); e != nil {
+		b.config.Output.SuspectEndpoint(e)
+	}
 	for _, p := range c.pieces {
 		b.requeue(p)
 	}
@@ -423,6 +426,7 @@
 				e.MarkReplaced(now)
 			} else {
 				e.MarkUnreachable(now)
+				b.config.Output.SuspectEndpoint(e)
 			}
 			b.config.Timers.After(endpoints.BaseEjectionTime, func() { b.Dispatch(c.pool) })
 		}
--- a/kernel/batching/handover.go
+++ b/kernel/batching/handover.go
@@ -24,6 +24,23 @@
 	}
 }
 
+// AbandonCalls ends the running calls of a pool, because no replies arrive here any more, and
+// puts their pieces back into the queue.
+func (b *Batcher) AbandonCalls(pool ident.Pool) {
+	q := b.queue(pool)
+	for _, id := range value.SortedKeys(b.calls) {
+		if b.calls[id].pool != pool {
+			continue
+		}
+		for _, p := range b.endCall(id).pieces {
+			if b.pieces[p.id] == p && p.state == pieceRunning {
+				p.state = pieceWaiting
+				q.waiting = append(q.waiting, p)
+			}
+		}
+	}
+}
+
 // Holds reports whether the batcher has any of the given pieces.
 func (b *Batcher) Holds(s message.StageWork) bool {
 	return slices.ContainsFunc(s.Pieces, func(piece int) bool {
--- a/kernel/batching/load_test.go
+++ b/kernel/batching/load_test.go
@@ -72,6 +72,7 @@
 			InspectEndpoint:   func(ident.Endpoint, string) {},
 			SendResults:       s.results,
 			SendInputsFetched: func(ident.Instance, message.StageInputsFetched) {},
+			SuspectEndpoint:   func(*endpoints.Endpoint) {},
 			LogEvent:          func(string, ...any) {},
 		},
 	})
--- a/kernel/endpoints/endpoints.go
+++ b/kernel/endpoints/endpoints.go
@@ -338,6 +338,12 @@
 	e.consecutiveFailures++
 }
 
+// Readmit ends an ejection whose cause was not the endpoint.
+func (e *Endpoint) Readmit() {
+	e.consecutiveFailures = 0
+	e.ejectedUntil, e.unreachableAt = time.Time{}, time.Time{}
+}
+
 // MarkReplaced records that another process answers at the endpoint's address, which
 // means that the endpoint is gone, and ejects the endpoint.
 func (e *Endpoint) MarkReplaced(now time.Time) {
--- a/kernel/gateway/attempts.go
+++ b/kernel/gateway/attempts.go
@@ -62,9 +62,16 @@
 		g.endQuarantined(r)
 		return
 	}
+	if g.paths.Lost(r.service) && g.forward(r) {
+		return
+	}
 	e := g.grantedEndpoint(r)
 	for e == nil {
 		if e = g.chooseEndpoint(r); e == nil {
+			if g.seemsUnreachable(r.service) {
+				r.awaitsPath = true
+				return
+			}
 			g.answer(r, g.failureAnswer(r), g.noEndpointRetryAfter(r), "no endpoint can take it")
 			return
 		}
@@ -124,6 +131,7 @@
 			return
 		}
 		e.MarkUnreachable(g.now())
+		g.suspectPath(e)
 		g.out.LogEvent("attemptSilent", "request", r.incoming.ID, "endpoint", a.endpoint, "waited", wait)
 		g.retryOrEnd(r, Broken, "no answer within "+wait.String())
 		g.out.CancelAttempt(r.handle)
@@ -139,6 +147,11 @@
 	}
 	r.attempt = nil
 	g.timers.Stop(a.timeoutTimer)
+	if a.member != "" {
+		if g.forwardsTo[a.member]--; g.forwardsTo[a.member] <= 0 {
+			delete(g.forwardsTo, a.member)
+		}
+	}
 	if e := g.directory.Lookup(a.endpoint); e != nil {
 		e.OwnRequests = max(e.OwnRequests-1, 0)
 	}
@@ -196,7 +209,9 @@
 		if !r.firstEventSent {
 			r.timeToFirstEvent = g.now().Sub(r.arrivedAt)
 		}
-		g.recordBegun(r)
+		if r.attempt.member == "" {
+			g.recordBegun(r)
+		}
 		r.firstEventSent = true
 		r.attempt.firstEventAt = g.now()
 		g.releaseAll(r)
@@ -218,7 +233,7 @@
 // instead.
 func (g *Gateway) RetryErrorResponse(h RequestHandle, id AttemptID) bool {
 	r := g.requestOfAttempt(h, id)
-	if r == nil || r.route.Kind != published.Safe || r.sends >= r.route.MaxAttempts {
+	if r == nil || r.attempt.member != "" || r.route.Kind != published.Safe || r.sends >= r.route.MaxAttempts {
 		return false
 	}
 	r.excluded.Add(r.attempt.endpoint)
@@ -268,6 +283,10 @@
 	if lastEventID != "" {
 		r.lastEventID = lastEventID
 	}
+	if r.attempt.member != "" {
+		g.handleForwardFailure(r, f, detail)
+		return
+	}
 	if f == NotSent && r.attempt.withheld {
 		f = Withheld
 	}
@@ -294,7 +313,9 @@
 	case f == Broken:
 		g.crashes.recordBroken(a.endpoint, brokenExchange{digest: r.incoming.Digest, at: now, address: a.address, parts: r.suspectParts(now, a)})
 		g.checkEndpointLater(a)
-	case e != nil && (f == NotSent || f == Replaced):
+	case e != nil && f == NotSent:
+		g.suspectPath(e)
+	case e != nil && f == Replaced:
 		g.recordEndpointGone(e.Name, e.Service)
 	}
 	r.mayHaveRun = r.mayHaveRun || !provedNotRun
--- a/kernel/gateway/batchers.go
+++ b/kernel/gateway/batchers.go
@@ -118,16 +118,18 @@
 // tenure, so that an instance that joins does not take the work over. If no
 // member claims the pool, it is the one with the highest rendezvous score. The
 // pool of a data centre has its batcher there, so that a network partition
-// between data centres separates no batcher from its endpoints.
+// between data centres separates no batcher from its endpoints. An instance without
+// a path to the service batches only if none has one.
 func (g *Gateway) findBatcher(pool ident.Pool) ident.Instance {
 	now := g.now()
 	self := g.config.Self.Name
 	key := "batcher/" + pool.String()
-	hashOwner := g.members.Owner(now, key, pool.DataCentre)
+	lacksPath := func(name ident.Instance) bool { return g.lacksPath(name, pool.Service) }
+	hashOwner := g.members.OwnerExcept(now, key, pool.DataCentre, lacksPath)
 	if hashOwner == "" {
 		return ""
 	}
-	if to := g.redirectedTo(now, pool); to != "" && hashOwner != self {
+	if to := g.redirectedTo(now, pool); to != "" && hashOwner != self && !lacksPath(to) {
 		return to
 	}
 	minClass := g.members.CapacityClass(hashOwner)
@@ -136,7 +138,7 @@
 		if pool.DataCentre != "" && g.members.DataCentre(name) != pool.DataCentre {
 			return
 		}
-		if g.members.CapacityClass(name) < minClass || !g.members.InCore(now, name) {
+		if g.members.CapacityClass(name) < minClass || !g.members.InCore(now, name) || lacksPath(name) && !lacksPath(hashOwner) {
 			return
 		}
 		longer := tenure > bestTenure+tenureTolerance
@@ -216,6 +218,9 @@
 // reserved, and returns the queued pieces to the instances that submitted them,
 // which send them to the new batcher.
 func (g *Gateway) handOver(pool ident.Pool, to ident.Instance) {
+	if g.paths.Lost(pool.Service) {
+		g.batcher.AbandonCalls(pool)
+	}
 	g.sendToMember(to, message.Envelope{StageReservations: &message.StageReservations{Service: pool.Service, PoolDataCentre: pool.DataCentre, ReservedBytes: g.batcher.ReservedBytes(pool)}})
 	g.batcher.HandOver(pool)
 }
--- a/kernel/gateway/fleet_test.go
+++ b/kernel/gateway/fleet_test.go
@@ -11,6 +11,7 @@
 	"anvilcross/kernel/ident"
 	"anvilcross/kernel/membership"
 	"anvilcross/kernel/message"
+	"anvilcross/kernel/paths"
 	"anvilcross/kernel/replica"
 	"anvilcross/kernel/timer"
 )
@@ -138,7 +139,9 @@
 	f.startCall = func(name ident.Instance, _ batching.Call) { f.calls[name]++ }
 	f.freeResults = func(ident.Instance, string, []message.ResultHandle) {}
 	f.onStart = func(ident.Instance) {}
-	f.checkEndpoint = func(ident.Instance, ident.Endpoint) {}
+	f.checkEndpoint = func(name ident.Instance, e ident.Endpoint) {
+		f.timers.After(2*linkDelay, func() { f.gateways[name].HandleEndpointChecked(e, paths.Accepted) })
+	}
 	f.listPrompts = func(ident.Instance, ident.Endpoint) {}
 	return f
 }
@@ -151,7 +154,7 @@
 		if n < strong {
 			name, capacity = ident.Instance(fmt.Sprintf("strong-%03d", n)), 4.0
 		}
-		m := membership.Member{Name: name, Address: string(name) + ":1", DataCentre: centres[n%len(centres)], Incarnation: 1, Capacity: capacity}
+		m := membership.Member{Name: name, Address: string(name) + ":1", DataCentre: centres[n%len(centres)], Incarnation: 1, Capacity: capacity, AcceptsForwards: true}
 		f.names = append(f.names, name)
 		f.byAddress[m.Address] = name
 		f.gateways[name] = f.newGateway(m, uint64(n))
@@ -228,6 +231,14 @@
 	return len(text)
 }
 
+// refuseForward lets the instance to which a request is forwarded refuse it, because it does
+// not reach the endpoints either.
+func (f *testFleet) refuseForward(name ident.Instance, h RequestHandle, id AttemptID) {
+	f.timers.After(2*linkDelay, func() {
+		f.gateways[name].HandleForwardAnswer(h, id, ForwardAnswer{Answer: NotRun, RetryAfter: busyRetryAfter, Reason: "no path", Elsewhere: true, NoPath: true})
+	})
+}
+
 // advance runs all timers that are due within d.
 func (f *testFleet) advance(d time.Duration) {
 	end := f.timers.Now().Add(d)
--- a/kernel/gateway/gateway.go
+++ b/kernel/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"anvilcross/kernel/membership"
 	"anvilcross/kernel/message"
 	"anvilcross/kernel/origin"
+	"anvilcross/kernel/paths"
 	"anvilcross/kernel/published"
 	"anvilcross/kernel/ratelimit"
 	"anvilcross/kernel/replica"
@@ -46,8 +47,8 @@
 	StartCall       func(batching.Call)
 	FreeResults     func(address string, handles []message.ResultHandle)
 	InspectEndpoint func(ident.Endpoint, string)
-	// CheckEndpoint finds out whether the endpoint with the given address refuses
-	// connections. If it does, HandleEndpointRefused is called.
+	// CheckEndpoint connects to the endpoint with the given address and closes the
+	// connection. HandleEndpointChecked is always called with the result.
 	CheckEndpoint func(ident.Endpoint, string)
 	// ListPrompts asks a model endpoint, given with its address, which prompt parts it
 	// holds. Its answer comes through HandlePrompts.
@@ -178,7 +179,18 @@
 	outageUntil time.Time
 	// loggedReading is the cause of reading the platform that was last logged.
 	loggedReading readingCause
-	counters      Counters
+	// paths holds the services to which this instance has no path, and pathReports what
+	// others report of theirs. forwardsTo counts the requests in progress that are
+	// forwarded to each member, forwardedIn those that others have forwarded to this one.
+	paths       *paths.Table
+	pathReports map[ident.Instance]pathReport
+	// reportedPathMembers holds members that have no lost path, as a core member of a large
+	// fleet last reported them.
+	reportedPathMembers value.Set[ident.Instance]
+	pathMembersAt       time.Time
+	forwardsTo          map[ident.Instance]int
+	forwardedIn         int
+	counters            Counters
 }
 
 // Counters holds the gateway's totals since the process started. Each is
@@ -194,6 +206,9 @@
 	// AttemptsWithheld counts the attempts of which no byte was written because their
 	// endpoint had come to want no requests.
 	AttemptsWithheld int
+	// PathsLost counts the losses of the path to a service, Forwarded the attempts to have
+	// another instance serve a request.
+	PathsLost, Forwarded int
 }
 
 // NewGateway returns a gateway without a configuration and starts its timers.
@@ -220,6 +235,9 @@
 		redirects:        map[ident.Pool]redirect{},
 		loggedReading:    noReading,
 		partitioned:      value.NewSet[ident.DataCentre](),
+		paths:            paths.NewTable(),
+		pathReports:      map[ident.Instance]pathReport{},
+		forwardsTo:       map[ident.Instance]int{},
 	}
 	g.limits = ratelimit.NewTable()
 	g.lender = ratelimit.NewLender(g.startedAt)
@@ -247,12 +265,14 @@
 			SendInputsFetched: func(to ident.Instance, f message.StageInputsFetched) {
 				g.sendToMember(to, message.Envelope{StageInputsFetched: &f})
 			},
-			LogEvent: c.Output.LogEvent,
+			SuspectEndpoint: g.suspectPath,
+			LogEvent:        c.Output.LogEvent,
 		},
 	})
 	g.timers.After(0, g.pingTargets)
 	g.timers.Every(membership.BasePingPeriod, g.pingTargets)
 	g.timers.Every(tickPeriod, g.tick)
+	g.timers.Every(pathProbePeriod, g.probePaths)
 	return g
 }
 
@@ -352,6 +372,7 @@
 	g.poolCache = nil
 	clear(g.batcherCache)
 	g.updatePartitions(now)
+	g.paths.Forget(func(s ident.Service) bool { return g.catalog.Services[s] != nil })
 	g.updatePeerRequests(now)
 	g.batcher.DispatchAll()
 	g.updateBatchingClaims(now)
--- a/kernel/gateway/parts.go
+++ b/kernel/gateway/parts.go
@@ -109,21 +109,12 @@
 	g.crashes.checking.Add(a.endpoint)
 	g.timers.After(checkDelay, func() {
 		delete(g.crashes.checking, a.endpoint)
-		if len(g.crashes.brokenExchanges[a.endpoint]) > 0 {
-			g.out.CheckEndpoint(a.endpoint, a.address)
+		if e := g.directory.Lookup(a.endpoint); e != nil && len(g.crashes.brokenExchanges[a.endpoint]) > 0 {
+			g.suspectPath(e)
 		}
 	})
 }
 
-// HandleEndpointRefused handles that an endpoint refuses connections: its process has
-// ended.
-func (g *Gateway) HandleEndpointRefused(name ident.Endpoint) {
-	if e := g.directory.Lookup(name); e != nil {
-		e.MarkUnreachable(g.now())
-		g.recordEndpointGone(name, e.Service)
-	}
-}
-
 // updateQuarantine quarantines the prompt parts that explain the crashes known so far.
 func (g *Gateway) updateQuarantine(now time.Time) {
 	g.crashes.parts.Expire(now)
--- a/kernel/gateway/path_test.go
+++ b/kernel/gateway/path_test.go
@@ -11,6 +11,7 @@
 	"anvilcross/kernel/endpoints"
 	"anvilcross/kernel/ident"
 	"anvilcross/kernel/message"
+	"anvilcross/kernel/paths"
 	"anvilcross/kernel/replica"
 )
 
@@ -64,13 +65,17 @@
 	lostAt   time.Time
 	last     RequestHandle
 	requests map[RequestHandle]*pathRequest
+	incoming map[RequestHandle]CallerRequest
 	paths    []string
+	// hops holds where forwarded requests come from, forwarded how many each instance got.
+	hops      map[RequestHandle]*pathHop
+	forwarded map[ident.Instance]int
 }
 
 // newPathFleet starts a fleet that gets the given number of requests per second.
-func newPathFleet(t *testing.T, size, rate int, paths ...string) *pathFleet {
+func newPathFleet(t *testing.T, size, rate int, routes ...string) *pathFleet {
 	t.Helper()
-	f := &pathFleet{testFleet: newIdleFleet(t), random: rand.New(rand.NewPCG(uint64(size), 11)), requests: map[RequestHandle]*pathRequest{}, paths: paths}
+	f := &pathFleet{testFleet: newIdleFleet(t), random: rand.New(rand.NewPCG(uint64(size), 11)), requests: map[RequestHandle]*pathRequest{}, incoming: map[RequestHandle]CallerRequest{}, hops: map[RequestHandle]*pathHop{}, forwarded: map[ident.Instance]int{}, paths: routes}
 	f.lossOf = func(ident.Instance, ident.Service) pathLoss { return noLoss }
 	f.nextStep = f.takeStep
 	f.startCall = f.runCall
@@ -105,8 +110,9 @@
 	if path == "/verse/" {
 		pieces = []int{1, 1}
 	}
-	f.gateways[name].HandleRequest(f.last, CallerRequest{ID: ident.RequestID(fmt.Sprint(f.last)), Host: "h", Path: path, Key: "key", Timeout: 8 * time.Second, PieceCounts: pieces, PieceKey: "piece", Digest: ident.Digest(f.last),
-		Prompt: []PromptPart{{ID: fmt.Sprint("shared-", f.random.IntN(5)), Tokens: 300}, {ID: fmt.Sprint(f.last), Tokens: 50}}})
+	f.incoming[f.last] = CallerRequest{ID: ident.RequestID(fmt.Sprint(f.last)), Host: "h", Path: path, Key: "key", Timeout: 8 * time.Second, PieceCounts: pieces, PieceKey: "piece", Digest: ident.Digest(f.last),
+		Prompt: []PromptPart{{ID: fmt.Sprint("shared-", f.random.IntN(5)), Tokens: 300}, {ID: fmt.Sprint(f.last), Tokens: 50}}}
+	f.gateways[name].HandleRequest(f.last, f.incoming[f.last])
 }
 
 func serviceOf(e ident.Endpoint) ident.Service {
@@ -121,11 +127,62 @@
 
 // takeStep carries out what an instance decides for a request.
 func (f *pathFleet) takeStep(name ident.Instance, h RequestHandle, s Step) {
-	if s.Send == nil {
+	hop := f.hops[h]
+	switch {
+	case s.Send != nil && s.Send.Member != "":
+		f.forward(name, h, *s.Send)
+	case s.Send != nil:
+		f.send(name, h, *s.Send)
+	case hop != nil:
+		a := ForwardAnswer{Answer: s.Answer, RetryAfter: s.RetryAfter, Reason: s.Reason, Elsewhere: s.Elsewhere, NoPath: s.NoPath}
+		f.timers.After(linkDelay, func() { f.gateways[hop.by].HandleForwardAnswer(hop.handle, hop.attempt, a) })
+	default:
 		f.requests[h].answer = s.Answer.String()
+	}
+}
+
+// pathHop is where a forwarded request comes from.
+type pathHop struct {
+	by      ident.Instance
+	handle  RequestHandle
+	attempt AttemptID
+}
+
+// forward hands a request to the instance to which it is forwarded.
+func (f *pathFleet) forward(name ident.Instance, h RequestHandle, s Send) {
+	if f.hops[h] != nil {
+		f.t.Errorf("%s hands the forwarded request %d on", name, h)
+	}
+	f.timers.After(linkDelay, func() {
+		if !f.gateways[name].BeginWrite(h, s.Attempt) {
+			return
+		}
+		f.last++
+		f.forwarded[s.Member]++
+		f.hops[f.last] = &pathHop{by: name, handle: h, attempt: s.Attempt}
+		c := f.incoming[h]
+		c.Forwarded, c.Timeout = &s.Forwarding, s.Remaining
+		f.incoming[f.last] = c
+		f.gateways[s.Member].HandleRequest(f.last, c)
+	})
+}
+
+// relay hands the answer to a forwarded request to the instance that forwarded it.
+func (f *pathFleet) relay(h RequestHandle, s Send) {
+	hop := f.hops[h]
+	if hop == nil {
+		f.requests[h].answer = "relayed"
 		return
 	}
-	f.send(name, h, *s.Send)
+	f.timers.After(linkDelay, func() {
+		g := f.gateways[hop.by]
+		g.HandleResponseHead(hop.handle, hop.attempt, false, endpoints.Load{})
+		if s.Stream {
+			g.HandleFirstEvent(hop.handle, hop.attempt)
+		}
+		g.HandleDelivery(hop.handle, hop.attempt, Delivery{Status: 200, Delimited: true})
+		f.relay(hop.handle, s)
+	})
 }
 
 // send sends an attempt to an endpoint.
@@ -171,7 +228,7 @@
 			g.HandleFirstEvent(h, s.Attempt)
 		}
 		g.HandleDelivery(h, s.Attempt, Delivery{Status: 200, Delimited: true})
-		f.requests[h].answer = "relayed"
+		f.relay(h, s)
 	}
 }
 
@@ -206,11 +263,16 @@
 	})
 }
 
-// check lets an instance check whether an endpoint refuses connections.
+// check lets an instance connect to an endpoint.
 func (f *pathFleet) check(name ident.Instance, e ident.Endpoint) {
-	if loss := f.loss(name, e); loss == resetLoss || loss == newRefusedLoss {
-		f.timers.After(time.Millisecond, func() { f.gateways[name].HandleEndpointRefused(e) })
+	result, after := paths.Accepted, 2*linkDelay
+	switch f.loss(name, e) {
+	case hangingLoss:
+		result, after = paths.Silent, dialTime
+	case resetLoss, newRefusedLoss:
+		result, after = paths.Refused, time.Millisecond
 	}
+	f.timers.After(after, func() { f.gateways[name].HandleEndpointChecked(e, result) })
 }
 
 // lose cuts instances off from the endpoints of services, of all if there are none.
@@ -311,7 +373,7 @@
 	}
 	for name, how := range losses {
 		for _, c := range cases {
-			for _, size := range []int{6, 66} {
+			for _, size := range noticeFleetSizes(c.name == "half" && how == resetLoss) {
 				t.Run(fmt.Sprintf("%s, %s, %d instances", c.name, name, size), func(t *testing.T) {
 					t.Parallel()
 					f := newPathFleet(t, size, 50, c.paths...)
@@ -329,3 +391,152 @@
 		}
 	}
 }
+
+// servedSince returns how many first tries since a time were served, and how many there were
+// that are answered or older than a second.
+func (f *pathFleet) servedSince(since time.Time) (served, all int) {
+	for _, r := range f.requests {
+		if r.at.Before(since) || r.answer == "" && f.timers.Now().Sub(r.at) < time.Second {
+			continue
+		}
+		all++
+		if r.answer == "relayed" {
+			served++
+		}
+	}
+	return served, all
+}
+
+// wantServedSince checks the share of the first tries since a time that were served.
+func (f *pathFleet) wantServedSince(since time.Time, share float64) {
+	f.t.Helper()
+	if served, all := f.servedSince(since); float64(served) < share*float64(all) {
+		f.t.Errorf("%d of %d were served, want %.2f of them", served, all, share)
+	}
+}
+
+// forwardedSum returns how many requests have been forwarded.
+func (f *pathFleet) forwardedSum() int {
+	sum := 0
+	for _, n := range f.forwarded {
+		sum += n
+	}
+	return sum
+}
+
+// Requests go on through other instances after the paths are back, or pay for finding that
+// out.
+func TestPathsThatComeBack(t *testing.T) {
+	f := newPathFleet(t, 6, 60, "/order/", "/lookup/")
+	f.lose(resetLoss, f.everyNth(2))
+	f.advance(8 * time.Second)
+	f.lossOf = func(ident.Instance, ident.Service) pathLoss { return noLoss }
+	back := f.timers.Now()
+	f.advance(time.Second)
+	forwarded := f.forwardedSum()
+	if forwarded == 0 {
+		t.Fatal("no request was forwarded while paths were lost")
+	}
+	f.advance(3 * time.Second)
+	if more := f.forwardedSum() - forwarded; more > 0 {
+		t.Errorf("%d requests were forwarded later than a second after the paths were back", more)
+	}
+	f.wantServedSince(back, 1)
+}
+
+// A path that comes and goes costs callers their requests each time.
+func TestPathsThatFlap(t *testing.T) {
+	f := newPathFleet(t, 6, 60, "/order/", "/lookup/", "/lookup/")
+	chosen := f.everyNth(2)
+	begin := f.timers.Now()
+	for range 8 {
+		f.lose(resetLoss, chosen)
+		f.advance(time.Second)
+		f.lossOf = func(ident.Instance, ident.Service) pathLoss { return noLoss }
+		f.advance(time.Second)
+	}
+	f.wantServedSince(begin.Add(pathContactTime), 0.9)
+	f.wantNoCrashes()
+}
+
+// Instances without a path hand a request round, or let it wait, when none has one.
+func TestNoInstanceHasAPath(t *testing.T) {
+	for _, size := range []int{6, 66} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			f := newPathFleet(t, size, 60, "/order/", "/lookup/")
+			f.lose(resetLoss, f.names)
+			f.advance(pathContactTime)
+			since, forwarded, first := f.timers.Now(), f.forwardedSum(), f.last
+			f.advance(2 * time.Second)
+			served, all := f.servedSince(since)
+			if served > 0 {
+				t.Errorf("%d of %d were served without a path", served, all)
+			}
+			for h, r := range f.requests {
+				if h > first && f.timers.Now().Sub(r.at) > 100*time.Millisecond && r.answer != "notRun" {
+					t.Fatalf("request %d: got %q", h, r.answer)
+				}
+			}
+			if most, got := maxForwardTries*all, f.forwardedSum()-forwarded; got > most {
+				t.Errorf("%d requests were forwarded %d times", all, got)
+			}
+		})
+	}
+}
+
+// The nearest or best known instances get the requests of a whole data centre without paths.
+func TestForwardedRequestsAreSpread(t *testing.T) {
+	f := newPathFleet(t, 66, 300, "/order/", "/lookup/")
+	f.lose(resetLoss, f.everyNth(3))
+	f.advance(10 * time.Second)
+	most, sum := 0, f.forwardedSum()
+	for _, n := range f.forwarded {
+		most = max(most, n)
+	}
+	if fair := sum / 44; sum < 600 || most > 3*fair {
+		t.Errorf("an instance got %d of %d forwarded requests, %d would be fair", most, sum, fair)
+	}
+}
+
+// A service whose endpoints are slow, or whose endpoints crash, is taken for one without a
+// path.
+func TestEndpointsInTroubleAreNoLostPath(t *testing.T) {
+	t.Run("silent for a second", func(t *testing.T) {
+		f := newPathFleet(t, 6, 60, "/order/", "/lookup/")
+		nextStep := f.nextStep
+		f.nextStep = func(name ident.Instance, h RequestHandle, s Step) {
+			f.timers.After(time.Second, func() { nextStep(name, h, s) })
+		}
+		f.advance(4 * time.Second)
+		if n := f.forwardedSum(); n > 0 {
+			t.Errorf("%d requests were forwarded", n)
+		}
+	})
+	t.Run("two of three crash", func(t *testing.T) {
+		f := newPathFleet(t, 6, 60, "/order/", "/lookup/", "/lookup/")
+		f.lostAt = f.timers.Now().Add(-time.Hour)
+		crashed := func(e ident.Endpoint) bool { return e == "orders-0" || e == "orders-1" }
+		nextStep := f.nextStep
+		f.nextStep = func(name ident.Instance, h RequestHandle, s Step) {
+			if s.Send != nil && s.Send.Member == "" && crashed(s.Send.Endpoint) {
+				g, id := f.gateways[name], s.Send.Attempt
+				f.timers.After(linkDelay, func() { g.HandleFailure(h, id, NotSent, "", "connection refused") })
+				return
+			}
+			nextStep(name, h, s)
+		}
+		f.checkEndpoint = func(name ident.Instance, e ident.Endpoint) {
+			result := paths.Accepted
+			if crashed(e) {
+				result = paths.Refused
+			}
+			f.timers.After(2*linkDelay, func() { f.gateways[name].HandleEndpointChecked(e, result) })
+		}
+		since := f.timers.Now()
+		f.advance(4 * time.Second)
+		if n := f.forwardedSum(); n > 0 {
+			t.Errorf("%d requests were forwarded", n)
+		}
+		f.wantServedSince(since, 0.98)
+	})
+}
--- a/kernel/gateway/peers.go
+++ b/kernel/gateway/peers.go
@@ -106,7 +106,9 @@
 		CrashReports:        g.crashes.latestReports(now),
 		OwnRequests:         g.countOwnRequests(),
 		BatcherStatuses:     g.ownBatcherStatus(now),
-		RecentlyUnreachable: g.directory.RecentlyUnreachable(now),
+		RecentlyUnreachable: g.recentlyUnreachable(now),
+		LostServices:        g.paths.LostServices(),
+		PathMembers:         g.pathMembers(now),
 		LostDataCentres:     g.members.NoticedPartitions(),
 	}
 	g.addPartNews(now, &p)
@@ -198,6 +200,10 @@
 	g.mergePartNews(now, p)
 	g.mergeLimits(now, p)
 	g.mergeNotices(now, p)
+	g.recordPathReport(now, p.Member.Name, p.LostServices)
+	if len(p.PathMembers) > 0 {
+		g.reportedPathMembers, g.pathMembersAt = value.NewSet(p.PathMembers...), now
+	}
 	g.recordBatcherStatus(now, p.Member.Name, p.BatcherStatuses)
 	g.recordContact(now, p.Member.Name, p.PlatformContactAge)
 	if p.AsOf > 0 && g.recordsOfferedAt.IsZero() {
@@ -264,7 +270,7 @@
 func (g *Gateway) countOwnRequests() map[ident.Endpoint]int {
 	running := map[ident.Endpoint]int{}
 	for _, r := range g.requests {
-		if r.attempt != nil {
+		if r.attempt != nil && r.attempt.member == "" {
 			running[r.attempt.endpoint]++
 		}
 	}
--- a/kernel/gateway/poisonpart_test.go
+++ b/kernel/gateway/poisonpart_test.go
@@ -8,6 +8,7 @@
 
 	"anvilcross/kernel/endpoints"
 	"anvilcross/kernel/ident"
+	"anvilcross/kernel/paths"
 	"anvilcross/kernel/replica"
 )
 
@@ -124,6 +125,10 @@
 // takeStep lets an endpoint serve an attempt.
 func (f *partFleet) takeStep(name ident.Instance, h RequestHandle, s Step) {
 	r, g := f.byHandle[h], f.gateways[name]
+	if s.Send != nil && s.Send.Member != "" {
+		f.refuseForward(name, h, s.Send.Attempt)
+		return
+	}
 	if s.Send == nil {
 		r.answer = s.Answer.String()
 		return
@@ -148,12 +153,14 @@
 	})
 }
 
-// check tells an instance if an endpoint refuses connections.
+// check lets an instance connect to an endpoint.
 func (f *partFleet) check(name ident.Instance, e ident.Endpoint) {
 	f.timers.After(2*linkDelay, func() {
-		if !f.byName[e].up {
-			f.gateways[name].HandleEndpointRefused(e)
+		result := paths.Refused
+		if f.byName[e].up {
+			result = paths.Accepted
 		}
+		f.gateways[name].HandleEndpointChecked(e, result)
 	})
 }
 
--- a/kernel/gateway/request.go
+++ b/kernel/gateway/request.go
@@ -37,6 +37,8 @@
 	// and Resumes is the id of the request that brought its first event.
 	LastEventID string
 	Resumes     ident.RequestID
+	// Forwarded is set if another instance has forwarded the request.
+	Forwarded *Forwarding
 	// Digest is a hash of the target, the caller's key and the body. It
 	// identifies a request that is sent again under a new id.
 	Digest ident.Digest
@@ -67,6 +69,9 @@
 	BrokenOff
 )
 
+// Valid reports whether the answer is one of those above.
+func (a Answer) Valid() bool { return a >= NotRun && a <= BrokenOff }
+
 // String returns the answer's name in logs and metrics.
 func (a Answer) String() string {
 	return [...]string{"notRun", "unknownRoute", "unknownKey", "quarantined", "mayHaveRun", "timedOut", "brokenOff"}[a]
@@ -77,6 +82,12 @@
 	// Attempt is passed back with every report on this attempt.
 	Attempt  AttemptID
 	Endpoint ident.Endpoint
+	// Member is the instance to which the request is forwarded; empty if it is sent to an
+	// endpoint. Forwarding is for that instance, and Resumes the id of the request that
+	// brought the first event if LastEventID is set.
+	Member     ident.Instance
+	Forwarding Forwarding
+	Resumes    ident.RequestID
 	// EndpointStartedUnixMillis is when the process of the endpoint started, as listed.
 	EndpointStartedUnixMillis int64
 	Address                   string
@@ -114,6 +125,10 @@
 	Answer     Answer
 	RetryAfter time.Duration
 	Reason     string
+	// Elsewhere and NoPath tell the instance that forwarded the request what
+	// ForwardAnswer says of them.
+	Elsewhere bool
+	NoPath    bool
 }
 
 // AttemptID numbers the attempts of a request, from 1. A report on an attempt
@@ -124,7 +139,9 @@
 type attempt struct {
 	id       AttemptID
 	endpoint ident.Endpoint
-	address  string
+	// member is the instance to which the request is forwarded; endpoint is empty then.
+	member  ident.Instance
+	address string
 	// version is that of the endpoint's software.
 	version   ident.SoftwareVersion
 	startedAt time.Time
@@ -223,6 +240,13 @@
 	// process of an endpoint for which it has one.
 	awaitsPermit bool
 	granted      ident.EndpointProcess
+	// awaitsPath is set while the request waits for the result of a check of the path to its
+	// service.
+	awaitsPath bool
+	// triedMembers are the instances to which the request has been forwarded.
+	// countedForwarded is set if it counts as a forwarded request in progress here.
+	triedMembers     value.Set[ident.Instance]
+	countedForwarded bool
 }
 
 const (
@@ -255,7 +279,7 @@
 func (g *Gateway) HandleRequest(h RequestHandle, incoming CallerRequest) {
 	now := g.now()
 	g.counters.Arrived++
-	r := &request{handle: h, incoming: incoming, arrivedAt: now, sharedParts: sharedParts(incoming.Prompt), excluded: value.NewSet[ident.Endpoint]()}
+	r := &request{handle: h, incoming: incoming, arrivedAt: now, sharedParts: sharedParts(incoming.Prompt), excluded: value.NewSet[ident.Endpoint](), triedMembers: value.NewSet[ident.Instance]()}
 	g.requests[r.handle] = r
 	if !g.admit(r) {
 		return
@@ -274,9 +298,15 @@
 		r.dueAt = r.abandonAt
 	}
 	r.timeoutTimer = g.timers.After(timeout-timeoutMargin, func() { g.handleTimeout(r) })
-	g.retryBudget.countRequest(now, r.service)
+	if g.refuseForwarded(r) {
+		return
+	}
 	g.recordPartUse(r)
-	g.out.LogEvent("arrived", "request", incoming.ID, "route", r.route.Name, "workspace", r.workspaceName(), "service", r.service, "version", g.catalog.Version, "patience", timeout, "pieces", incoming.PieceCounts, "prompt", r.sharedParts, "lastEvent", incoming.LastEventID, "resumes", incoming.Resumes)
+	g.out.LogEvent("arrived", "request", incoming.ID, "route", r.route.Name, "workspace", r.workspaceName(), "service", r.service, "version", g.catalog.Version, "patience", timeout, "pieces", incoming.PieceCounts, "prompt", r.sharedParts, "lastEvent", incoming.LastEventID, "resumes", incoming.Resumes, "forwardedBy", r.forwardedBy())
+	if g.paths.Lost(r.service) && g.forward(r) {
+		return
+	}
+	g.countArrival(now, r)
 	g.setUpStages(r)
 	if len(r.stageServices()) > 0 && g.pools().divided && r.preferredDataCentre == "" {
 		g.answer(r, NotRun, busyRetryAfter, "no data centre within reach can run the stages")
@@ -300,6 +330,24 @@
 	g.advance(r)
 }
 
+// countArrival counts a request, unless it has been sent to endpoints by another instance.
+func (g *Gateway) countArrival(now time.Time, r *request) {
+	if f := r.incoming.Forwarded; f != nil {
+		r.sends = f.Sends
+	}
+	if r.sends == 0 {
+		g.retryBudget.countRequest(now, r.service)
+	}
+}
+
+// forwardedBy returns the instance that has forwarded the request; empty if none has.
+func (r *request) forwardedBy() ident.Instance {
+	if r.incoming.Forwarded == nil {
+		return ""
+	}
+	return r.incoming.Forwarded.By
+}
+
 // estimateWaited estimates how long the caller has already waited: one that
 // sends a request again gives it a shorter timeout, so the difference to the
 // longest timeout on the route is time spent on earlier tries.
@@ -394,8 +442,9 @@
 		g.counters.MayHaveRun++
 	}
 	g.out.LogEvent("answered", "request", r.incoming.ID, "answer", a, "reason", reason, "after", g.now().Sub(r.arrivedAt), "sends", r.sends, "retryAfter", retryAfter)
+	step := Step{Answer: a, RetryAfter: retryAfter, Reason: reason, Elsewhere: g.servedElsewhere(r, a), NoPath: g.lacksOwnPath(r)}
 	g.finish(r)
-	g.out.NextStep(r.handle, Step{Answer: a, RetryAfter: retryAfter, Reason: reason})
+	g.out.NextStep(r.handle, step)
 }
 
 // finish removes a request and frees the stage results that it holds.
@@ -406,6 +455,9 @@
 	r.finished = true
 	g.timers.Stop(r.timeoutTimer)
 	g.endAttempt(r)
+	if r.countedForwarded {
+		g.forwardedIn--
+	}
 	g.releaseAll(r)
 	delete(g.requests, r.handle)
 	if g.requestsByID[r.incoming.ID] == r {
--- a/kernel/gateway/testgateway_test.go
+++ b/kernel/gateway/testgateway_test.go
@@ -12,6 +12,7 @@
 	"anvilcross/kernel/ident"
 	"anvilcross/kernel/membership"
 	"anvilcross/kernel/message"
+	"anvilcross/kernel/paths"
 	"anvilcross/kernel/published"
 	"anvilcross/kernel/replica"
 	"anvilcross/kernel/timer"
@@ -60,9 +61,11 @@
 			LogEvent:        func(name string, _ ...any) { tg.events = append(tg.events, name) },
 			StartCall:       func(c batching.Call) { tg.calls = append(tg.calls, c) },
 			InspectEndpoint: func(ident.Endpoint, string) {},
-			CheckEndpoint:   func(ident.Endpoint, string) {},
-			ListPrompts:     func(ident.Endpoint, string) {},
-			FreeResults:     func(_ string, h []message.ResultHandle) { tg.freed = append(tg.freed, h...) },
+			CheckEndpoint: func(e ident.Endpoint, _ string) {
+				tg.timers.After(0, func() { tg.gateway.HandleEndpointChecked(e, paths.Accepted) })
+			},
+			ListPrompts: func(ident.Endpoint, string) {},
+			FreeResults: func(_ string, h []message.ResultHandle) { tg.freed = append(tg.freed, h...) },
 		},
 	})
 	return tg
--- a/kernel/membership/core.go
+++ b/kernel/membership/core.go
@@ -106,6 +106,12 @@
 // data centre unless that is empty. If there is none, it returns the own
 // instance or, for another data centre than the own, an empty name.
 func (t *Table) Owner(now time.Time, key string, in ident.DataCentre) ident.Instance {
+	return t.OwnerExcept(now, key, in, func(ident.Instance) bool { return false })
+}
+
+// OwnerExcept returns the core member with the highest rank for a key among those that are
+// not excluded, or the same as Owner if all are.
+func (t *Table) OwnerExcept(now time.Time, key string, in ident.DataCentre, excluded func(ident.Instance) bool) ident.Instance {
 	core := t.Core(now)
 	if in != "" {
 		core = slices.DeleteFunc(slices.Clone(core), func(name ident.Instance) bool { return t.DataCentre(name) != in })
@@ -116,7 +122,13 @@
 		}
 		return t.config.Self.Name
 	}
-	return t.sortByRank(core, key)[0]
+	ranks := t.sortByRank(core, key)
+	for _, name := range ranks {
+		if !excluded(name) {
+			return name
+		}
+	}
+	return ranks[0]
 }
 
 // Ranked returns the core members with the highest ranks for a key, at most count.
--- a/kernel/membership/membership.go
+++ b/kernel/membership/membership.go
@@ -74,6 +74,9 @@
 	// to other members: its processor share or its network link, whichever is
 	// the bottleneck.
 	Capacity float64 `json:"capacity,omitempty"`
+	// AcceptsForwards is set if the instance serves requests that others forward to it.
+	// Earlier versions do not.
+	AcceptsForwards bool `json:"acceptsForwards,omitempty"`
 }
 
 // capacityClass returns the rounded-down binary logarithm of the capacity, so
@@ -280,6 +283,9 @@
 // logarithmic.
 func (t *Table) CapacityClass(name ident.Instance) int { return t.member(name).capacityClass() }
 
+// AcceptsForwards reports whether a member serves requests that others forward to it.
+func (t *Table) AcceptsForwards(name ident.Instance) bool { return t.member(name).AcceptsForwards }
+
 // member returns a known member or the own instance, or else a zero Member.
 func (t *Table) member(name ident.Instance) Member {
 	if k := t.members[name]; k != nil {
--- a/kernel/message/gateway.go
+++ b/kernel/message/gateway.go
@@ -41,6 +41,11 @@
 	// RecentlyUnreachable is how long ago the sender or an instance that told it
 	// failed to reach each endpoint.
 	RecentlyUnreachable map[ident.Endpoint]time.Duration `json:"unreached,omitempty"`
+	// LostServices holds the services to which the sender has no path.
+	LostServices []ident.Service `json:"lostServices,omitempty"`
+	// PathMembers holds some members that report no lost path to the sender, a core member
+	// of a large fleet, while others do.
+	PathMembers []ident.Instance `json:"pathMembers,omitempty"`
 	// LostDataCentres holds the data centres that the sender itself cannot reach.
 	LostDataCentres []ident.DataCentre `json:"lostCentres,omitempty"`
 	// CrashReports holds reports of the latest crashes of endpoints, one for each
--- a/kernel/message/valid.go
+++ b/kernel/message/valid.go
@@ -87,6 +87,9 @@
 			return errors.Errorf("negative rest of endpoint %q", e)
 		}
 	}
+	if len(p.LostServices) > maxNotices || len(p.PathMembers) > maxNotices {
+		return errors.Errorf("%d lost services, %d members with paths", len(p.LostServices), len(p.PathMembers))
+	}
 	return p.checkLimits()
 }
 
--- /dev/null
+++ b/kernel/paths/paths_test.go
@@ -0,0 +1,115 @@
+package paths
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"anvilcross/kernel/ident"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func wantChange(t *testing.T, table *Table, at time.Time, e ident.Endpoint, r Result, want Change) []ident.Endpoint {
+	t.Helper()
+	_, change, ended := table.Record(at, e, r)
+	if change != want {
+		t.Fatalf("%s %v: got change %v, want %v", e, r, change, want)
+	}
+	return ended
+}
+
+// Endpoints that have crashed are taken for a lost path, or the other way round.
+func TestCrashAndLostPathAreToldApart(t *testing.T) {
+	t.Run("one refuses, another accepts", func(t *testing.T) {
+		table := NewTable()
+		table.Begin("s", []ident.Endpoint{"a", "b", "c"})
+		wantChange(t, table, start, "a", Refused, None)
+		if ended := wantChange(t, table, start, "b", Accepted, Sound); !slices.Equal(ended, []ident.Endpoint{"a"}) {
+			t.Fatalf("ended: %v, want a", ended)
+		}
+		if ended := wantChange(t, table, start, "c", Refused, None); !slices.Equal(ended, []ident.Endpoint{"c"}) {
+			t.Fatalf("ended: %v, want c", ended)
+		}
+		if table.Lost("s") || table.Checking("s") {
+			t.Fatal("the path counts as lost or being checked")
+		}
+	})
+	t.Run("all refuse or are silent", func(t *testing.T) {
+		table := NewTable()
+		table.Begin("s", []ident.Endpoint{"a", "b"})
+		table.Begin("s", []ident.Endpoint{"c", "b"})
+		wantChange(t, table, start, "a", Refused, None)
+		wantChange(t, table, start, "b", Silent, None)
+		if !table.Checking("s") {
+			t.Fatal("the check is over before all results are there")
+		}
+		if ended := wantChange(t, table, start, "c", Refused, Unsure); len(ended) > 0 || !table.Checking("s") {
+			t.Fatalf("%v count as ended, or the check is over", ended)
+		}
+		if ask, lost := table.Widen(start, "s", []ident.Endpoint{"a", "d"}); !slices.Equal(ask, []ident.Endpoint{"d"}) || lost {
+			t.Fatalf("asked %v, lost %v; want d", ask, lost)
+		}
+		wantChange(t, table, start, "d", Silent, Lost)
+		if !table.Lost("s") || table.Lost("other") || len(table.Begin("s", []ident.Endpoint{"a"})) > 0 {
+			t.Fatal("the path is not lost, another one is, or it is checked")
+		}
+	})
+	t.Run("all of the first ones have crashed", func(t *testing.T) {
+		table := NewTable()
+		table.Begin("s", []ident.Endpoint{"a", "b"})
+		wantChange(t, table, start, "a", Refused, None)
+		wantChange(t, table, start, "b", Refused, Unsure)
+		table.Widen(start, "s", []ident.Endpoint{"c"})
+		if ended := wantChange(t, table, start, "c", Accepted, Sound); len(ended) != 2 {
+			t.Fatalf("ended: %v, want a and b", ended)
+		}
+	})
+	t.Run("results that nobody asked for", func(t *testing.T) {
+		table := NewTable()
+		wantChange(t, table, start, "a", Refused, None)
+		table.Begin("s", []ident.Endpoint{"a", "b"})
+		wantChange(t, table, start, "a", Silent, None)
+		wantChange(t, table, start, "a", Silent, None)
+		wantChange(t, table, start, "b", Accepted, Sound)
+	})
+}
+
+// A path that comes and goes is used after each first connection.
+func TestFlappingPath(t *testing.T) {
+	table := NewTable()
+	at := start
+	lose := func() {
+		table.Begin("s", []ident.Endpoint{"a"})
+		wantChange(t, table, at, "a", Silent, Unsure)
+		if _, lost := table.Widen(at, "s", nil); !lost {
+			t.Fatal("the path is not lost")
+		}
+	}
+	restore := func(connections int) {
+		t.Helper()
+		for n := range connections {
+			want := None
+			if n == connections-1 {
+				want = Restored
+			}
+			if !table.Probe("s", "a") {
+				t.Fatal("the path may not be probed")
+			}
+			wantChange(t, table, at, "a", Accepted, want)
+		}
+	}
+	for _, connections := range []int{1, 2, 4, 8, 8} {
+		lose()
+		restore(connections)
+		at = at.Add(time.Second)
+	}
+	at = at.Add(2 * flapWindow)
+	lose()
+	table.Probe("s", "a")
+	if table.Probe("s", "a") {
+		t.Fatal("probed again before the result is there")
+	}
+	wantChange(t, table, at, "a", Silent, None)
+	restore(1)
+}
