Let an instance that is out of step survey no endpoints for a stream's version

Others saw, and it could happen here: an instance that is cut off from the others while endpoints of a new version join takes up streams that began there, and lets them go on at an endpoint of the old version. Cause: it hears from no keeper, asks the endpoints that it knows who holds the prompt, and finds one that holds an earlier prompt of the same session. Class: an instance decides on what others know before their reports have arrived.

An instance surveys endpoints only if another one has replied in this search, or it is alone in the fleet, and only with recent news of the platform, its own or another's. Else it refuses the request as not run.

The test fleet watches the platform now as readers do, since the survey depends on that. Not covered: an instance that was suspended, whose steady clock stood still, and whose keepers have all forgotten the stream, until its first watch ends.

--- a/kernel/gateway/origins.go
+++ b/kernel/gateway/origins.go
@@ -42,6 +42,8 @@
 	// surveys is the number of surveyors that have been asked since no keeper knew the
 	// stream.
 	surveys int
+	// replied is set once another instance has replied.
+	replied bool
 }
 
 // originLookups holds the searches of this instance.
@@ -145,7 +147,7 @@
 	l := g.lookups.pending[id]
 	g.timers.Stop(l.timer)
 	prompt := l.request.incoming.Prompt
-	surveyors := g.members.Ranked(g.now(), "prompts", maxSurveyors)
+	surveyors := g.surveyorsFor(l)
 	if len(prompt) == 0 || l.surveys >= len(surveyors) {
 		g.finishLookup(id, origin.Origin{}, "none")
 		return
@@ -157,8 +159,23 @@
 	l.timer = g.timers.After(lookupTimeout+surveyTimeout, func() { g.surveyPrompts(id) })
 }
 
-// handleOriginRequest answers another instance's question, or this one's own.
+// surveyorsFor returns the instances that may survey endpoints for a lookup. An instance that
+// hears from no other one is none: endpoints may have joined of which it does not know.
+func (g *Gateway) surveyorsFor(l *originLookup) []ident.Instance {
+	surveyors := g.members.Ranked(g.now(), "prompts", maxSurveyors)
+	if l.replied || g.members.KnownCount() == 1 {
+		return surveyors
+	}
+	return slices.DeleteFunc(surveyors, func(name ident.Instance) bool { return name == g.config.Self.Name })
+}
+
+// handleOriginRequest answers another instance's question, or this one's own. Without recent
+// news of the platform it surveys no endpoints, since it may not know all of them.
 func (g *Gateway) handleOriginRequest(from ident.Instance, m message.OriginRequest) {
+	if len(m.Services) > 0 && !g.platformInReach(g.now()) {
+		g.replyOrigin(from, m.ID, origin.Origin{}, false)
+		return
+	}
 	if len(m.Services) > 0 {
 		g.askEndpoints(m.Services, func() {
 			o, known := g.survey.holdings.Find(m.Services, m.Part)
@@ -180,12 +197,13 @@
 
 // handleOriginReply handles the answer of a keeper or of the surveyor. A late one is
 // ignored.
-func (g *Gateway) handleOriginReply(m message.OriginReply) {
+func (g *Gateway) handleOriginReply(from ident.Instance, m message.OriginReply) {
 	l := g.lookups.pending[m.ID]
 	if l == nil {
 		return
 	}
 	l.waiting--
+	l.replied = l.replied || from != g.config.Self.Name
 	switch {
 	case m.Origin != nil && l.surveys > 0:
 		g.finishLookup(m.ID, *m.Origin, "prompt held")
--- a/kernel/gateway/peers.go
+++ b/kernel/gateway/peers.go
@@ -174,7 +174,7 @@
 	case m.OriginRequest != nil:
 		g.handleOriginRequest(m.From, *m.OriginRequest)
 	case m.OriginReply != nil:
-		g.handleOriginReply(*m.OriginReply)
+		g.handleOriginReply(m.From, *m.OriginReply)
 	}
 }
 
--- a/kernel/gateway/versions_test.go
+++ b/kernel/gateway/versions_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -27,6 +28,8 @@
 	// silenceTime the same for one whose instance lost power.
 	noticeTime  = 50 * time.Millisecond
 	silenceTime = 5 * time.Second
+	// watchPeriod is the time that a watch of the platform takes.
+	watchPeriod = 900 * time.Millisecond
 )
 
 // versioned is a model endpoint. It holds the prompts that it has read.
@@ -65,6 +68,13 @@
 	byHandle map[RequestHandle]*tracedStream
 	handles  int
 	paused   bool
+	// sessions is the number of sessions, whose requests share the last part of their
+	// prompts; zero if each request has its own. only selects the instances that get
+	// requests; nil if all do.
+	sessions int
+	only     func(ident.Instance) bool
+	// offStore is the instance that cannot read the platform; empty for none.
+	offStore ident.Instance
 }
 
 func newVersionFleet(t *testing.T, size, models int, seed uint64) *versionFleet {
@@ -73,6 +83,7 @@
 	f.nextStep = f.takeStep
 	f.listPrompts = f.list
 	f.publish(f.records(models))
+	f.timers.Every(watchPeriod, f.watchPlatform)
 	f.advance(4 * time.Second)
 	f.timers.Every(time.Second/streamsPerSecond, func() {
 		if !f.paused {
@@ -82,6 +93,15 @@
 	return f
 }
 
+// watchPlatform ends a watch of the platform without changes at all instances that read it.
+func (f *versionFleet) watchPlatform() {
+	for _, name := range f.names {
+		if g := f.gateways[name]; !f.down[name] && name != f.offStore && g.ReadsPlatform() {
+			g.HandleChanges(nil, g.AsOf())
+		}
+	}
+}
+
 // records adds model endpoints, of two versions in turn, and returns all records.
 func (f *versionFleet) records(models int) []replica.Record {
 	records := []replica.Record{testRecord(f.t, "catalog", 1, testCatalog(1))}
@@ -100,14 +120,32 @@
 // begin begins a new stream at some instance.
 func (f *versionFleet) begin() {
 	s := &tracedStream{at: f.timers.Now(), part: fmt.Sprint("own-", len(f.streams))}
+	if f.sessions > 0 {
+		s.part = fmt.Sprint("session-", f.random.IntN(f.sessions))
+	}
 	f.streams = append(f.streams, s)
 	f.request(s)
 }
 
+// publishChanges lists all endpoints again.
+func (f *versionFleet) publishChanges(revision replica.Revision) {
+	var records []replica.Record
+	for _, m := range f.models {
+		records = append(records, testRecord(f.t, string(m.listing.Name), revision, m.listing))
+	}
+	for _, name := range f.names {
+		f.gateways[name].HandleChanges(records, revision)
+	}
+}
+
 // request sends a request of a stream to an instance that is up.
 func (f *versionFleet) request(s *tracedStream) {
 	left := s.at.Add(streamPatience).Sub(f.timers.Now())
-	name := f.names[f.random.IntN(len(f.names))]
+	names := f.names
+	if f.only != nil {
+		names = slices.DeleteFunc(slices.Clone(names), func(name ident.Instance) bool { return !f.only(name) })
+	}
+	name := names[f.random.IntN(len(names))]
 	if f.down[name] || left <= 0 {
 		return
 	}
