Take a refusal as proof only if it names the request, and close its connection

Others saw, and it could happen here: a faulty endpoint wrote an earlier refusal once more on a kept connection, and callers were told 'not run' for requests that it was running, or these ran at a second endpoint. Cause: a response without an id counted as that to the request that waited, also if it proves that this has not run. Class: an answer of ours claims more than what it rests on.

A refusal (421, or Not-Executed) has to name the request's id now; else the request may have run. The connection of a refusal is closed: the same request may come to the endpoint again after its inputs were lost, and nothing would tell the copy from its response.

TestRepeatedRefusals failed before: a request that may run once ran at three workers and was answered 503. Stage calls have a connection each and may run twice; the prompts that endpoints hold are asked on a connection each, too.

--- a/anvilcrossd/entry/entry.go
+++ b/anvilcrossd/entry/entry.go
@@ -334,9 +334,11 @@
 	if send.Member != "" && c.handleForwardAnswer(send, response) {
 		return ""
 	}
-	head := platform.ReadResponseHead(response.Response)
+	head := platform.ReadResponseHead(c.request, response.Response)
 	if !head.Usable {
-		discard(response)
+		// A faulty endpoint may write a refusal once more: the same request may come to it
+		// again, and nothing would tell the copy from its response.
+		response.Abort()
 		c.reportFailure(send, head.Failure, "", response.Status)
 		return ""
 	}
--- a/anvilstandin/worker/worker.go
+++ b/anvilstandin/worker/worker.go
@@ -121,6 +121,11 @@
 	// Rest is the Retry-After, in seconds, with which a full worker declines; empty for
 	// none.
 	Rest string
+	// OmitsID makes full workers leave the request's id out of their refusals.
+	OmitsID bool
+	// RepeatsRefusals makes plain workers write their last refusal on a connection once
+	// more when the next request comes there, before they run that request.
+	RepeatsRefusals bool
 	// Leaving makes workers say in all their answers that they leave.
 	Leaving bool
 	// Disconnects makes plain and stage workers close the connection after the
@@ -161,10 +166,12 @@
 	// rateLimit is the number of requests per second that the worker says it takes from
 	// all callers together; empty if it says nothing.
 	rateLimit string
+	// refusals holds the last refusal on each connection, by the caller's address.
+	refusals map[string]string
 }
 
 // NewWorker returns a plain worker.
-func NewWorker(c Config) *Worker { return &Worker{config: c} }
+func NewWorker(c Config) *Worker { return &Worker{config: c, refusals: map[string]string{}} }
 
 // SetFaults replaces the worker's faults.
 func (w *Worker) SetFaults(f Faults) {
@@ -212,8 +219,12 @@
 		return false
 	}
 	w.config.Recorder.RecordArrival(id, w.config.Name)
-	if w.currentFaults().Full {
+	if f := w.currentFaults(); f.Full {
+		if f.OmitsID {
+			out.Header().Del("Request-Id")
+		}
 		w.decline(out)
+		w.keepRefusal(r.RemoteAddr, out.Header())
 		return false
 	}
 	if r.Header.Get("Authorization") != "" {
@@ -249,6 +260,42 @@
 	out.WriteHeader(http.StatusServiceUnavailable)
 }
 
+// keepRefusal keeps the bytes of a refusal, which may be written once more.
+func (w *Worker) keepRefusal(connection string, header http.Header) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	text := "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n"
+	if id := header.Get("Request-Id"); id != "" {
+		text += "Request-Id: " + id + "\r\n"
+	}
+	w.refusals[connection] = text + "\r\n"
+}
+
+// repeatRefusal writes the last refusal on a connection once more, if there is one and the
+// worker has that fault, and then runs the request. It reports whether it did.
+func (w *Worker) repeatRefusal(out http.ResponseWriter, r *http.Request, id string, body []byte) bool {
+	w.mutex.Lock()
+	refusal := w.refusals[r.RemoteAddr]
+	delete(w.refusals, r.RemoteAddr)
+	repeats := w.faults.RepeatsRefusals
+	w.mutex.Unlock()
+	if !repeats || refusal == "" {
+		return false
+	}
+	connection, _, err := http.NewResponseController(out).Hijack()
+	if err != nil {
+		w.config.Recorder.RecordProblemf("%s: the connection cannot be taken over: %v", w.config.Name, err)
+		return true
+	}
+	defer func() { _ = connection.Close() }()
+	defer w.config.Recorder.RecordRun(id, w.config.Name)()
+	_, _ = io.WriteString(connection, refusal)
+	time.Sleep(w.config.WorkTime)
+	answer := ResponseBody(id, body)
+	_, _ = fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: %s\r\nContent-Length: %d\r\n\r\n%s", id, Signature(w.config.Name, id), len(answer), answer)
+	return true
+}
+
 // delimitByClose gives a response neither a length nor chunks.
 func delimitByClose(out http.ResponseWriter) {
 	out.Header().Set("Connection", "close")
@@ -259,7 +306,7 @@
 func (w *Worker) ServeHTTP(out http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("Request-Id")
 	body, err := io.ReadAll(r.Body)
-	if err != nil || !w.admit(out, r) {
+	if err != nil || !w.admit(out, r) || w.repeatRefusal(out, r, id, body) {
 		return
 	}
 	defer w.config.Recorder.RecordRun(id, w.config.Name)()
