--- a/anvilload/soak/check.go
+++ b/anvilload/soak/check.go
@@ -37,6 +37,15 @@
 	limitSlack       = 5
 	limitWindow      = 4 * time.Second
 	limitContactTime = 3 * time.Second
+	// A worker that refuses with workerRestText in seconds, workerRest, may get maxInRest
+	// requests from a daemon between restGrace after that and its end.
+	workerRest     = 1500 * time.Millisecond
+	workerRestText = "1.5"
+	restGrace      = 500 * time.Millisecond
+	maxInRest      = 2
+	// noticeTime is the time in which the first answer that says that a worker leaves has
+	// come.
+	noticeTime = 200 * time.Millisecond
 	// storeRestoreTime is how long the store is away while it is restored, and then until
 	// its content is written again.
 	storeRestoreTime = 300 * time.Millisecond
@@ -154,6 +163,7 @@
 	{"left", checkCancellation},
 	{"budget", checkRetryBudget},
 	{"limit", checkRateLimits},
+	{"rest", checkRests},
 	{"recovered", checkRecovery},
 }
 
@@ -343,6 +353,42 @@
 	return found
 }
 
+// checkRests checks that a worker got no more requests from an undisturbed daemon than
+// allowed in the time for which it had asked that one for rest.
+func checkRests(h *history) []string {
+	type link struct {
+		daemon int
+		worker string
+	}
+	arrivals, rests := map[link][]time.Time{}, map[link][]time.Time{}
+	for _, s := range h.exchanges {
+		record := h.workerRecords[s.request.ID]
+		for _, v := range record.Arrivals {
+			k := link{s.daemon, v.Worker}
+			arrivals[k] = append(arrivals[k], v.Start)
+		}
+		for _, v := range record.Rests {
+			k := link{s.daemon, v.Worker}
+			rests[k] = append(rests[k], v.Start)
+		}
+	}
+	var found []string
+	for k, times := range rests {
+		for _, at := range times {
+			got := 0
+			for _, arrival := range arrivals[k] {
+				if since := arrival.Sub(at); since > restGrace && since < workerRest {
+					got++
+				}
+			}
+			if got > maxInRest && h.daemonUndisturbed(k.daemon, at.Add(workerRest)) {
+				found = append(found, fmt.Sprintf("%s got %d requests from daemon %d in its rest", k.worker, got, k.daemon))
+			}
+		}
+	}
+	return found
+}
+
 // checkRecovery checks that minServedShare of the requests were served after the
 // last event.
 func checkRecovery(h *history) []string {
--- a/anvilload/soak/soak.go
+++ b/anvilload/soak/soak.go
@@ -342,6 +342,9 @@
 	case eventWorkerLimited:
 		r.limitWorker(fmt.Sprintf("%s-%d", []string{"orders", "models"}[e.target%2], e.target/2%site.WorkersPerService), e)
 		return
+	case eventWorkerLeaves:
+		r.leaveByWord(fmt.Sprintf("%s-%d", []string{"orders", "models"}[e.target%2], e.target/2%site.WorkersPerService), e.duration)
+		return
 	case eventStoreForgets:
 		r.site.MetadataStore.DropHistory()
 		return
@@ -419,6 +422,7 @@
 		eventWorkerLink:   {"orders", "registry", "planning", "models"},
 		eventWorkerBroken: {"orders", "registry", "planning"},
 		eventWorkerFull:   {"orders", "models"},
+		eventWorkerRests:  {"orders", "models"},
 		eventStreamsCut:   {"models"},
 		eventDrain:        {"orders", "models"},
 	}[e.kind]
@@ -428,7 +432,7 @@
 		return
 	}
 	from := time.Now()
-	faults := map[eventKind]worker.Faults{eventWorkerBroken: {Disconnects: true}, eventWorkerFull: {Full: true}, eventStreamsCut: {CutAfterEvents: 5}}
+	faults := map[eventKind]worker.Faults{eventWorkerBroken: {Disconnects: true}, eventWorkerFull: {Full: true}, eventWorkerRests: {Full: true, Rest: workerRestText}, eventStreamsCut: {CutAfterEvents: 5}}
 	if e.kind == eventWorkerLink {
 		r.impairLink(name, e)
 	} else {
@@ -463,6 +467,43 @@
 	r.history.drains = append(r.history.drains, d)
 }
 
+// leaveByWord lets a worker say in its answers, and not in its entry, that it leaves, and
+// comes back as a new process later. Only one worker of a service leaves at a time.
+func (r *runner) leaveByWord(name string, duration time.Duration) {
+	service := name[:len(name)-2]
+	r.mutex.Lock()
+	if r.draining[service] {
+		r.mutex.Unlock()
+		return
+	}
+	r.draining[service] = true
+	r.mutex.Unlock()
+	begun := time.Now()
+	r.site.SetFaults(name, worker.Faults{Leaving: true})
+	time.Sleep(duration + 2*maxDrainDelay)
+	ended := time.Now()
+	r.site.SetFaults(name, worker.Faults{})
+	r.site.Restore(name)
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.draining[service] = false
+	if told, found := r.firstArrival(name, begun); found {
+		r.history.drains = append(r.history.drains, drainSpan{worker: name, from: told.Add(noticeTime), to: ended})
+	}
+}
+
+// firstArrival returns when the first request after a time reached a worker.
+func (r *runner) firstArrival(name string, after time.Time) (first time.Time, found bool) {
+	for _, record := range r.site.Recorder.Records() {
+		for _, a := range record.Arrivals {
+			if a.Worker == name && a.Start.After(after) && (!found || a.Start.Before(first)) {
+				first, found = a.Start, true
+			}
+		}
+	}
+	return first, found
+}
+
 // Write prints a summary line, the first violations of each check and, if there
 // are violations, the plan and the directory of the logs.
 func (r *Report) Write(out io.Writer, c Config) {
--- a/anvilload/soak/soak_test.go
+++ b/anvilload/soak/soak_test.go
@@ -94,6 +94,12 @@
 				r.Arrivals = append(r.Arrivals, r.Arrivals[0])
 			}
 		},
+		"rest": func(_ *history, s *exchange, r *worker.Record) {
+			r.Rests = r.Arrivals[:1]
+			for range 3 {
+				r.Arrivals = append(r.Arrivals, worker.Attempt{Worker: "orders-0", Start: s.sentAt.Add(time.Second)})
+			}
+		},
 		"budget": func(_ *history, _ *exchange, r *worker.Record) {
 			for range 30 {
 				r.Arrivals = append(r.Arrivals, r.Arrivals[0])
--- a/anvilstandin/worker/worker.go
+++ b/anvilstandin/worker/worker.go
@@ -30,6 +30,8 @@
 	// Arrivals are all attempts, Runs those that the worker began to run.
 	Arrivals []Attempt
 	Runs     []Attempt
+	// Rests are the refusals with which a worker said that it wants nothing for a while.
+	Rests []Attempt
 }
 
 // Recorder records what workers received and ran, and what they found wrong.
@@ -61,6 +63,14 @@
 	r.Arrivals = append(r.Arrivals, Attempt{Worker: worker, Start: time.Now()})
 }
 
+// RecordRest records that a worker refused a request and wants nothing for a while.
+func (rc *Recorder) RecordRest(request, worker string) {
+	rc.mutex.Lock()
+	defer rc.mutex.Unlock()
+	r := rc.recordOf(request)
+	r.Rests = append(r.Rests, Attempt{Worker: worker, Start: time.Now()})
+}
+
 // RecordRun records that a worker began to run a request, and returns the function
 // to call when the run ends.
 func (rc *Recorder) RecordRun(request, worker string) func() {
@@ -95,7 +105,7 @@
 	defer rc.mutex.Unlock()
 	all := make(map[string]Record, len(rc.records))
 	for id, r := range rc.records {
-		all[id] = Record{Arrivals: slices.Clone(r.Arrivals), Runs: slices.Clone(r.Runs)}
+		all[id] = Record{Arrivals: slices.Clone(r.Arrivals), Runs: slices.Clone(r.Runs), Rests: slices.Clone(r.Rests)}
 	}
 	return all
 }
@@ -223,6 +233,9 @@
 		if f.OmitsID {
 			out.Header().Del("Request-Id")
 		}
+		if f.Rest != "" {
+			w.config.Recorder.RecordRest(id, w.config.Name)
+		}
 		w.decline(out)
 		w.keepRefusal(r.RemoteAddr, out.Header())
 		return false
