Keep the evidence of crashes while the path to their service is in doubt

A crash of a service's only endpoint looked like a lost path, an endpoint that had accepted a connection and crashed within the same check was not asked again, and a path that was lost for a moment swallowed the endpoints that had crashed meanwhile. A check whose results do not come ends after 3 s.

--- a/kernel/gateway/paths.go
+++ b/kernel/gateway/paths.go
@@ -42,7 +42,7 @@
 // beginPathCheck connects to some endpoints of a service, among them the given one unless
 // that is nil.
 func (g *Gateway) beginPathCheck(s ident.Service, suspect *endpoints.Endpoint) {
-	g.connectTo(g.paths.Begin(s, g.sampleEndpoints(s, suspect, checkedEndpoints)))
+	g.connectTo(g.paths.Begin(g.now(), s, g.sampleEndpoints(s, suspect, checkedEndpoints)))
 }
 
 func (g *Gateway) connectTo(names []ident.Endpoint) {
@@ -79,6 +79,26 @@
 	return sample
 }
 
+// widerSample returns further endpoints of a service. If it has only one, they are those of
+// other services: their connections tell a crash of that one from a lost path.
+func (g *Gateway) widerSample(s ident.Service) []ident.Endpoint {
+	all := g.directory.ByService(s)
+	if len(all) == 1 {
+		var others []ident.Endpoint
+		for _, o := range value.SortedKeys(g.serviceNames()) {
+			if o != s {
+				others = append(others, g.sampleEndpoints(o, nil, 1)...)
+			}
+		}
+		return others
+	}
+	var names []ident.Endpoint
+	for _, at := range g.random.Perm(len(all))[:min(len(all), maxCheckedEndpoints)] {
+		names = append(names, all[at].Name)
+	}
+	return names
+}
+
 // seemsUnreachable reports whether the path to a service is being checked and all endpoints
 // that take requests are ejected. The check says whether other instances may serve them.
 func (g *Gateway) seemsUnreachable(s ident.Service) bool {
@@ -98,7 +118,7 @@
 		}
 	}
 	if change == paths.Unsure {
-		ask, lost := g.paths.Widen(g.now(), service, g.sampleEndpoints(service, nil, maxCheckedEndpoints))
+		ask, lost := g.paths.Widen(g.now(), service, g.widerSample(service))
 		g.connectTo(ask)
 		if lost {
 			change = paths.Lost
@@ -146,6 +166,12 @@
 		e.Readmit()
 	}
 	g.announcePaths()
+	// Endpoints may have crashed, too.
+	for _, e := range g.directory.ByService(s) {
+		if len(g.crashes.brokenExchanges[e.Name]) > 0 {
+			g.suspectPath(e)
+		}
+	}
 }
 
 // announcePaths tells the core members at once which paths are lost, and hands over or takes
@@ -169,6 +195,9 @@
 // old reports.
 func (g *Gateway) probePaths() {
 	maps.DeleteFunc(g.pathReports, func(_ ident.Instance, r pathReport) bool { return g.now().Sub(r.at) > pathReportTTL })
+	for _, s := range g.paths.Expire(g.now()) {
+		g.resumeChecked(s)
+	}
 	for _, s := range g.paths.LostServices() {
 		all := g.directory.ByService(s)
 		if len(all) == 0 {
--- a/kernel/paths/paths.go
+++ b/kernel/paths/paths.go
@@ -16,6 +16,8 @@
 	// the next return need twice as many connections in a row, at most maxConnections.
 	flapWindow     = 10 * time.Second
 	maxConnections = 8
+	// maxCheckTime is the time after which a check without all of its results is dropped.
+	maxCheckTime = 3 * time.Second
 )
 
 // Result is the outcome of connecting to an endpoint.
@@ -51,6 +53,7 @@
 
 // check is a check of the path to a service by connecting to some of its endpoints.
 type check struct {
+	begunAt time.Time
 	asked   value.Set[ident.Endpoint]
 	pending value.Set[ident.Endpoint]
 	refused []ident.Endpoint
@@ -118,24 +121,38 @@
 // Begin begins a check of the path to a service by connecting to the given endpoints. If one
 // is running, the first endpoint is added to it. It returns those to connect to; none while
 // the path is lost. The result of each has to be passed to Record.
-func (t *Table) Begin(name ident.Service, endpoints []ident.Endpoint) []ident.Endpoint {
+func (t *Table) Begin(now time.Time, name ident.Service, endpoints []ident.Endpoint) []ident.Endpoint {
 	s := t.service(name)
 	switch {
 	case s.lost || len(endpoints) == 0:
 		return nil
-	case s.check == nil:
-		s.check = &check{asked: value.NewSet[ident.Endpoint](), pending: value.NewSet[ident.Endpoint]()}
-	case s.check.asked.Has(endpoints[0]):
-		return nil
-	default:
-		endpoints = endpoints[:1]
+	case s.check != nil:
+		// It may have answered before it failed.
+		delete(s.check.asked, endpoints[0])
+		return t.ask(name, s.check, endpoints[:1])
+	}
+	c := &check{begunAt: now, asked: value.NewSet[ident.Endpoint](), pending: value.NewSet[ident.Endpoint]()}
+	ask := t.ask(name, c, endpoints)
+	if len(ask) > 0 {
+		s.check = c
 	}
+	return ask
+}
+
+// ask adds endpoints to a check and returns those to connect to: not those that it has or
+// whose results are due elsewhere.
+func (t *Table) ask(name ident.Service, c *check, endpoints []ident.Endpoint) []ident.Endpoint {
+	var ask []ident.Endpoint
 	for _, e := range endpoints {
-		s.check.asked.Add(e)
-		s.check.pending.Add(e)
+		if _, due := t.asked[e]; due || c.asked.Has(e) {
+			continue
+		}
+		ask = append(ask, e)
+		c.asked.Add(e)
+		c.pending.Add(e)
 		t.asked[e] = name
 	}
-	return endpoints
+	return ask
 }
 
 // Widen asks further endpoints in a check in which all have failed so far: several may have
@@ -146,20 +163,30 @@
 		return nil, false
 	}
 	s.check.widened = true
-	for _, e := range endpoints {
-		if !s.check.asked.Has(e) {
-			ask = append(ask, e)
-			s.check.asked.Add(e)
-			s.check.pending.Add(e)
-			t.asked[e] = name
-		}
-	}
+	ask = t.ask(name, s.check, endpoints)
 	if len(ask) == 0 {
 		s.lose(now)
 	}
 	return ask, len(ask) == 0
 }
 
+// Expire drops the checks of which results have not come, and returns their services.
+func (t *Table) Expire(now time.Time) []ident.Service {
+	var expired []ident.Service
+	for name, s := range t.services {
+		if s.check == nil || now.Sub(s.check.begunAt) <= maxCheckTime {
+			continue
+		}
+		for e := range s.check.pending {
+			delete(t.asked, e)
+		}
+		s.check = nil
+		expired = append(expired, name)
+	}
+	slices.Sort(expired)
+	return expired
+}
+
 // Probe notes that an endpoint is asked to find out whether the lost path to its service is
 // back. It reports false if its last result is still due.
 func (t *Table) Probe(name ident.Service, e ident.Endpoint) bool {
--- a/kernel/paths/paths_test.go
+++ b/kernel/paths/paths_test.go
@@ -23,7 +23,7 @@
 func TestCrashAndLostPathAreToldApart(t *testing.T) {
 	t.Run("one refuses, another accepts", func(t *testing.T) {
 		table := NewTable()
-		table.Begin("s", []ident.Endpoint{"a", "b", "c"})
+		table.Begin(start, "s", []ident.Endpoint{"a", "b", "c"})
 		wantChange(t, table, start, "a", Refused, None)
 		if ended := wantChange(t, table, start, "b", Accepted, Sound); !slices.Equal(ended, []ident.Endpoint{"a"}) {
 			t.Fatalf("ended: %v, want a", ended)
@@ -37,8 +37,8 @@
 	})
 	t.Run("all refuse or are silent", func(t *testing.T) {
 		table := NewTable()
-		table.Begin("s", []ident.Endpoint{"a", "b"})
-		table.Begin("s", []ident.Endpoint{"c", "b"})
+		table.Begin(start, "s", []ident.Endpoint{"a", "b"})
+		table.Begin(start, "s", []ident.Endpoint{"c", "b"})
 		wantChange(t, table, start, "a", Refused, None)
 		wantChange(t, table, start, "b", Silent, None)
 		if !table.Checking("s") {
@@ -51,13 +51,13 @@
 			t.Fatalf("asked %v, lost %v; want d", ask, lost)
 		}
 		wantChange(t, table, start, "d", Silent, Lost)
-		if !table.Lost("s") || table.Lost("other") || len(table.Begin("s", []ident.Endpoint{"a"})) > 0 {
+		if !table.Lost("s") || table.Lost("other") || len(table.Begin(start, "s", []ident.Endpoint{"a"})) > 0 {
 			t.Fatal("the path is not lost, another one is, or it is checked")
 		}
 	})
 	t.Run("all of the first ones have crashed", func(t *testing.T) {
 		table := NewTable()
-		table.Begin("s", []ident.Endpoint{"a", "b"})
+		table.Begin(start, "s", []ident.Endpoint{"a", "b"})
 		wantChange(t, table, start, "a", Refused, None)
 		wantChange(t, table, start, "b", Refused, Unsure)
 		table.Widen(start, "s", []ident.Endpoint{"c"})
@@ -68,7 +68,7 @@
 	t.Run("results that nobody asked for", func(t *testing.T) {
 		table := NewTable()
 		wantChange(t, table, start, "a", Refused, None)
-		table.Begin("s", []ident.Endpoint{"a", "b"})
+		table.Begin(start, "s", []ident.Endpoint{"a", "b"})
 		wantChange(t, table, start, "a", Silent, None)
 		wantChange(t, table, start, "a", Silent, None)
 		wantChange(t, table, start, "b", Accepted, Sound)
@@ -80,7 +80,7 @@
 	table := NewTable()
 	at := start
 	lose := func() {
-		table.Begin("s", []ident.Endpoint{"a"})
+		table.Begin(start, "s", []ident.Endpoint{"a"})
 		wantChange(t, table, at, "a", Silent, Unsure)
 		if _, lost := table.Widen(at, "s", nil); !lost {
 			t.Fatal("the path is not lost")
@@ -113,3 +113,29 @@
 	wantChange(t, table, at, "a", Silent, None)
 	restore(1)
 }
+
+// A check whose results do not come lasts for good, and requests wait for it.
+func TestCheckWithoutResultsEnds(t *testing.T) {
+	table := NewTable()
+	table.Begin(start, "s", []ident.Endpoint{"a", "b"})
+	wantChange(t, table, start, "a", Refused, None)
+	if expired := table.Expire(start.Add(maxCheckTime)); len(expired) > 0 {
+		t.Fatalf("%v expired too early", expired)
+	}
+	if expired := table.Expire(start.Add(maxCheckTime + 1)); !slices.Equal(expired, []ident.Service{"s"}) || table.Checking("s") {
+		t.Fatalf("expired: %v, want s", expired)
+	}
+	if ask := table.Begin(start, "s", []ident.Endpoint{"b"}); len(ask) != 1 {
+		t.Fatal("an endpoint whose result did not come is not asked again")
+	}
+}
+
+// An endpoint is asked in two checks at a time, and one of them never gets its result.
+func TestEndpointIsAskedOnceAtATime(t *testing.T) {
+	table := NewTable()
+	table.Begin(start, "s", []ident.Endpoint{"a"})
+	if ask := table.Begin(start, "other", []ident.Endpoint{"a"}); len(ask) > 0 || table.Checking("other") {
+		t.Fatalf("asked %v while the result is due", ask)
+	}
+	wantChange(t, table, start, "a", Accepted, Sound)
+}
