Blame the prompt part of most crashes, if as many of several parts count

Of crashes that are close together one counts, so a part that is in few of them can count as often as the one that is in all. The one that was used least was quarantined then, here a session's, for which sound requests were refused. Of such parts the one with the most crashes in all is taken now; only equal ones are told apart by use.

The new case of the test of parts failed before.

--- a/kernel/blame/parts.go
+++ b/kernel/blame/parts.go
@@ -240,8 +240,9 @@
 }
 
 // nextCauses returns the parts that best explain crashes: those whose quarantine has
-// lapsed, or the one with the most crashes if it has enough. Of several with as many it
-// returns those that are used least: the others would have crashed more.
+// lapsed, or the one with the most crashes if it has enough. Of several with as many
+// independent ones it prefers those with the most in all, and of these it returns those
+// that are used least: the others would have crashed more.
 func (p *Parts) nextCauses(now time.Time, crashes []*knownCrash) []ident.PromptPart {
 	byPart := map[ident.PromptPart][]*knownCrash{}
 	for _, c := range crashes {
@@ -250,16 +251,15 @@
 		}
 	}
 	var lapsed, top []ident.PromptPart
-	most := 0
+	most, mostInAll := 0, 0
 	for _, d := range value.SortedKeys(byPart) {
 		if q, before := p.quarantined[d]; before && !now.Before(q.until) {
 			lapsed = append(lapsed, d)
 		}
-		count := countIndependent(byPart[d])
-		if count > most {
-			most, top = count, nil
-		}
-		if count == most {
+		count, inAll := countIndependent(byPart[d]), len(byPart[d])
+		if c := cmp.Or(cmp.Compare(count, most), cmp.Compare(inAll, mostInAll)); c > 0 {
+			most, mostInAll, top = count, inAll, []ident.PromptPart{d}
+		} else if c == 0 {
 			top = append(top, d)
 		}
 	}
--- a/kernel/blame/parts_test.go
+++ b/kernel/blame/parts_test.go
@@ -121,6 +121,25 @@
 		}
 		wantQuarantined(t, quarantined, "bad")
 	})
+	t.Run("a part that was there at some of the crashes, as many of which count, is used less", func(t *testing.T) {
+		p := newTestParts()
+		for range 3 {
+			p.RecordUse(partsStart, "bad")
+		}
+		p.RecordUse(partsStart, "session")
+		// Of crashes that are close together one counts.
+		var quarantined []ident.PromptPart
+		for n := range 6 {
+			at := partsStart.Add(time.Duration(n)*second + second)
+			address := fmt.Sprint("x", n)
+			p.AddCrash(at, PartCrash{Address: address, At: at, Parts: []ident.PromptPart{"bad", "session"}})
+			p.AddCrash(at, PartCrash{Address: address + "b", At: at.Add(second / 10), Parts: []ident.PromptPart{"bad"}})
+			if now := at.Add(second / 2); len(quarantined) == 0 {
+				quarantined = p.Update(now, now)
+			}
+		}
+		wantQuarantined(t, quarantined, "bad")
+	})
 	t.Run("reports of two instances on one crash are joined", func(t *testing.T) {
 		p := newTestParts()
 		for n := range 2 {
