Check paths once a second at most, unless an endpoint may have crashed

Endpoints under load that reset new connections, or answer late, would have got up to four more connections for each failure. After a check that found the path to be there no other begins for a second, and silence leads to one only if no endpoint of the service has responded since. An endpoint whose exchange broke is still looked at each time. TestChecksAreRare.

--- a/kernel/endpoints/endpoints.go
+++ b/kernel/endpoints/endpoints.go
@@ -344,6 +344,9 @@
 	e.ejectedUntil, e.unreachableAt = time.Time{}, time.Time{}
 }
 
+// RespondedSince reports whether the endpoint has responded to this instance after a time.
+func (e *Endpoint) RespondedSince(at time.Time) bool { return e.lastResponseAt.After(at) }
+
 // MarkReplaced records that another process answers at the endpoint's address, which
 // means that the endpoint is gone, and ejects the endpoint.
 func (e *Endpoint) MarkReplaced(now time.Time) {
--- a/kernel/gateway/attempts.go
+++ b/kernel/gateway/attempts.go
@@ -131,7 +131,7 @@
 			return
 		}
 		e.MarkUnreachable(g.now())
-		g.suspectPath(e)
+		g.suspectSilence(e, a.startedAt)
 		g.out.LogEvent("attemptSilent", "request", r.incoming.ID, "endpoint", a.endpoint, "waited", wait)
 		g.retryOrEnd(r, Broken, "no answer within "+wait.String())
 		g.out.CancelAttempt(r.handle)
--- a/kernel/gateway/paths.go
+++ b/kernel/gateway/paths.go
@@ -39,10 +39,20 @@
 	g.beginPathCheck(e.Service, e)
 }
 
+// suspectSilence does the same for an exchange that began at a time and brought no response,
+// unless another endpoint of the service has responded since.
+func (g *Gateway) suspectSilence(e *endpoints.Endpoint, since time.Time) {
+	responded := slices.ContainsFunc(g.directory.ByService(e.Service), func(o *endpoints.Endpoint) bool { return o.RespondedSince(since) })
+	if !responded {
+		g.suspectPath(e)
+	}
+}
+
 // beginPathCheck connects to some endpoints of a service, among them the given one unless
 // that is nil.
 func (g *Gateway) beginPathCheck(s ident.Service, suspect *endpoints.Endpoint) {
-	g.connectTo(g.paths.Begin(g.now(), s, g.sampleEndpoints(s, suspect, checkedEndpoints)))
+	mayHaveCrashed := suspect != nil && len(g.crashes.brokenExchanges[suspect.Name]) > 0
+	g.connectTo(g.paths.Begin(g.now(), s, g.sampleEndpoints(s, suspect, checkedEndpoints), mayHaveCrashed))
 }
 
 func (g *Gateway) connectTo(names []ident.Endpoint) {
--- a/kernel/paths/paths.go
+++ b/kernel/paths/paths.go
@@ -16,6 +16,9 @@
 	// the next return need twice as many connections in a row, at most maxConnections.
 	flapWindow     = 10 * time.Second
 	maxConnections = 8
+	// soundTime is the time after a check that has found the path to be there within which
+	// no other one begins, since connections may be what endpoints in trouble lack.
+	soundTime = time.Second
 	// maxCheckTime is the time after which a check without all of its results is dropped.
 	maxCheckTime = 3 * time.Second
 )
@@ -70,6 +73,8 @@
 	// back, and connected the number that there have been.
 	needed    int
 	connected int
+	// soundAt is when a check last found the path to be there.
+	soundAt time.Time
 	// check is nil if none is running.
 	check *check
 }
@@ -120,11 +125,12 @@
 
 // Begin begins a check of the path to a service by connecting to the given endpoints. If one
 // is running, the first endpoint is added to it. It returns those to connect to; none while
-// the path is lost. The result of each has to be passed to Record.
-func (t *Table) Begin(now time.Time, name ident.Service, endpoints []ident.Endpoint) []ident.Endpoint {
+// the path is lost, nor soon after it was there, unless the first endpoint may have crashed.
+// The result of each has to be passed to Record.
+func (t *Table) Begin(now time.Time, name ident.Service, endpoints []ident.Endpoint, mayHaveCrashed bool) []ident.Endpoint {
 	s := t.service(name)
 	switch {
-	case s.lost || len(endpoints) == 0:
+	case s.lost || len(endpoints) == 0 || s.check == nil && !mayHaveCrashed && now.Sub(s.soundAt) < soundTime:
 		return nil
 	case s.check != nil:
 		// It may have answered before it failed.
@@ -223,7 +229,7 @@
 	switch r {
 	case Accepted:
 		if !c.sound {
-			c.sound, change = true, Sound
+			c.sound, change, s.soundAt = true, Sound, now
 		}
 	case Refused:
 		c.refused = append(c.refused, e)
--- a/kernel/paths/paths_test.go
+++ b/kernel/paths/paths_test.go
@@ -23,7 +23,7 @@
 func TestCrashAndLostPathAreToldApart(t *testing.T) {
 	t.Run("one refuses, another accepts", func(t *testing.T) {
 		table := NewTable()
-		table.Begin(start, "s", []ident.Endpoint{"a", "b", "c"})
+		table.Begin(start, "s", []ident.Endpoint{"a", "b", "c"}, true)
 		wantChange(t, table, start, "a", Refused, None)
 		if ended := wantChange(t, table, start, "b", Accepted, Sound); !slices.Equal(ended, []ident.Endpoint{"a"}) {
 			t.Fatalf("ended: %v, want a", ended)
@@ -37,8 +37,8 @@
 	})
 	t.Run("all refuse or are silent", func(t *testing.T) {
 		table := NewTable()
-		table.Begin(start, "s", []ident.Endpoint{"a", "b"})
-		table.Begin(start, "s", []ident.Endpoint{"c", "b"})
+		table.Begin(start, "s", []ident.Endpoint{"a", "b"}, true)
+		table.Begin(start, "s", []ident.Endpoint{"c", "b"}, true)
 		wantChange(t, table, start, "a", Refused, None)
 		wantChange(t, table, start, "b", Silent, None)
 		if !table.Checking("s") {
@@ -51,13 +51,13 @@
 			t.Fatalf("asked %v, lost %v; want d", ask, lost)
 		}
 		wantChange(t, table, start, "d", Silent, Lost)
-		if !table.Lost("s") || table.Lost("other") || len(table.Begin(start, "s", []ident.Endpoint{"a"})) > 0 {
+		if !table.Lost("s") || table.Lost("other") || len(table.Begin(start, "s", []ident.Endpoint{"a"}, true)) > 0 {
 			t.Fatal("the path is not lost, another one is, or it is checked")
 		}
 	})
 	t.Run("all of the first ones have crashed", func(t *testing.T) {
 		table := NewTable()
-		table.Begin(start, "s", []ident.Endpoint{"a", "b"})
+		table.Begin(start, "s", []ident.Endpoint{"a", "b"}, true)
 		wantChange(t, table, start, "a", Refused, None)
 		wantChange(t, table, start, "b", Refused, Unsure)
 		table.Widen(start, "s", []ident.Endpoint{"c"})
@@ -68,7 +68,7 @@
 	t.Run("results that nobody asked for", func(t *testing.T) {
 		table := NewTable()
 		wantChange(t, table, start, "a", Refused, None)
-		table.Begin(start, "s", []ident.Endpoint{"a", "b"})
+		table.Begin(start, "s", []ident.Endpoint{"a", "b"}, true)
 		wantChange(t, table, start, "a", Silent, None)
 		wantChange(t, table, start, "a", Silent, None)
 		wantChange(t, table, start, "b", Accepted, Sound)
@@ -80,7 +80,7 @@
 	table := NewTable()
 	at := start
 	lose := func() {
-		table.Begin(start, "s", []ident.Endpoint{"a"})
+		table.Begin(start, "s", []ident.Endpoint{"a"}, true)
 		wantChange(t, table, at, "a", Silent, Unsure)
 		if _, lost := table.Widen(at, "s", nil); !lost {
 			t.Fatal("the path is not lost")
@@ -117,7 +117,7 @@
 // A check whose results do not come lasts for good, and requests wait for it.
 func TestCheckWithoutResultsEnds(t *testing.T) {
 	table := NewTable()
-	table.Begin(start, "s", []ident.Endpoint{"a", "b"})
+	table.Begin(start, "s", []ident.Endpoint{"a", "b"}, true)
 	wantChange(t, table, start, "a", Refused, None)
 	if expired := table.Expire(start.Add(maxCheckTime)); len(expired) > 0 {
 		t.Fatalf("%v expired too early", expired)
@@ -125,7 +125,7 @@
 	if expired := table.Expire(start.Add(maxCheckTime + 1)); !slices.Equal(expired, []ident.Service{"s"}) || table.Checking("s") {
 		t.Fatalf("expired: %v, want s", expired)
 	}
-	if ask := table.Begin(start, "s", []ident.Endpoint{"b"}); len(ask) != 1 {
+	if ask := table.Begin(start, "s", []ident.Endpoint{"b"}, true); len(ask) != 1 {
 		t.Fatal("an endpoint whose result did not come is not asked again")
 	}
 }
@@ -133,9 +133,29 @@
 // An endpoint is asked in two checks at a time, and one of them never gets its result.
 func TestEndpointIsAskedOnceAtATime(t *testing.T) {
 	table := NewTable()
-	table.Begin(start, "s", []ident.Endpoint{"a"})
-	if ask := table.Begin(start, "other", []ident.Endpoint{"a"}); len(ask) > 0 || table.Checking("other") {
+	table.Begin(start, "s", []ident.Endpoint{"a"}, true)
+	if ask := table.Begin(start, "other", []ident.Endpoint{"a"}, true); len(ask) > 0 || table.Checking("other") {
 		t.Fatalf("asked %v while the result is due", ask)
 	}
 	wantChange(t, table, start, "a", Accepted, Sound)
 }
+
+// Endpoints in trouble get more connections for each failure, or a crash is not looked at
+// because the path was there lately.
+func TestChecksAreRare(t *testing.T) {
+	table := NewTable()
+	table.Begin(start, "s", []ident.Endpoint{"a", "b"}, false)
+	wantChange(t, table, start, "a", Accepted, Sound)
+	wantChange(t, table, start, "b", Accepted, None)
+	soon, later := start.Add(soundTime-1), start.Add(soundTime)
+	if ask := table.Begin(soon, "s", []ident.Endpoint{"a", "b"}, false); len(ask) > 0 {
+		t.Fatalf("asked %v though the path was there", ask)
+	}
+	if ask := table.Begin(soon, "s", []ident.Endpoint{"a"}, true); len(ask) != 1 {
+		t.Fatal("an endpoint that may have crashed is not asked")
+	}
+	wantChange(t, table, soon, "a", Accepted, Sound)
+	if ask := table.Begin(later.Add(soundTime), "s", []ident.Endpoint{"a", "b"}, false); len(ask) != 2 {
+		t.Fatalf("asked %v, want both", ask)
+	}
+}
