Let connecting take longer than the grace of a rest in its test

A mutation that writes a request although its endpoint has come to want a rest was not caught: with 0.7 s, too few requests arrived later than the 0.5 s of grace.

--- a/kernel/gateway/notice_test.go
+++ b/kernel/gateway/notice_test.go
@@ -286,7 +286,7 @@
 
 // An endpoint that wants no requests from an instance for a while gets more from it.
 func TestEndpointThatWantsARest(t *testing.T) {
-	for _, connectTime := range []time.Duration{linkDelay, 700 * time.Millisecond} {
+	for _, connectTime := range []time.Duration{linkDelay, 1500 * time.Millisecond} {
 		for _, rest := range []time.Duration{1500 * time.Millisecond, 3500 * time.Millisecond, 8 * time.Second} {
 			for _, size := range noticeFleetSizes(connectTime == linkDelay && rest == 3500*time.Millisecond) {
 				t.Run(fmt.Sprintf("%d instances, rest %v, connecting takes %v", size, rest, connectTime), func(t *testing.T) {
