Test what else withheld endpoints do not get, and when callers come back

Two mutations were not caught: releases of results and questions to endpoints that leave or rest, and a Retry-After that ends before the rest.

--- a/kernel/gateway/notice_test.go
+++ b/kernel/gateway/notice_test.go
@@ -7,6 +7,7 @@
 
 	"anvilcross/kernel/endpoints"
 	"anvilcross/kernel/ident"
+	"anvilcross/kernel/message"
 	"anvilcross/kernel/ratelimit"
 	"anvilcross/kernel/replica"
 )
@@ -340,3 +341,106 @@
 		})
 	}
 }
+
+// Results are released at an endpoint that wants no requests, or it is inspected or asked for
+// its prompts.
+func TestNothingElseIsSentToWithheldEndpoints(t *testing.T) {
+	const rest = 2 * time.Second
+	withheld := func(t *testing.T, n endpoints.Notice) (tg *testGateway, asked *int) {
+		tg, asked = newConfigured(t), new(int)
+		g := tg.gateway
+		count := func(e ident.Endpoint, _ string) {
+			if serviceOf(e) != "planning" {
+				*asked++
+			}
+		}
+		g.out.InspectEndpoint, g.out.ListPrompts = count, count
+		for _, s := range []ident.Service{"registry", "models"} {
+			for _, e := range g.directory.ByService(s) {
+				g.HandleNotice(e.Process(), n, time.Millisecond)
+			}
+		}
+		g.freeResults("registry-0:80", []message.ResultHandle{"registry-0:80/a"})
+		g.inspectEndpoint("registry-0", "registry-0:80")
+		g.askEndpoints([]ident.Service{"models"}, func() {})
+		return tg, asked
+	}
+	wantFreed := func(t *testing.T, tg *testGateway, want int) {
+		t.Helper()
+		if len(tg.freed) != want {
+			t.Fatalf("%d results are freed, want %d", len(tg.freed), want)
+		}
+	}
+	t.Run("that leaves", func(t *testing.T) {
+		tg, asked := withheld(t, endpoints.Notice{Leaving: true})
+		tg.advance(3 * rest)
+		wantFreed(t, tg, 0)
+		if *asked > 0 {
+			t.Fatalf("%d questions were sent", *asked)
+		}
+	})
+	t.Run("that wants a rest", func(t *testing.T) {
+		tg, asked := withheld(t, endpoints.Notice{Rest: rest})
+		tg.advance(rest - time.Millisecond)
+		wantFreed(t, tg, 0)
+		if *asked > 0 {
+			t.Fatalf("%d questions were sent", *asked)
+		}
+		tg.advance(freeHoldTime + 2*tickPeriod)
+		wantFreed(t, tg, 1)
+	})
+}
+
+// Callers come back before an endpoint takes requests, or those that were late before come
+// back last, or stages run for requests that no endpoint will take.
+func TestRetryAfterOfRests(t *testing.T) {
+	const rest = 6 * time.Second
+	newResting := func(t *testing.T, service ident.Service) *testGateway {
+		tg := newConfigured(t)
+		for n, e := range tg.gateway.directory.ByService(service) {
+			tg.gateway.HandleNotice(e.Process(), endpoints.Notice{Rest: rest + time.Duration(n)*time.Second}, time.Millisecond)
+		}
+		return tg
+	}
+	wantBetween := func(t *testing.T, tg *testGateway, h RequestHandle, least, most time.Duration) {
+		t.Helper()
+		tg.wantAnswer(h, NotRun)
+		if got := tg.lastStep(h).RetryAfter; got < least || got > most {
+			t.Fatalf("Retry-After is %v, want %v to %v", got, least, most)
+		}
+	}
+	t.Run("a plain request", func(t *testing.T) {
+		tg := newResting(t, "orders")
+		for range 20 {
+			wantBetween(t, tg, tg.sendRequest("/order/x", nil), rest, rest+maxRetrySpread)
+		}
+	})
+	t.Run("one that was late before", func(t *testing.T) {
+		tg := newResting(t, "orders")
+		tg.sendRequest("/order/x", func(c *CallerRequest) { c.Timeout = 1200 * time.Millisecond })
+		for range 20 {
+			h := tg.sendRequest("/order/x", func(c *CallerRequest) { c.Timeout = 500 * time.Millisecond })
+			wantBetween(t, tg, h, rest, rest+maxRetrySpread/4)
+		}
+	})
+	t.Run("one whose stages would end before", func(t *testing.T) {
+		tg := newResting(t, "models")
+		h := tg.sendRequest("/draft/x", func(c *CallerRequest) { c.PieceCounts, c.Timeout = []int{1}, 15*time.Second })
+		wantBetween(t, tg, h, rest, rest+maxRetrySpread)
+		tg.advance(time.Second)
+		if len(tg.calls) > 0 {
+			t.Fatalf("%d stage calls for a refused request", len(tg.calls))
+		}
+	})
+	t.Run("after one endpoint has declined it", func(t *testing.T) {
+		tg := newConfigured(t)
+		h := tg.sendRequest("/order/x", nil)
+		for range 3 {
+			s := tg.wantSend(h)
+			e := tg.gateway.directory.Lookup(s.Endpoint)
+			tg.gateway.HandleNotice(e.Process(), endpoints.Notice{Rest: rest}, time.Millisecond)
+			tg.gateway.HandleFailure(h, s.Attempt, Declined, "", "503")
+		}
+		wantBetween(t, tg, h, rest, rest+maxRetrySpread)
+	})
+}
