Put what withheld endpoints and forwarded requests need into files of their own

Moves only, and one way to let a worker leave in the soak. The tests of forwarding catch two more mutations: ejections that outlast a lost path, and stages that run before a request is forwarded.

--- a/anvilcrossd/gatewayd/gatewayd.go
+++ b/anvilcrossd/gatewayd/gatewayd.go
@@ -22,7 +22,6 @@
 
 	"anvilcross/anvilcrossd/entry"
 	"anvilcross/anvilcrossd/eventlog"
-	"anvilcross/anvilcrossd/forward"
 	"anvilcross/anvilcrossd/h1"
 	"anvilcross/anvilcrossd/link"
 	"anvilcross/anvilcrossd/metadata"
@@ -64,9 +63,6 @@
 	// refuseUnsentMargin is how long before that limit the requests that have
 	// certainly not run are refused.
 	refuseUnsentMargin = 2 * time.Second
-	// forwardedPollPeriod is the interval at which a shutdown looks for unfinished requests
-	// of other instances.
-	forwardedPollPeriod = 20 * time.Millisecond
 	// settingsPollPeriod is the interval at which the settings file is read.
 	settingsPollPeriod = 2 * time.Second
 	// memoryLimitShare is the share of the allowed memory that is set as the Go
@@ -252,19 +248,6 @@
 	}()
 }
 
-// peerHandler returns the handler for messages of other instances and for the requests that
-// they forward.
-func (d *daemon) peerHandler() http.Handler {
-	mesh := d.mesh.Handler()
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if forward.IsForwarded(r.Header) {
-			d.entry.ServeForwarded(w, r)
-			return
-		}
-		mesh.ServeHTTP(w, r)
-	})
-}
-
 // handleNoticeAt tells the gateway what the endpoint at an address says of itself.
 func (d *daemon) handleNoticeAt(address string, n endpoints.Notice, sentAgo time.Duration) {
 	d.withGateway(func(g *gateway.Gateway) { g.HandleNoticeAt(address, n, sentAgo) })
@@ -393,20 +376,6 @@
 	d.log.WriteEvent("stopComplete", "after", time.Since(startedAt))
 }
 
-// finishForwarded waits for the requests that other instances have forwarded.
-func (d *daemon) finishForwarded(ctx context.Context) error {
-	ticker := time.NewTicker(forwardedPollPeriod)
-	defer ticker.Stop()
-	for d.entry.ActiveForwarded() > 0 {
-		select {
-		case <-ctx.Done():
-			return errors.Trace(ctx.Err())
-		case <-ticker.C:
-		}
-	}
-	return nil
-}
-
 // watchSettings reloads the settings when their file changes, so that no signal
 // is needed.
 func (d *daemon) watchSettings(stop <-chan struct{}) {
--- a/anvilload/soak/soak.go
+++ b/anvilload/soak/soak.go
@@ -445,51 +445,58 @@
 	r.history.faultSpans = append(r.history.faultSpans, faultSpan{from: from, to: time.Now(), daemon: noDaemon, worker: name})
 }
 
-// drainWorker marks a worker as draining and restores it later. Only one worker
-// of a service drains at a time; further drain events are ignored.
-func (r *runner) drainWorker(name string, duration time.Duration) {
+// beginLeaving marks a worker's service as one that a worker leaves. It returns false if
+// another one does: only one worker of a service leaves at a time.
+func (r *runner) beginLeaving(name string) bool {
 	service := name[:len(name)-2]
 	r.mutex.Lock()
+	defer r.mutex.Unlock()
 	if r.draining[service] {
-		r.mutex.Unlock()
-		return
+		return false
 	}
 	r.draining[service] = true
+	return true
+}
+
+// endLeaving lets a worker come back as a new process, and records the time in which it was
+// leaving unless that is not known.
+func (r *runner) endLeaving(d drainSpan, known bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.site.Restore(d.worker)
+	r.draining[d.worker[:len(d.worker)-2]] = false
+	if known {
+		r.history.drains = append(r.history.drains, d)
+	}
+}
+
+// drainWorker marks a worker as draining and restores it later.
+func (r *runner) drainWorker(name string, duration time.Duration) {
+	if !r.beginLeaving(name) {
+		return
+	}
+	r.mutex.Lock()
 	r.site.Drain(name)
-	d := drainSpan{worker: name, from: time.Now()}
 	r.mutex.Unlock()
+	d := drainSpan{worker: name, from: time.Now()}
 	time.Sleep(duration + maxDrainDelay)
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
 	d.to = time.Now()
-	r.site.Restore(name)
-	r.draining[service] = false
-	r.history.drains = append(r.history.drains, d)
+	r.endLeaving(d, true)
 }
 
-// leaveByWord lets a worker say in its answers, and not in its entry, that it leaves, and
-// comes back as a new process later. Only one worker of a service leaves at a time.
+// leaveByWord lets a worker say in its answers, and not in its entry, that it leaves.
 func (r *runner) leaveByWord(name string, duration time.Duration) {
-	service := name[:len(name)-2]
-	r.mutex.Lock()
-	if r.draining[service] {
-		r.mutex.Unlock()
+	if !r.beginLeaving(name) {
 		return
 	}
-	r.draining[service] = true
-	r.mutex.Unlock()
 	begun := time.Now()
 	r.site.SetFaults(name, worker.Faults{Leaving: true})
 	time.Sleep(duration + 2*maxDrainDelay)
-	ended := time.Now()
+	d := drainSpan{worker: name, to: time.Now()}
 	r.site.SetFaults(name, worker.Faults{})
-	r.site.Restore(name)
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	r.draining[service] = false
-	if told, found := r.firstArrival(name, begun); found {
-		r.history.drains = append(r.history.drains, drainSpan{worker: name, from: told.Add(noticeTime), to: ended})
-	}
+	told, known := r.firstArrival(name, begun)
+	d.from = told.Add(noticeTime)
+	r.endLeaving(d, known)
 }
 
 // firstArrival returns when the first request after a time reached a worker.
--- a/kernel/gateway/forward_test.go
+++ b/kernel/gateway/forward_test.go
@@ -95,6 +95,19 @@
 	})
 }
 
+// Stages run at an instance that cannot send the request afterwards.
+func TestRequestsAreForwardedBeforeTheirStages(t *testing.T) {
+	c := newCutOffGateway(t)
+	c.losePath()
+	c.advance(20 * time.Millisecond)
+	h := c.sendRequest("/draft/x", func(r *CallerRequest) { r.Timeout, r.PieceCounts = 15*time.Second, []int{1} })
+	c.wantForward(h)
+	c.advance(100 * time.Millisecond)
+	if len(c.calls) > 0 {
+		t.Fatalf("%d stage calls for a forwarded request", len(c.calls))
+	}
+}
+
 // A refusal by a member ends the request though another one may serve it, or goes round.
 func TestMembersAreTriedInTurn(t *testing.T) {
 	elsewhere := ForwardAnswer{Answer: NotRun, RetryAfter: time.Second, Reason: "stopping", Elsewhere: true}
@@ -214,13 +227,16 @@
 	for range 4 {
 		c.losePath()
 		c.result = paths.Accepted
-		for range 2 * 8 {
+		for n := 0; c.gateway.paths.Lost("orders"); n++ {
+			if n > 2*8 {
+				t.Fatal("the path is not back")
+			}
 			c.advance(pathProbePeriod)
 		}
 		c.result = paths.Refused
 		c.meetMembers()
-		if c.gateway.paths.Lost("orders") {
-			t.Fatal("the path is not back")
+		if n := len(c.gateway.directory.Candidates(c.timers.Now(), "orders", nil)); n != 3 {
+			t.Fatalf("%d endpoints are used after the path was back, want 3", n)
 		}
 		if s := c.wantSend(c.sendRequest("/order/x", nil)); s.Member != "" {
 			t.Fatalf("forwarded to %s after the path was back", s.Member)
