--- a/anvilcrossd/gatewayd/forward_test.go
+++ b/anvilcrossd/gatewayd/forward_test.go
@@ -47,14 +47,18 @@
 	return n, nil
 }
 
-// cut refuses new connections and closes the open ones, or ends that.
-func (l *workerLink) cut(refused bool) {
+// refuse refuses new connections, or ends that.
+func (l *workerLink) refuse(refused bool) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.refused = refused
-	if !refused {
-		return
-	}
+}
+
+// cut refuses new connections and closes the open ones.
+func (l *workerLink) cut() {
+	l.refuse(true)
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
 	for _, n := range l.open {
 		_ = n.Close()
 	}
@@ -189,7 +193,7 @@
 		problem := make(chan string, 1)
 		go func() { problem <- p.problem(0, r) }()
 		time.Sleep(500 * time.Millisecond)
-		p.links[0].cut(true)
+		p.links[0].cut()
 		if text := <-problem; text != "" {
 			t.Error(text)
 		}
@@ -251,9 +255,18 @@
 			t.Errorf("runs: %+v, want one that has ended", runs)
 		}
 	})
+	t.Run("only new connections are refused", func(t *testing.T) {
+		p.t = t
+		p.links[0].refuse(false)
+		p.eventually("the path is back", func() bool { return p.problem(0, client.NewRequest("draft")) == "" })
+		time.Sleep(time.Second)
+		p.wantWhole(0, 5)
+		p.links[0].refuse(true)
+		p.wantWhole(0, 20)
+	})
 	t.Run("no daemon has a path", func(t *testing.T) {
 		for _, link := range p.links {
-			link.cut(true)
+			link.cut()
 		}
 		time.Sleep(time.Second)
 		reply := p.send(0, client.NewRequest("order"))
@@ -264,7 +277,7 @@
 	t.Run("the paths are back", func(t *testing.T) {
 		p.t = t
 		for _, link := range p.links {
-			link.cut(false)
+			link.refuse(false)
 		}
 		p.eventually("served again", func() bool { return p.problem(0, client.NewRequest("draft")) == "" })
 		time.Sleep(2 * time.Second)
