Let an instance that has just got its records survey endpoints

What callers saw: after all instances had been killed, streams that were taken up at once were refused, since the version that began them was not known. Cause, of: the surveyor had just got its records from another instance and had not heard yet when the platform had been read, so it took itself for out of step. Records that it lacked are news of the platform, too.

TestStartedInstanceSurveysEndpoints failed before.

--- a/kernel/gateway/gateway.go
+++ b/kernel/gateway/gateway.go
@@ -165,6 +165,8 @@
 	// recordsOfferedAt is when a member first reported that it has records, while
 	// this instance has none.
 	recordsOfferedAt time.Time
+	// recordsReceivedAt is when a member last sent records that this instance lacked.
+	recordsReceivedAt time.Time
 	// laggingPeers holds the members that lack records this instance has.
 	laggingPeers map[ident.Instance]peerLag
 	// batchingSince holds the pools that this instance batches for, and
--- a/kernel/gateway/origins.go
+++ b/kernel/gateway/origins.go
@@ -172,7 +172,7 @@
 // handleOriginRequest answers another instance's question, or this one's own. Without recent
 // news of the platform it surveys no endpoints, since it may not know all of them.
 func (g *Gateway) handleOriginRequest(from ident.Instance, m message.OriginRequest) {
-	if len(m.Services) > 0 && !g.platformInReach(g.now()) {
+	if len(m.Services) > 0 && !g.hasRecentNews(g.now()) {
 		g.replyOrigin(from, m.ID, origin.Origin{}, false)
 		return
 	}
--- a/kernel/gateway/outofstep_test.go
+++ b/kernel/gateway/outofstep_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"anvilcross/kernel/ident"
+	"anvilcross/kernel/message"
 	"anvilcross/kernel/replica"
 )
 
@@ -84,3 +85,34 @@
 		})
 	}
 }
+
+// An instance that has just started, and got its records from another one, does not survey
+// endpoints for streams that are taken up, since it has heard of no reading of the platform.
+func TestStartedInstanceSurveysEndpoints(t *testing.T) {
+	tg := newTestGateway(t)
+	asked := 0
+	tg.gateway.out.ListPrompts = func(ident.Endpoint, string) { asked++ }
+	records := []replica.Record{testRecord(t, "catalog", 1, testCatalog(1))}
+	for n := range 3 {
+		l := testListing("models", n)
+		records = append(records, testRecord(t, string(l.Name), 1, l))
+	}
+	tg.receivePing("two", "east", -1)
+	survey := func() {
+		tg.gateway.HandleMessage(message.Envelope{From: "two", OriginRequest: &message.OriginRequest{ID: 1, Services: []ident.Service{"models"}, Part: "own"}})
+	}
+	survey()
+	tg.gateway.HandleMessage(message.Envelope{From: "two", Records: &message.Records{Delta: replica.Delta{Records: records, AsOf: 1}}})
+	if asked > 0 {
+		t.Fatal("endpoints were asked before there were records")
+	}
+	survey()
+	if asked != 3 {
+		t.Fatalf("%d endpoints were asked, want 3", asked)
+	}
+	tg.advance(2 * maxContactAge)
+	survey()
+	if asked != 3 {
+		t.Fatal("endpoints are asked long after the records came")
+	}
+}
--- a/kernel/gateway/readers.go
+++ b/kernel/gateway/readers.go
@@ -245,7 +245,11 @@
 	if m.Carried != nil {
 		g.applyCarried(*m.Carried, string(from))
 	}
-	g.applyRecords(g.records.ApplyDelta(now, m.Delta), string(from), m.UnconfirmedFor)
+	updates := g.records.ApplyDelta(now, m.Delta)
+	if len(updates) > 0 {
+		g.recordsReceivedAt = now
+	}
+	g.applyRecords(updates, string(from), m.UnconfirmedFor)
 }
 
 // settleRemovals drops the endpoints whose removal has been unconfirmed for long
@@ -271,6 +275,12 @@
 	return false
 }
 
+// hasRecentNews reports whether this instance knows recent news of the platform: another one,
+// or it, has just read it, or it has just got records that it lacked.
+func (g *Gateway) hasRecentNews(now time.Time) bool {
+	return g.platformInReach(now) || now.Sub(g.recordsReceivedAt) <= g.maxReaderContactAge()
+}
+
 // confirmRemovals drops the endpoints among removed records whose removal was
 // unconfirmed until now.
 func (g *Gateway) confirmRemovals(records []replica.Record) {
