Say once what notices, samples and forwarded answers are

A rate limit counted for the present process of an endpoint, leaving and rest for the one that answered; all count for that one now. Candidates without a permit are found by the same question as those that want a rest. A forwarded answer is built in one place, and the sample of endpoints in one pass.

--- a/anvilcrossd/entry/entry.go
+++ b/anvilcrossd/entry/entry.go
@@ -266,7 +266,7 @@
 		return brokenOff
 	}
 	if c.forwarded {
-		forward.SetAnswer(c.writer.Header(), gateway.ForwardAnswer{Answer: step.Answer, RetryAfter: step.RetryAfter, Reason: step.Reason, Elsewhere: step.Elsewhere, NoPath: step.NoPath})
+		forward.SetAnswer(c.writer.Header(), step.ForwardAnswer())
 	}
 	platform.WriteAnswer(c.writer, c.request, step)
 	return step.Answer.String()
@@ -335,9 +335,6 @@
 
 // reportNotice tells the gateway what an endpoint says of itself in a response.
 func (c *callerExchange) reportNotice(send *gateway.Send, response *http.Response, sentAgo time.Duration) {
-	if platform.FromAnotherEndpoint(response) {
-		return
-	}
 	notice, err := platform.ReadNotice(response)
 	if err != nil {
 		c.server.config.LogEvent("noticeRejected", "endpoint", send.Endpoint, "reason", err)
--- a/anvilcrossd/promptlist/promptlist.go
+++ b/anvilcrossd/promptlist/promptlist.go
@@ -60,13 +60,11 @@
 		return nil, errors.Trace(err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	if !platform.FromAnotherEndpoint(response.Response) {
-		notice, err := platform.ReadNotice(response.Response)
-		if err != nil {
-			c.config.LogEvent("noticeRejected", "address", address, "reason", err)
-		}
-		c.config.OnNotice(address, notice, time.Since(started))
+	notice, err := platform.ReadNotice(response.Response)
+	if err != nil {
+		c.config.LogEvent("noticeRejected", "address", address, "reason", err)
 	}
+	c.config.OnNotice(address, notice, time.Since(started))
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes))
 	if err != nil {
 		return nil, errors.Trace(err)
--- a/anvilcrossd/stagecall/stagecall.go
+++ b/anvilcrossd/stagecall/stagecall.go
@@ -115,7 +115,7 @@
 		Body:      call.Body,
 		SingleUse: singleUse,
 	})
-	if err == nil && !platform.FromAnotherEndpoint(response.Response) {
+	if err == nil {
 		c.reportNotice(address, response.Response, time.Since(started))
 	}
 	return response, errors.Trace(err)
--- a/kernel/gateway/forward.go
+++ b/kernel/gateway/forward.go
@@ -36,6 +36,11 @@
 	NoPath bool `json:"noPath,omitempty"`
 }
 
+// ForwardAnswer returns what the step answers to the instance that forwarded the request.
+func (s Step) ForwardAnswer() ForwardAnswer {
+	return ForwardAnswer{Answer: s.Answer, RetryAfter: s.RetryAfter, Reason: s.Reason, Elsewhere: s.Elsewhere, NoPath: s.NoPath}
+}
+
 // forward forwards a request to another instance, because this one has no path to the
 // endpoints of its service. It returns false if there is none to forward it to.
 func (g *Gateway) forward(r *request) bool {
--- a/kernel/gateway/limit_test.go
+++ b/kernel/gateway/limit_test.go
@@ -125,7 +125,7 @@
 				if _, told := server.told[g]; !told && rate != ratelimit.Unlimited {
 					server.told[g] = f.timers.Now()
 				}
-				g.HandleNamedLimit(server.listing.Name, rate, f.timers.Now().Sub(sentAt))
+				g.HandleNotice(s.Send.Process(), endpoints.Notice{RateLimit: &rate}, f.timers.Now().Sub(sentAt))
 				g.HandleResponseHead(h, id, false, endpoints.Load{})
 				g.HandleDelivery(h, id, Delivery{Status: 200, Delimited: true})
 				f.answers[h] = "relayed"
--- a/kernel/gateway/limits.go
+++ b/kernel/gateway/limits.go
@@ -15,11 +15,14 @@
 // of the rate limits: a few pings may be lost.
 const permitLeasePings = 4
 
-// HandleNamedLimit handles the rate limit that an answer of an endpoint names, or
+// recordLimit records the rate limit that an answer of an endpoint's process names, or
 // Unlimited if it names none. The request was sent the given time ago.
-func (g *Gateway) HandleNamedLimit(name ident.Endpoint, rate ratelimit.Rate, sentAgo time.Duration) {
-	if e := g.directory.Lookup(name); e != nil && g.limits.Record(g.now(), e.Process(), rate, sentAgo) {
-		g.logLimit(e, "answer")
+func (g *Gateway) recordLimit(p ident.EndpointProcess, rate ratelimit.Rate, sentAgo time.Duration) {
+	if !g.limits.Record(g.now(), p, rate, sentAgo) {
+		return
+	}
+	if e := g.directory.Lookup(p.Endpoint); e != nil {
+		g.logLimit(e, ownAnswer)
 	}
 }
 
@@ -100,6 +103,7 @@
 		return candidates
 	}
 	return slices.DeleteFunc(slices.Clone(candidates), func(e *endpoints.Endpoint) bool {
-		return g.isLimited(e) && g.permits.blocked(now, e.Process())
+		wait, ever := g.sendableIn(now, e)
+		return !ever || wait > 0
 	})
 }
--- a/kernel/gateway/notices.go
+++ b/kernel/gateway/notices.go
@@ -24,7 +24,7 @@
 // request was sent to it the given time ago.
 func (g *Gateway) HandleNotice(p ident.EndpointProcess, n endpoints.Notice, sentAgo time.Duration) {
 	if n.RateLimit != nil {
-		g.HandleNamedLimit(p.Endpoint, *n.RateLimit, sentAgo)
+		g.recordLimit(p, *n.RateLimit, sentAgo)
 	}
 	if n.Leaving {
 		g.recordLeaving(p, ownAnswer)
--- a/kernel/gateway/path_test.go
+++ b/kernel/gateway/path_test.go
@@ -134,7 +134,7 @@
 	case s.Send != nil:
 		f.send(name, h, *s.Send)
 	case hop != nil:
-		a := ForwardAnswer{Answer: s.Answer, RetryAfter: s.RetryAfter, Reason: s.Reason, Elsewhere: s.Elsewhere, NoPath: s.NoPath}
+		a := s.ForwardAnswer()
 		f.timers.After(linkDelay, func() { f.gateways[hop.by].HandleForwardAnswer(hop.handle, hop.attempt, a) })
 	default:
 		f.requests[h].answer = s.Answer.String()
--- a/kernel/gateway/paths.go
+++ b/kernel/gateway/paths.go
@@ -66,27 +66,26 @@
 // sampleEndpoints returns some endpoints of a service, of as many data centres as possible,
 // and the given one first unless that is nil.
 func (g *Gateway) sampleEndpoints(s ident.Service, first *endpoints.Endpoint, count int) []ident.Endpoint {
-	var sample []ident.Endpoint
+	// sample gets one endpoint of each data centre, rest the others.
+	var sample, rest []ident.Endpoint
 	centres := value.NewSet[ident.DataCentre]()
 	if first != nil {
 		sample = append(sample, first.Name)
 		centres.Add(first.DataCentre)
 	}
 	all := g.directory.ByService(s)
-	for _, anotherCentre := range []bool{true, false} {
-		for _, at := range g.random.Perm(len(all)) {
-			e := all[at]
-			if len(sample) >= count || e == first || e.Withheld(g.now()) || centres.Has(e.DataCentre) == anotherCentre {
-				continue
-			}
-			if !anotherCentre && slices.Contains(sample, e.Name) {
-				continue
-			}
+	for _, at := range g.random.Perm(len(all)) {
+		switch e := all[at]; {
+		case e == first || e.Withheld(g.now()):
+		case centres.Has(e.DataCentre):
+			rest = append(rest, e.Name)
+		default:
 			sample = append(sample, e.Name)
 			centres.Add(e.DataCentre)
 		}
 	}
-	return sample
+	sample = append(sample, rest...)
+	return sample[:min(len(sample), count)]
 }
 
 // widerSample returns further endpoints of a service. If it has only one, they are those of
--- a/kernel/message/valid.go
+++ b/kernel/message/valid.go
@@ -20,8 +20,8 @@
 	maxPartsPerCrash = 1000
 )
 
-// maxNotices limits the endpoints in one ping that have said something of themselves.
-const maxNotices = 256
+// maxListedPerPing limits the endpoints, services and members in each list of one ping.
+const maxListedPerPing = 256
 
 // CheckGateway returns an error if a message of package gateway has values that
 // no instance sends, for which its handlers are not prepared.
@@ -79,7 +79,7 @@
 			return errors.Errorf("crash at %q: age %v, %d parts", c.Address, c.Age, len(c.Parts))
 		}
 	}
-	if len(p.SaidToLeave) > maxNotices || len(p.Resting) > maxNotices {
+	if len(p.SaidToLeave) > maxListedPerPing || len(p.Resting) > maxListedPerPing {
 		return errors.Errorf("%d endpoints that leave, %d that want a rest", len(p.SaidToLeave), len(p.Resting))
 	}
 	for e, r := range p.Resting {
@@ -87,7 +87,7 @@
 			return errors.Errorf("negative rest of endpoint %q", e)
 		}
 	}
-	if len(p.LostServices) > maxNotices || len(p.PathMembers) > maxNotices {
+	if len(p.LostServices) > maxListedPerPing || len(p.PathMembers) > maxListedPerPing {
 		return errors.Errorf("%d lost services, %d members with paths", len(p.LostServices), len(p.PathMembers))
 	}
 	return p.checkLimits()
