Show that a request that crashes workers goes on doing so under load

Cause: a daemon passes on twelve reports of a crash at most, of all the requests that were running there. Change: a case with its stand-in; no other code.

--- a/review/standin/crashes.go
+++ b/review/standin/crashes.go
@@ -143,7 +143,7 @@
 		}
 		return value
 	}
-	perSecond, length := number("PER_SECOND", 200), 85*time.Second
+	perSecond, length := number("PER_SECOND", 300), 85*time.Second
 	b.publish(streamRoute("/draft/", false, 1))
 	log := &crashLog{}
 	err := b.startCrashingWorkers(log, number("WORKERS", 4), 100*time.Millisecond, downtime, func(r *http.Request) bool {
@@ -152,7 +152,7 @@
 	if err != nil {
 		return false, err
 	}
-	if err := b.startDaemons([]string{"dolny-a", "dolny-b", "dolny-c", "dolny-a", "dolny-b", "dolny-c"}[:number("DAEMONS", 4)]...); err != nil {
+	if err := b.startDaemons([]string{"dolny-a", "dolny-b", "dolny-c", "dolny-a", "dolny-b", "dolny-c", "dolny-a", "dolny-b", "dolny-c"}[:number("DAEMONS", 6)]...); err != nil {
 		return false, err
 	}
 	time.Sleep(contactTime)
@@ -161,7 +161,7 @@
 	stop := time.After(length)
 	group.Go(func() {
 		for n := 0; time.Since(start) < length; n++ {
-			time.Sleep(time.Duration(number("PERIOD", 4)) * time.Second)
+			time.Sleep(time.Duration(number("PERIOD", 3)) * time.Second)
 			c := call{id: newID(), path: "/draft/poison", body: poison, prompt: "5c1e07a2:800,e4402b7d:250", events: 5, deadline: 15 * time.Second}
 			c.send(b.record, b.daemons[n%len(b.daemons)], nil)
 		}
