--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -45,6 +45,7 @@
 
 // send sends a client attempt to the front address of a daemon and reads the stream.
 func (c call) send(record *recorder, d *daemon, onEvent func(event)) reply {
+	record.add("client %s sends to %s: POST %s, prompt %s, Last-Event-Id %q, Resumes %q", c.id, d.name, c.path, c.prompt, c.lastEvent, c.resumes)
 	result := c.exchange(d, onEvent)
 	record.add("client %s at %s: status %d, %d events, complete %v, error %v", c.id, d.name, result.status, len(result.events), result.complete, result.err)
 	return result
--- a/review/standin/descriptors.go
+++ b/review/standin/descriptors.go
@@ -61,6 +61,7 @@
 		}
 		_ = connection.SetDeadline(time.Now().Add(15 * time.Second))
 		id := newID()
+		b.record.add("client %s sends to %s on a kept connection", id, d.name)
 		_, err := fmt.Fprintf(connection, "POST /draft/2f HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nModel: m\r\nToken-Count: 1460,10\r\nPrompt-Prefix: 5c1e%04x:500,%s:100\r\nDeadline-Ms: 15000\r\nAuthorization: Bearer %s\r\nContent-Length: 0\r\n\r\n", host, id, n, id, apiKey)
 		var response *http.Response
 		if err == nil {
@@ -69,6 +70,11 @@
 		if err == nil {
 			_, err = io.Copy(io.Discard, response.Body)
 		}
+		status := 0
+		if response != nil {
+			status = response.StatusCode
+		}
+		b.record.add("client %s: status %d, error %v", id, status, err)
 		switch {
 		case err == nil && response.StatusCode == http.StatusOK:
 			whole.Add(1)
@@ -147,7 +153,9 @@
 					return
 				case <-time.After(500 * time.Millisecond):
 				}
-				if newClient(d) {
+				served := newClient(d)
+				b.record.add("new client %d at %s: served %v", n, d.name, served)
+				if served {
 					lastServed.Store(time.Now().UnixMilli())
 				}
 			}
