Name a stream's version only if no silent endpoint can have begun it

The answers look whole, and their parts do not fit together.

Cause: a survey of the endpoints' prompts took the version of those that hold the last part of a prompt, although it had not asked endpoints that leave, rest, are limited or ejected, and went on without those that were late, unreachable, or had joined or started anew meanwhile. The last part may belong to a session, of which endpoints of several versions have read turns.

Ruled out: late answers (no call at all) and a keeper with a wrong version (no source=keeper).

Change: Holdings.Judge names a version only if an endpoint of it holds the part, none of another holds it, and each listed process without a valid report has that version too. Endpoints that are listed as leaving or seem unreachable are asked; those that said that they want nothing are still left alone, and count as silent. A list says which process gives it. This works because a version is no longer inferred from the absence of answers.

Tests that use the changed signatures ask for the same as before.

--- a/anvilcrossd/gatewayd/gatewayd.go
+++ b/anvilcrossd/gatewayd/gatewayd.go
@@ -36,6 +36,7 @@
 	"anvilcross/kernel/ident"
 	"anvilcross/kernel/membership"
 	"anvilcross/kernel/message"
+	"anvilcross/kernel/origin"
 	"anvilcross/kernel/paths"
 	"anvilcross/kernel/published"
 	"anvilcross/kernel/replica"
@@ -157,8 +158,8 @@
 	})
 	prompts := promptlist.NewClient(promptlist.Config{
 		HTTPClient: d.httpClient,
-		OnListed: func(e ident.Endpoint, parts []ident.PromptPart) {
-			d.withGateway(func(g *gateway.Gateway) { g.HandlePrompts(e, parts) })
+		OnListed: func(e ident.Endpoint, list *origin.PromptList) {
+			d.withGateway(func(g *gateway.Gateway) { g.HandlePrompts(e, list) })
 		},
 		OnNotice: d.handleNoticeAt,
 		LogEvent: d.log.WriteEvent,
--- a/anvilcrossd/promptlist/promptlist.go
+++ b/anvilcrossd/promptlist/promptlist.go
@@ -11,6 +11,7 @@
 	"anvilcross/anvilcrossd/h1"
 	"anvilcross/kernel/endpoints"
 	"anvilcross/kernel/ident"
+	"anvilcross/kernel/origin"
 	"anvilcross/platform"
 )
 
@@ -24,8 +25,8 @@
 // Config sets up a Client.
 type Config struct {
 	HTTPClient *h1.Client
-	// OnListed receives the parts that an endpoint holds, or nil if the call failed.
-	OnListed func(ident.Endpoint, []ident.PromptPart)
+	// OnListed receives what an endpoint says that it holds, or nil if the call failed.
+	OnListed func(ident.Endpoint, *origin.PromptList)
 	// OnNotice receives what the endpoint at an address says of itself in a response, and
 	// how long ago the call was sent.
 	OnNotice func(address string, n endpoints.Notice, sentAgo time.Duration)
@@ -44,15 +45,15 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 		defer cancel()
-		parts, err := c.read(ctx, address)
+		list, err := c.read(ctx, address)
 		if err != nil {
 			c.config.LogEvent("promptListFailed", "endpoint", name, "reason", err)
 		}
-		c.config.OnListed(name, parts)
+		c.config.OnListed(name, list)
 	}()
 }
 
-func (c *Client) read(ctx context.Context, address string) ([]ident.PromptPart, error) {
+func (c *Client) read(ctx context.Context, address string) (*origin.PromptList, error) {
 	call := platform.EncodePromptListCall()
 	started := time.Now()
 	response, err := c.config.HTTPClient.Do(ctx, h1.Request{Address: address, Method: call.Method, Target: call.Path, Host: address, Header: call.Header, SingleUse: true})
--- a/kernel/endpoints/notice.go
+++ b/kernel/endpoints/notice.go
@@ -168,6 +168,10 @@
 // RestLeft returns how long the endpoint still wants no requests from this instance.
 func (e *Endpoint) RestLeft(now time.Time) time.Duration { return max(e.said.restUntil.Sub(now), 0) }
 
+// RefusesContact reports whether the endpoint itself has said that it wants nothing from this
+// instance now.
+func (e *Endpoint) RefusesContact(now time.Time) bool { return e.said.leaving() || e.RestLeft(now) > 0 }
+
 // Withheld reports whether the endpoint gets no requests from this instance now at its own
 // wish: it leaves or wants a rest.
 func (e *Endpoint) Withheld(now time.Time) bool { return e.IsLeaving() || e.RestLeft(now) > 0 }
--- a/kernel/gateway/notice_test.go
+++ b/kernel/gateway/notice_test.go
@@ -362,7 +362,7 @@
 		}
 		g.freeResults("registry-0:80", []message.ResultHandle{"registry-0:80/a"})
 		g.inspectEndpoint("registry-0", "registry-0:80")
-		g.askEndpoints([]ident.Service{"models"}, func() {})
+		g.askEndpoints([]ident.Service{"models"})
 		return tg, asked
 	}
 	wantFreed := func(t *testing.T, tg *testGateway, want int) {
--- a/kernel/gateway/origins.go
+++ b/kernel/gateway/origins.go
@@ -177,10 +177,9 @@
 		return
 	}
 	if len(m.Services) > 0 {
-		g.askEndpoints(m.Services, func() {
-			o, known := g.survey.holdings.Find(m.Services, m.Part)
+		g.surveyPart(&promptQuestion{services: m.Services, part: m.Part, reply: func(o origin.Origin, known bool) {
 			g.replyOrigin(from, m.ID, o, known)
-		})
+		}})
 		return
 	}
 	o, known := g.origins.Lookup(m.Stream)
--- a/kernel/gateway/versions_test.go
+++ b/kernel/gateway/versions_test.go
@@ -9,6 +9,7 @@
 
 	"anvilcross/kernel/endpoints"
 	"anvilcross/kernel/ident"
+	"anvilcross/kernel/origin"
 	"anvilcross/kernel/replica"
 	"anvilcross/kernel/value"
 )
@@ -225,14 +226,16 @@
 // list tells an instance which prompts an endpoint holds.
 func (f *versionFleet) list(name ident.Instance, e ident.Endpoint) {
 	f.timers.After(2*linkDelay, func() {
-		var parts []ident.PromptPart
-		if m := f.model(e); m != nil {
-			parts = []ident.PromptPart{}
-			for _, part := range value.SortedKeys(m.held) {
-				parts = append(parts, ident.PromptPart(part))
-			}
+		m := f.model(e)
+		if m == nil {
+			f.gateways[name].HandlePrompts(e, nil)
+			return
+		}
+		list := origin.PromptList{StartedUnixMillis: m.listing.StartedUnixMillis}
+		for _, part := range value.SortedKeys(m.held) {
+			list.Parts = append(list.Parts, ident.PromptPart(part))
 		}
-		f.gateways[name].HandlePrompts(e, parts)
+		f.gateways[name].HandlePrompts(e, &list)
 	})
 }
 
--- a/kernel/origin/origin.go
+++ b/kernel/origin/origin.go
@@ -104,6 +104,13 @@
 	Origin
 }
 
+// PromptList is what an endpoint says of the prompt parts in its memory.
+type PromptList struct {
+	// StartedUnixMillis is when the process that answered started, 0 if it did not say so.
+	StartedUnixMillis int64
+	Parts             []ident.PromptPart
+}
+
 type holding struct {
 	holder Holder
 	parts  value.Set[ident.PromptPart]
@@ -132,20 +139,63 @@
 	return known && report.holder == holder && now.Sub(report.at) < h.ttl
 }
 
-// Find returns the origin that all endpoints of the services that hold a part have in
-// common, and whether there is one.
-func (h *Holdings) Find(services []ident.Service, part ident.PromptPart) (Origin, bool) {
-	var found Origin
+// Candidate is a listed process that may have begun a stream.
+type Candidate struct {
+	Holder
+	// Awaited is set while its report may still arrive.
+	Awaited bool
+}
+
+// Verdict is what reports prove of the version that began a stream.
+type Verdict int
+
+// Verdicts.
+const (
+	// Open: awaited reports decide.
+	Open Verdict = iota
+	// Proved: one version holds the part, and no other one can.
+	Proved
+	// Unproved: several versions hold the part or may hold it, or none does.
+	Unproved
+)
+
+// Judge returns the origin that all holders of a part have in common, and whether it is
+// proved that no other version has read the part. A candidate without a valid report may
+// hold the part, so it must have that origin too.
+func (h *Holdings) Judge(now time.Time, part ident.PromptPart, services []ident.Service, candidates []Candidate) (Origin, Verdict) {
+	found, agreed := h.commonOrigin(services, part)
+	if !agreed {
+		return Origin{}, Unproved
+	}
+	verdict := Proved
+	if !found.Known() {
+		verdict = Unproved
+	}
+	for _, c := range candidates {
+		switch {
+		case h.Fresh(now, c.Holder):
+		case c.Awaited:
+			verdict = Open
+		case found.Known() && c.Origin != found:
+			return Origin{}, Unproved
+		}
+	}
+	return found, verdict
+}
+
+// commonOrigin returns the origin of all holders of a part; it is empty if there is none.
+// agreed is false if they have several origins or one that is not known.
+func (h *Holdings) commonOrigin(services []ident.Service, part ident.PromptPart) (common Origin, agreed bool) {
 	for _, report := range h.byEndpoint {
 		switch {
 		case !slices.Contains(services, report.holder.Service) || !report.parts.Has(part):
-		case found == Origin{}:
-			found = report.holder.Origin
-		case found != report.holder.Origin:
+		case !report.holder.Known() || common.Known() && common != report.holder.Origin:
 			return Origin{}, false
+		default:
+			common = report.holder.Origin
 		}
 	}
-	return found, found.Known()
+	return common, true
 }
 
 // Expire drops the reports that are not valid any more.
--- a/kernel/origin/origin_test.go
+++ b/kernel/origin/origin_test.go
@@ -76,8 +76,8 @@
 			}
 			h.Record(start, Holder{Endpoint: "other", Origin: Origin{Service: "models", Version: "v9"}}, []ident.PromptPart{"q"})
 			h.Record(start, Holder{Endpoint: "foreign", Origin: Origin{Service: "others", Version: "v9"}}, []ident.PromptPart{"p"})
-			if got, known := h.Find([]ident.Service{"models"}, "p"); known != (c.want != "") || known && got.Version != c.want {
-				t.Fatalf("got version %q, known %v, want %q", got.Version, known, c.want)
+			if got, verdict := h.Judge(start, "p", []ident.Service{"models"}, nil); (verdict == Proved) != (c.want != "") || verdict == Proved && got.Version != c.want {
+				t.Fatalf("got version %q, verdict %v, want %q", got.Version, verdict, c.want)
 			}
 		})
 	}
