Break off a stream that its endpoint ends inside an event

Cause: whether a stream may end was asked only where neither a length nor chunks mark its end. With a mark, the bytes after the last event were relayed as an event, and the end as that of the stream.

Evidence: `relayed ... events=4` in the log of a stream of which the caller has three events and a half; no attemptFailed. Ruled out: that the break is noticed and the answer ended in place of aborted.

Change: one question, checkEnd, for all framings, also of resumed streams and of those over another instance: no bytes after the last event, and an event at all. A stream that ends elsewhere has failed: it goes on at another endpoint if its route allows it, else it is broken off or gets 502. An endpoint that marked the end has not lost its connection and is not taken for crashed.

--- a/anvilcrossd/entry/stream.go
+++ b/anvilcrossd/entry/stream.go
@@ -26,11 +26,10 @@
 
 var errEventTooLong = errors.New("an event is too long")
 
-// Errors of a stream that has neither a length nor chunks and whose connection ended.
+// Errors of a stream that ended where it may not, whatever marked its end.
 var (
-	// errEventCutOff: in the middle of an event, so that the stream is incomplete.
-	errEventCutOff = errors.New("the connection ended in the middle of an event")
-	errNoEvent     = errors.New("the connection ended before the first event")
+	errEventCutOff = errors.New("the stream ended in the middle of an event")
+	errNoEvent     = errors.New("the stream ended before the first event")
 	// errEndUnproved: after an event, while the answer to the caller, which an earlier
 	// attempt began, needs a mark at its end.
 	errEndUnproved = errors.New("the connection ended after an event of a stream that another endpoint began in chunks")
@@ -75,18 +74,18 @@
 		if c.request.Context().Err() != nil {
 			return c.handleCallerLeft()
 		}
-		if err == io.EOF && !response.Delimited() {
-			err = c.checkUnmarkedEnd(event, delivery.Events)
+		if err == io.EOF {
+			err = c.checkEnd(response, event, delivery.Events)
 		}
 		if err != nil && err != io.EOF {
-			c.reportFailure(send, gateway.Broken, lastEventID, err.Error())
+			c.reportFailure(send, streamFailure(response, err), lastEventID, err.Error())
 			return ""
 		}
-		if !c.headSent && (len(event) > 0 || err == io.EOF) {
+		if !c.headSent {
 			c.writeHead(response, unknownLength)
 			c.headSent = true
 		}
-		if len(event) > 0 {
+		if err == nil {
 			if _, writeErr := c.writer.Write(event); writeErr != nil {
 				return c.handleCallerLeft()
 			}
@@ -114,17 +113,26 @@
 	}
 }
 
-// checkUnmarkedEnd returns io.EOF if a stream without a length or chunks may end here, and
-// otherwise why it may not. rest holds the bytes after the last event; events counts those
-// of this attempt.
-func (c *callerExchange) checkUnmarkedEnd(rest []byte, events int) error {
+// checkEnd returns io.EOF if a stream may end here, and otherwise why it may not. A mark at its
+// end, a length or a last chunk, does not prove that the endpoint has written all of it. rest
+// holds the bytes after the last event; events counts those of this attempt.
+func (c *callerExchange) checkEnd(response *h1.Response, rest []byte, events int) error {
 	switch {
 	case len(rest) > 0:
 		return errEventCutOff
-	case c.headSent && !c.endsWithConnection:
-		return errEndUnproved
-	case events == 0 && !c.headSent:
+	case events == 0 && !c.headSent && response.StatusCode != http.StatusNoContent:
 		return errNoEvent
+	case !response.Delimited() && c.headSent && !c.endsWithConnection:
+		return errEndUnproved
 	}
 	return io.EOF
 }
+
+// streamFailure returns the kind of failure of a stream that broke off. An endpoint that marked
+// the end of an incomplete stream is at fault, but has not lost its connection.
+func streamFailure(response *h1.Response, err error) gateway.AttemptFailure {
+	if response.Delimited() && (err == errEventCutOff || err == errNoEvent) {
+		return gateway.InvalidResponse
+	}
+	return gateway.Broken
+}
--- a/anvilcrossd/gatewayd/forward_test.go
+++ b/anvilcrossd/gatewayd/forward_test.go
@@ -221,6 +221,15 @@
 			t.Errorf("the answer looks complete: status %d, %d bytes", reply.Status, len(reply.Body))
 		}
 	})
+	t.Run("a stream that ends inside an event", func(t *testing.T) {
+		p.setModelFaults(worker.Faults{Truncation: worker.AfterLine, TruncateAfter: 3, TruncatesResumes: true})
+		defer p.setModelFaults(worker.Faults{})
+		for _, route := range []string{"draft", "verse"} {
+			if reply := p.send(0, client.NewRequest(route)); reply.Err == nil {
+				t.Errorf("%s looks complete: status %d, %d bytes", route, reply.Status, len(reply.Body))
+			}
+		}
+	})
 	t.Run("a refusal", func(t *testing.T) {
 		for _, w := range p.site.PlainWorkers {
 			w.SetFaults(worker.Faults{Full: true, Rest: "2.5"})
--- a/anvilstandin/worker/model.go
+++ b/anvilstandin/worker/model.go
@@ -151,6 +151,19 @@
 	if closeDelimited {
 		delimitByClose(out)
 	}
+	truncates := f.Truncation != NoTruncation && (lastEventID == 0 || f.TruncatesResumes)
+	if f.WithLength {
+		length := 0
+		for n := lastEventID + 1; n <= count; n++ {
+			event := StreamEvent(id, n)
+			if truncates && n-lastEventID > f.TruncateAfter {
+				length += len(f.Truncation.cut(event))
+				break
+			}
+			length += len(event)
+		}
+		out.Header().Set("Content-Length", strconv.Itoa(length))
+	}
 	controller := http.NewResponseController(out)
 	_ = controller.Flush()
 	for n := lastEventID + 1; n <= count; n++ {
@@ -162,6 +175,10 @@
 			return
 		}
 		event := StreamEvent(id, n)
+		if truncates && n-lastEventID > f.TruncateAfter {
+			_, _ = io.WriteString(out, f.Truncation.cut(event))
+			return
+		}
 		if cut := m.worker.currentFaults().CutAfterEvents; cut > 0 && n-lastEventID > cut {
 			_, _ = io.WriteString(out, event[:len(event)/2])
 			_ = controller.Flush()
--- a/anvilstandin/worker/worker.go
+++ b/anvilstandin/worker/worker.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -153,11 +154,37 @@
 	// connection after EndAfterEvents events, as if it were complete.
 	EndsEarly      bool
 	EndAfterEvents int
+	// Truncation makes model workers leave the rest out of the event after TruncateAfter
+	// events of an answer, and end the answer as if it were complete. Those that go on
+	// after an event are whole unless TruncatesResumes is set. WithLength makes workers
+	// send streams with a length.
+	Truncation       Truncation
+	TruncateAfter    int
+	TruncatesResumes bool
+	WithLength       bool
 	// CrashPart makes model workers crash when they begin to answer a request whose
 	// prompt has this part before its last one; empty for none.
 	CrashPart string
 }
 
+// Truncation says how much of an event a worker writes.
+type Truncation int
+
+// Truncations.
+const (
+	NoTruncation Truncation = iota
+	InsideLine
+	AfterLine
+)
+
+// cut returns the part of an event that is written.
+func (t Truncation) cut(event string) string {
+	if t == AfterLine {
+		return event[:strings.Index(event, "\n")+1]
+	}
+	return event[:len(event)/2]
+}
+
 // Config describes one worker.
 type Config struct {
 	Name     string
