Look for crashing parts among all shared parts of a prompt

Cause: of each prompt only the first 16 shared parts were kept, and of these the ones with ids of up to 64 bytes. The crashing part stood behind them: neither blamed nor looked up.

Evidence: `arrived prompt=` and `endpointCrashed parts=` end with the sixteenth part. Ruled out: that it is a suspect which a sound answer clears (it is in no line), and blame that does not get round (no instance has it).

Change: all shared parts are blamed and looked up, a long id by its digest. Memory and messages are bounded where parts are kept or sent: 256 suspects of a crash, of which the least used stay, since the others would have crashed more; 20,000 parts with uses or answers; 1,024 suspects and 512 sound parts in a ping, where crashes take turns. A prompt cannot be cut to hide a part any more, and a ping holds less than it could before.

The new test failed before with 18, 60 and 250 shared parts, with 250 at 66 instances and with long ids: 69, 100, 83, 118 and 70 late requests. Tests of the package's own types got the new limits; they ask for the same.

--- a/kernel/blame/parts.go
+++ b/kernel/blame/parts.go
@@ -18,8 +18,12 @@
 	// are used least.
 	MinCrashes     int
 	MinTiedCrashes int
-	// MaxCrashes bounds the number of crashes kept.
-	MaxCrashes int
+	// MaxCrashes bounds the number of crashes kept, and MaxPartsPerCrash the suspects of
+	// each: those that are used least are kept, since the others would have crashed more.
+	MaxCrashes       int
+	MaxPartsPerCrash int
+	// MaxPartsTracked bounds the parts whose uses, or whose complete answers, are kept.
+	MaxPartsTracked int
 }
 
 // soundRetention is how long a complete answer is remembered, for reports of crashes
@@ -47,9 +51,13 @@
 
 // knownCrash is a crash as merged from the reports of all instances.
 type knownCrash struct {
-	PartCrash
-	// learnedAt is when the latest part was added.
+	address string
+	at      time.Time
+	parts   value.Set[ident.PromptPart]
+	// learnedAt is when the latest part was added, and toldCount how often the crash has
+	// been among the news.
 	learnedAt time.Time
+	toldCount int
 }
 
 // quarantine is the time during which requests with a part must not run.
@@ -93,24 +101,44 @@
 func (p *Parts) AddCrash(now time.Time, report PartCrash) {
 	c := p.find(report)
 	if c == nil {
-		c = &knownCrash{PartCrash: PartCrash{Address: report.Address, At: report.At}}
+		c = &knownCrash{address: report.Address, at: report.At, parts: value.NewSet[ident.PromptPart]()}
 		p.crashes = append(p.crashes, c)
 	}
+	added := value.NewSet[ident.PromptPart]()
 	for _, d := range report.Parts {
 		switch {
 		case p.soundAt[d].After(report.At):
 			p.clearedAt[d] = now
-		case !slices.Contains(c.Parts, d):
-			c.Parts = append(c.Parts, d)
+		case !c.parts.Has(d):
+			c.parts.Add(d)
+			added.Add(d)
+		}
+	}
+	p.dropMostUsed(c)
+	for d := range added {
+		if c.parts.Has(d) {
 			c.learnedAt = now
 			p.undecided = true
 		}
 	}
 }
 
+// dropMostUsed drops the suspects of a crash beyond MaxPartsPerCrash that are used most.
+func (p *Parts) dropMostUsed(c *knownCrash) {
+	excess := len(c.parts) - p.config.MaxPartsPerCrash
+	if excess <= 0 {
+		return
+	}
+	parts := c.parts.Sorted()
+	slices.SortStableFunc(parts, func(x, y ident.PromptPart) int { return cmp.Compare(p.useCount(y), p.useCount(x)) })
+	for _, d := range parts[:excess] {
+		delete(c.parts, d)
+	}
+}
+
 func (p *Parts) find(report PartCrash) *knownCrash {
 	for _, c := range p.crashes {
-		if c.Address == report.Address && c.At.Sub(report.At).Abs() < sameCrashWindow {
+		if c.address == report.Address && c.at.Sub(report.At).Abs() < sameCrashWindow {
 			return c
 		}
 	}
@@ -123,10 +151,12 @@
 	if !at.After(p.soundAt[part]) {
 		return
 	}
-	p.soundAt[part] = at
+	if _, known := p.soundAt[part]; known || len(p.soundAt) < p.config.MaxPartsTracked {
+		p.soundAt[part] = at
+	}
 	for _, c := range p.crashes {
-		if i := slices.Index(c.Parts, part); i >= 0 && at.After(c.At) {
-			c.Parts = slices.Delete(c.Parts, i, i+1)
+		if c.parts.Has(part) && at.After(c.at) {
+			delete(c.parts, part)
 			p.clearedAt[part] = now
 		}
 	}
@@ -154,7 +184,10 @@
 
 // RecordUse counts a request with the part.
 func (p *Parts) RecordUse(now time.Time, part ident.PromptPart) {
-	u := p.uses[part]
+	u, known := p.uses[part]
+	if !known && len(p.uses) >= p.config.MaxPartsTracked {
+		return
+	}
 	if now.Sub(u.windowStart) >= useWindow {
 		u = usage{windowStart: now, previous: u.present}
 	}
@@ -180,10 +213,10 @@
 	if !p.undecided {
 		return nil
 	}
-	p.undecided = slices.ContainsFunc(p.crashes, func(c *knownCrash) bool { return c.At.After(upTo) })
+	p.undecided = slices.ContainsFunc(p.crashes, func(c *knownCrash) bool { return c.at.After(upTo) })
 	var reported []*knownCrash
 	for _, c := range p.crashes {
-		if !c.At.After(upTo) {
+		if !c.at.After(upTo) {
 			reported = append(reported, c)
 		}
 	}
@@ -221,7 +254,12 @@
 }
 
 func hasAny(c *knownCrash, parts value.Set[ident.PromptPart]) bool {
-	return slices.ContainsFunc(c.Parts, parts.Has)
+	for d := range parts {
+		if c.parts.Has(d) {
+			return true
+		}
+	}
+	return false
 }
 
 // explainedByOthers reports whether a part is a suspect of crashes, all of which others
@@ -229,7 +267,7 @@
 func explainedByOthers(d ident.PromptPart, crashes []*knownCrash, causes value.Set[ident.PromptPart]) bool {
 	suspected := false
 	for _, c := range crashes {
-		if slices.Contains(c.Parts, d) {
+		if c.parts.Has(d) {
 			suspected = true
 			if !hasAny(c, causes) {
 				return false
@@ -246,7 +284,7 @@
 func (p *Parts) nextCauses(now time.Time, crashes []*knownCrash) []ident.PromptPart {
 	byPart := map[ident.PromptPart][]*knownCrash{}
 	for _, c := range crashes {
-		for _, d := range c.Parts {
+		for d := range c.parts {
 			byPart[d] = append(byPart[d], c)
 		}
 	}
@@ -276,15 +314,15 @@
 // countIndependent counts crashes at different times and addresses.
 func countIndependent(crashes []*knownCrash) int {
 	crashes = slices.Clone(crashes)
-	slices.SortFunc(crashes, func(x, y *knownCrash) int { return x.At.Compare(y.At) })
+	slices.SortFunc(crashes, func(x, y *knownCrash) int { return x.at.Compare(y.at) })
 	countedAt := map[string]time.Time{}
 	count := 0
 	var latest time.Time
 	for _, c := range crashes {
-		if c.At.Sub(latest) < simultaneousCrashes || c.At.Sub(countedAt[c.Address]) < sameAddressInterval {
+		if c.at.Sub(latest) < simultaneousCrashes || c.at.Sub(countedAt[c.address]) < sameAddressInterval {
 			continue
 		}
-		countedAt[c.Address], latest = c.At, c.At
+		countedAt[c.address], latest = c.at, c.at
 		count++
 	}
 	return count
@@ -298,19 +336,28 @@
 	Quarantined map[ident.PromptPart]time.Time
 }
 
-// NewsSince returns the crashes and clearances learned after a time, latest crashes
-// first and at most limit of them, and all quarantines.
-func (p *Parts) NewsSince(now, since time.Time, limit int) News {
+// NewsLimits bounds News.
+type NewsLimits struct {
+	// Crashes is the number of crashes, Suspects that of their parts over all crashes, and
+	// Sound that of the sound parts.
+	Crashes, Suspects, Sound int
+}
+
+// NewsSince returns the crashes and clearances learned after a time, and all quarantines.
+// Beyond the limits it prefers the crashes that have been told least often, and of these the
+// latest, and the latest clearances.
+func (p *Parts) NewsSince(now, since time.Time, limits NewsLimits) News {
 	n := News{Sound: map[ident.PromptPart]time.Time{}, Quarantined: map[ident.PromptPart]time.Time{}}
-	for _, c := range slices.Backward(p.crashes) {
-		if c.learnedAt.After(since) && len(n.Crashes) < limit {
-			n.Crashes = append(n.Crashes, PartCrash{Address: c.Address, At: c.At, Parts: slices.Clone(c.Parts)})
+	for _, c := range p.crashesLearnedSince(since) {
+		if len(n.Crashes) >= limits.Crashes || len(n.Crashes) > 0 && len(c.parts) > limits.Suspects {
+			break
 		}
+		limits.Suspects -= len(c.parts)
+		c.toldCount++
+		n.Crashes = append(n.Crashes, PartCrash{Address: c.address, At: c.at, Parts: c.parts.Sorted()})
 	}
-	for d, at := range p.clearedAt {
-		if at.After(since) {
-			n.Sound[d] = p.soundAt[d]
-		}
+	for _, d := range p.clearedSince(since, limits.Sound) {
+		n.Sound[d] = p.soundAt[d]
 	}
 	for d, q := range p.quarantined {
 		if now.Before(q.until) {
@@ -320,15 +367,47 @@
 	return n
 }
 
+// crashesLearnedSince returns the crashes learned after a time, those that have been told least
+// often first and then the latest.
+func (p *Parts) crashesLearnedSince(since time.Time) []*knownCrash {
+	var learned []*knownCrash
+	for _, c := range slices.Backward(p.crashes) {
+		if c.learnedAt.After(since) {
+			learned = append(learned, c)
+		}
+	}
+	slices.SortStableFunc(learned, func(x, y *knownCrash) int { return cmp.Compare(x.toldCount, y.toldCount) })
+	return learned
+}
+
+// clearedSince returns the parts that were cleared after a time and still count as sound, the
+// latest first and at most limit of them.
+func (p *Parts) clearedSince(since time.Time, limit int) []ident.PromptPart {
+	var cleared []ident.PromptPart
+	for d, at := range p.clearedAt {
+		if _, sound := p.soundAt[d]; sound && at.After(since) {
+			cleared = append(cleared, d)
+		}
+	}
+	slices.SortFunc(cleared, func(x, y ident.PromptPart) int {
+		return cmp.Or(p.clearedAt[y].Compare(p.clearedAt[x]), cmp.Compare(x, y))
+	})
+	return cleared[:min(len(cleared), limit)]
+}
+
 // Expire drops what is too old to matter, and the oldest crashes beyond MaxCrashes.
 func (p *Parts) Expire(now time.Time) {
-	p.crashes = slices.DeleteFunc(p.crashes, func(c *knownCrash) bool { return now.Sub(c.At) > p.config.Retention })
+	p.crashes = slices.DeleteFunc(p.crashes, func(c *knownCrash) bool { return now.Sub(c.at) > p.config.Retention })
 	if excess := len(p.crashes) - p.config.MaxCrashes; excess > 0 {
 		p.crashes = slices.Delete(p.crashes, 0, excess)
 	}
 	for d, at := range p.soundAt {
 		if now.Sub(at) > soundRetention {
 			delete(p.soundAt, d)
+		}
+	}
+	for d, at := range p.clearedAt {
+		if now.Sub(at) > soundRetention {
 			delete(p.clearedAt, d)
 		}
 	}
--- a/kernel/blame/parts_test.go
+++ b/kernel/blame/parts_test.go
@@ -11,10 +11,12 @@
 
 const second = time.Second
 
+var newsLimits = NewsLimits{Crashes: 16, Suspects: 1000, Sound: 1000}
+
 var partsStart = time.Unix(1_700_000_000, 0)
 
 func newTestParts() *Parts {
-	return NewParts(PartsConfig{Retention: 2 * time.Minute, MinCrashes: 3, MinTiedCrashes: 4, MaxCrashes: 64})
+	return NewParts(PartsConfig{Retention: 2 * time.Minute, MinCrashes: 3, MinTiedCrashes: 4, MaxCrashes: 64, MaxPartsPerCrash: 64, MaxPartsTracked: 1000})
 }
 
 // crashAt reports a crash at an address of its own, and returns what it quarantines.
@@ -179,11 +181,70 @@
 			p.crashAt(time.Duration(n+1)*second, "bad")
 		}
 		now := partsStart.Add(10 * second)
-		if n := p.NewsSince(now, partsStart.Add(1500*time.Millisecond), 16); len(n.Crashes) != 2 || len(n.Quarantined) != 1 {
+		if n := p.NewsSince(now, partsStart.Add(1500*time.Millisecond), newsLimits); len(n.Crashes) != 2 || len(n.Quarantined) != 1 {
 			t.Fatalf("%d crashes and %d quarantines, want 2 and 1", len(n.Crashes), len(n.Quarantined))
 		}
-		if n := p.NewsSince(now, now, 16); len(n.Crashes) != 0 || len(n.Quarantined) != 1 {
+		if n := p.NewsSince(now, now, newsLimits); len(n.Crashes) != 0 || len(n.Quarantined) != 1 {
 			t.Fatalf("%d crashes and %d quarantines, want 0 and 1", len(n.Crashes), len(n.Quarantined))
 		}
 	})
 }
+
+// What is kept, or told, of prompts grows with the number of their parts without a bound.
+func TestPartsAreBounded(t *testing.T) {
+	many := func(name string, count int) []ident.PromptPart {
+		var parts []ident.PromptPart
+		for n := range count {
+			parts = append(parts, ident.PromptPart(fmt.Sprint(name, "-", n)))
+		}
+		return parts
+	}
+	t.Run("the suspects of a crash, of which the least used are kept", func(t *testing.T) {
+		p := newTestParts()
+		used := many("used", 100)
+		for _, d := range used {
+			p.RecordUse(partsStart, d)
+		}
+		for n := range 3 {
+			p.AddCrash(partsStart, PartCrash{Address: "x", At: partsStart, Parts: append(used[n*30:(n+1)*30:(n+1)*30], "bad")})
+		}
+		if c := p.crashes[0]; len(c.parts) != 64 || !c.parts.Has("bad") {
+			t.Fatalf("%d suspects, the rare one among them: %v", len(c.parts), c.parts.Has("bad"))
+		}
+		p.AddCrash(partsStart, PartCrash{Address: "x", At: partsStart, Parts: many("rare", 200)})
+		if got := len(p.crashes[0].parts); got != 64 {
+			t.Fatalf("%d suspects, want 64", got)
+		}
+	})
+	t.Run("uses and complete answers", func(t *testing.T) {
+		p := newTestParts()
+		for _, d := range many("part", 3000) {
+			p.RecordUse(partsStart, d)
+			p.RecordSound(partsStart, d, partsStart)
+		}
+		if len(p.uses) != 1000 || len(p.soundAt) != 1000 {
+			t.Fatalf("%d uses and %d answers are kept, want 1000", len(p.uses), len(p.soundAt))
+		}
+		p.Expire(partsStart.Add(time.Minute))
+		if len(p.uses)+len(p.soundAt)+len(p.clearedAt) > 0 {
+			t.Fatalf("%d uses and %d answers are left", len(p.uses), len(p.soundAt))
+		}
+	})
+	t.Run("news, in which each crash has its turn", func(t *testing.T) {
+		p := newTestParts()
+		for n := range 10 {
+			p.crashAt(time.Duration(n)*second, many(fmt.Sprint("crash", n), 60)...)
+		}
+		now := partsStart.Add(10 * second)
+		told := map[string]int{}
+		for range 5 {
+			news := p.NewsSince(now, partsStart.Add(-second), NewsLimits{Crashes: 16, Suspects: 130, Sound: 10})
+			for _, c := range news.Crashes {
+				told[c.Address]++
+			}
+		}
+		if len(told) != 10 {
+			t.Fatalf("%d crashes were told in five times two, want 10", len(told))
+		}
+	})
+}
--- a/kernel/gateway/crash.go
+++ b/kernel/gateway/crash.go
@@ -87,10 +87,14 @@
 		return
 	}
 	crash := blame.PartCrash{Address: blamed[0].address, At: blamed[0].at}
+	parts := value.NewSet[ident.PromptPart]()
 	for _, b := range blamed {
-		crash.Parts = append(crash.Parts, b.parts...)
+		for _, d := range b.parts {
+			parts.Add(d)
+		}
 	}
-	g.out.LogEvent("endpointCrashed", "endpoint", e, "service", s, "requests", len(blamed), "parts", crash.Parts)
+	crash.Parts = parts.Sorted()
+	g.out.LogEvent("endpointCrashed", "endpoint", e, "service", s, "requests", len(blamed), "parts", loggedParts(crash.Parts))
 	if len(crash.Parts) > 0 {
 		g.crashes.parts.AddCrash(g.now(), crash)
 	}
--- a/kernel/gateway/parts.go
+++ b/kernel/gateway/parts.go
@@ -1,6 +1,10 @@
 package gateway
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"slices"
 	"time"
 
 	"anvilcross/kernel/blame"
@@ -32,29 +36,55 @@
 	partNewsTime = 3 * time.Second
 	// maxPartCrashesPerPing limits the crashes in one ping.
 	maxPartCrashesPerPing = 16
-	// maxSharedParts limits the parts of one prompt that are tracked, and
-	// maxPartIDBytes the length of their ids.
-	maxSharedParts = 16
+	// maxSuspects limits the parts that are suspects of one crash.
+	maxSuspects = 256
+	// maxTrackedParts limits the parts whose uses, or whose complete answers, are kept.
+	maxTrackedParts = 20_000
+	// maxSuspectsPerPing and maxSoundPartsPerPing limit the parts in one ping.
+	maxSuspectsPerPing   = 1024
+	maxSoundPartsPerPing = 512
+	// maxPartIDBytes is the length from which on a part is known by a digest of its id.
 	maxPartIDBytes = 64
+	// maxLoggedParts limits the parts in one log line.
+	maxLoggedParts = 16
 )
 
 const quarantinedPartReason = "a part of the prompt has crashed the endpoints that answered it"
 
 func newParts() *blame.Parts {
-	return blame.NewParts(blame.PartsConfig{Retention: partRetention, MinCrashes: partCrashes, MinTiedCrashes: tiedPartCrashes, MaxCrashes: maxCrashes})
+	return blame.NewParts(blame.PartsConfig{Retention: partRetention, MinCrashes: partCrashes, MinTiedCrashes: tiedPartCrashes, MaxCrashes: maxCrashes, MaxPartsPerCrash: maxSuspects, MaxPartsTracked: maxTrackedParts})
 }
 
-// sharedParts returns the prompt parts that other requests may share: all but the last.
+// sharedParts returns the prompt parts that other requests may share: all but the last. The
+// size of a request's header bounds their number.
 func sharedParts(prompt []PromptPart) []ident.PromptPart {
-	var parts []ident.PromptPart
-	for i, p := range prompt {
-		if i < len(prompt)-1 && len(parts) < maxSharedParts && len(p.ID) <= maxPartIDBytes {
-			parts = append(parts, ident.PromptPart(p.ID))
-		}
+	if len(prompt) < 2 {
+		return nil
+	}
+	parts := make([]ident.PromptPart, 0, len(prompt)-1)
+	for _, p := range prompt[:len(prompt)-1] {
+		parts = append(parts, partOf(p.ID))
 	}
 	return parts
 }
 
+// partOf returns what a part is known by: its id, or the digest of a long one.
+func partOf(id string) ident.PromptPart {
+	if len(id) <= maxPartIDBytes {
+		return ident.PromptPart(id)
+	}
+	digest := sha256.Sum256([]byte(id))
+	return ident.PromptPart("sha256:" + hex.EncodeToString(digest[:16]))
+}
+
+// loggedParts returns the first of some parts for a log line, and how many more there are.
+func loggedParts(parts []ident.PromptPart) []ident.PromptPart {
+	if len(parts) <= maxLoggedParts {
+		return parts
+	}
+	return append(slices.Clone(parts[:maxLoggedParts]), ident.PromptPart(fmt.Sprintf("+%d", len(parts)-maxLoggedParts)))
+}
+
 // suspectParts returns the parts that may have made an endpoint crash while it had an
 // attempt: none if it had been answering for a while.
 func (r *request) suspectParts(now time.Time, a *attempt) []ident.PromptPart {
@@ -148,7 +178,7 @@
 
 // addPartNews adds to a ping what other instances have to know of crashes.
 func (g *Gateway) addPartNews(now time.Time, p *message.Ping) {
-	news := g.crashes.parts.NewsSince(now, now.Add(-partNewsTime), maxPartCrashesPerPing)
+	news := g.crashes.parts.NewsSince(now, now.Add(-partNewsTime), blame.NewsLimits{Crashes: maxPartCrashesPerPing, Suspects: maxSuspectsPerPing, Sound: maxSoundPartsPerPing})
 	for _, c := range news.Crashes {
 		p.PartCrashes = append(p.PartCrashes, message.PartCrash{Address: c.Address, Age: now.Sub(c.At), Parts: c.Parts})
 	}
--- a/kernel/gateway/poisonpart_test.go
+++ b/kernel/gateway/poisonpart_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -67,6 +69,10 @@
 	// arrivals holds when requests with the crashing part reached endpoints.
 	arrivals []time.Time
 	crashing bool
+	// common are the parts that all prompts begin with.
+	common []PromptPart
+	// idSuffix ends the id of the crashing part.
+	idSuffix string
 	// undelimited is set if the answers that a crash cuts off look complete.
 	undelimited bool
 }
@@ -113,13 +119,13 @@
 	path, pieces, session := "/verse/", []int{0, 0}, fmt.Sprintf("session-%d", f.random.IntN(40))
 	prompt := []PromptPart{{ID: r.root, Tokens: 200}, {ID: session, Tokens: 300}}
 	if crashing {
-		prompt = append(prompt, PromptPart{ID: crashingPart, Tokens: 100})
+		prompt = append(prompt, PromptPart{ID: crashingPart + f.idSuffix, Tokens: 100})
 	} else if f.random.IntN(3) == 0 {
 		path, pieces, prompt[0].ID, r.root = "/draft/", []int{0}, "draft-root", "draft-root"
 	}
 	f.requests = append(f.requests, r)
 	f.byHandle[h] = r
-	f.gateways[name].HandleRequest(h, CallerRequest{ID: ident.RequestID(fmt.Sprint(h)), Host: "h", Path: path, Key: "key", Timeout: 6 * time.Second, PieceCounts: pieces, Prompt: append(prompt, PromptPart{ID: fmt.Sprint("own-", h), Tokens: 50}), Digest: ident.Digest(h)})
+	f.gateways[name].HandleRequest(h, CallerRequest{ID: ident.RequestID(fmt.Sprint(h)), Host: "h", Path: path, Key: "key", Timeout: 6 * time.Second, PieceCounts: pieces, Prompt: slices.Concat(f.common, prompt, []PromptPart{{ID: fmt.Sprint("own-", h), Tokens: 50}}), Digest: ident.Digest(h)})
 }
 
 // takeStep lets an endpoint serve an attempt.
@@ -266,6 +272,36 @@
 	return count
 }
 
+// wantPartQuarantined lets endpoints crash for a while. It checks that requests with the
+// crashing part stop to reach endpoints, and that sound ones go on.
+func (f *partFleet) wantPartQuarantined() {
+	f.t.Helper()
+	before := f.timers.Now()
+	f.advance(8 * time.Second)
+	f.crashing = true
+	begin := f.timers.Now()
+	f.advance(30 * time.Second)
+	if len(f.crashTimes) < 3 {
+		f.t.Fatalf("only %d crashes", len(f.crashTimes))
+	}
+	last := f.crashTimes[min(5, len(f.crashTimes))-1]
+	reached := countAfter(f.arrivals, last.Add(partContactTime))
+	f.t.Logf("%d crashes; %d requests with the part reached endpoints later than %v after the fifth", len(f.crashTimes), reached, partContactTime)
+	if reached > maxAfterFive {
+		f.t.Errorf("want %d at most", maxAfterFive)
+	}
+	isShared := func(root string) bool { return root != "draft-root" }
+	from := last.Add(2 * partContactTime)
+	usual, now := f.begunShare(isShared, before, begin), f.begunShare(isShared, from, f.timers.Now().Add(-time.Second))
+	f.t.Logf("sound requests that begin at once: %.3f before, %.3f later", usual, now)
+	if now < usual/2 {
+		f.t.Error("want half as often as before at least")
+	}
+	if n := f.quarantinedSound(from); n > 0 {
+		f.t.Errorf("%d sound requests were quarantined", n)
+	}
+}
+
 // One part of a prompt crashes every endpoint that begins to answer a request with it.
 // No two such requests are alike, and sound ones share all their other parts.
 func TestPromptPartThatCrashesEndpointsIsQuarantined(t *testing.T) {
@@ -284,35 +320,38 @@
 				t.Parallel()
 				f := newPartFleet(t, c.size, c.models, seed)
 				f.undelimited = c.undelimited
-				before := f.timers.Now()
-				f.advance(8 * time.Second)
-				f.crashing = true
-				begin := f.timers.Now()
-				f.advance(30 * time.Second)
-				if len(f.crashTimes) < 3 {
-					t.Fatalf("only %d crashes", len(f.crashTimes))
-				}
-				last := f.crashTimes[min(5, len(f.crashTimes))-1]
-				reached := countAfter(f.arrivals, last.Add(partContactTime))
-				t.Logf("%d crashes; %d requests with the part reached endpoints later than %v after the fifth", len(f.crashTimes), reached, partContactTime)
-				if reached > maxAfterFive {
-					t.Errorf("want %d at most", maxAfterFive)
-				}
-				isShared := func(root string) bool { return root != "draft-root" }
-				from := last.Add(2 * partContactTime)
-				usual, now := f.begunShare(isShared, before, begin), f.begunShare(isShared, from, f.timers.Now().Add(-time.Second))
-				t.Logf("sound requests that begin at once: %.3f before, %.3f later", usual, now)
-				if now < usual/2 {
-					t.Error("want half as often as before at least")
-				}
-				if n := f.quarantinedSound(from); n > 0 {
-					t.Errorf("%d sound requests were quarantined", n)
-				}
+				f.wantPartQuarantined()
 			})
 		}
 	}
 }
 
+// The crashing part stands behind many others that all requests share, or its id is long, and
+// is not looked for.
+func TestCrashingPartBehindManyOthersIsQuarantined(t *testing.T) {
+	for _, c := range []struct {
+		name           string
+		size, models   int
+		common, idSize int
+	}{
+		{"18 shared parts", 6, 9, 17, 0},
+		{"60 shared parts", 6, 9, 59, 0},
+		{"250 shared parts", 6, 9, 249, 0},
+		{"250 shared parts, 66 instances", 66, 60, 249, 0},
+		{"long ids", 6, 9, 2, 80},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			f := newPartFleet(t, c.size, c.models, 1)
+			for n := range c.common {
+				f.common = append(f.common, PromptPart{ID: fmt.Sprint("common-", n), Tokens: 20})
+			}
+			f.idSuffix = strings.Repeat("x", c.idSize)
+			f.wantPartQuarantined()
+		})
+	}
+}
+
 // Endpoints that crash for other reasons must not get the parts of the requests that
 // were running there quarantined.
 func TestCrashesWithoutACommonPartQuarantineNone(t *testing.T) {
--- a/kernel/gateway/request.go
+++ b/kernel/gateway/request.go
@@ -215,7 +215,7 @@
 		return
 	}
 	g.recordPartUse(r)
-	g.out.LogEvent("arrived", "request", incoming.ID, "route", r.route.Name, "workspace", r.workspaceName(), "service", r.service, "version", g.catalog.Version, "patience", timeout, "pieces", incoming.PieceCounts, "prompt", r.sharedParts, "lastEvent", incoming.LastEventID, "resumes", incoming.Resumes, "forwardedBy", r.forwardedBy())
+	g.out.LogEvent("arrived", "request", incoming.ID, "route", r.route.Name, "workspace", r.workspaceName(), "service", r.service, "version", g.catalog.Version, "patience", timeout, "pieces", incoming.PieceCounts, "prompt", loggedParts(r.sharedParts), "lastEvent", incoming.LastEventID, "resumes", incoming.Resumes, "forwardedBy", r.forwardedBy())
 	if g.paths.Lost(r.service) && g.forward(r) {
 		return
 	}
