Let nothing but the next events go on with a stream

Cause: a 2xx response to a request of a stream route was split at empty lines, whatever its type, and each piece relayed as an event.

Ruled out: the text of an error; with 500 the stream is broken off, before and now.

Change: only a response of the type of an event stream is relayed as one; an event has field lines and an id that follows the last one, also in streams that callers take up. Otherwise the attempt has failed: the stream goes on elsewhere after the last good event, or breaks off. A body of which a part was relayed is not gone on with by the events of another endpoint.

--- a/anvilcrossd/entry/buffered.go
+++ b/anvilcrossd/entry/buffered.go
@@ -92,8 +92,8 @@
 		return ""
 	}
 	if c.headSent {
-		// An earlier attempt has streamed part of a response, which this error
-		// response cannot continue: the caller must see that it is incomplete.
+		// An earlier attempt has streamed part of a response, which this one, an error or
+		// no stream, cannot continue: the caller must see that it is incomplete.
 		c.reportFailure(send, gateway.InvalidResponse, "", response.Status)
 		return ""
 	}
--- a/anvilcrossd/entry/entry.go
+++ b/anvilcrossd/entry/entry.go
@@ -327,7 +327,7 @@
 		return ""
 	}
 	c.withGateway(func(g *gateway.Gateway) { g.HandleResponseHead(h, send.Attempt, head.ErrorResponse, head.Load) })
-	if send.Stream && response.StatusCode < http.StatusMultipleChoices {
+	if send.Stream && response.StatusCode < http.StatusMultipleChoices && isEventStream(response) {
 		return c.relayStream(send, response)
 	}
 	return c.relayBuffered(send, response, head.ErrorResponse)
--- a/anvilcrossd/entry/stream.go
+++ b/anvilcrossd/entry/stream.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"io"
 	"net/http"
 	"time"
@@ -13,18 +12,8 @@
 	"anvilcross/kernel/gateway"
 )
 
-// maxEventBytes limits the size of one event of a stream.
-const maxEventBytes = 1 << 20
-
-// eventReader splits a stream of server-sent events, each of which ends with an
-// empty line.
-type eventReader struct {
-	reader *bufio.Reader
-	// lastID is the last id that was read.
-	lastID string
-}
-
-var errEventTooLong = errors.New("an event is too long")
+// maxLeadBytes limits what comes before the first event of a stream.
+const maxLeadBytes = 16 << 10
 
 // Errors of a stream that ended where it may not, whatever marked its end.
 var (
@@ -35,104 +24,143 @@
 	errEndUnproved = errors.New("the connection ended after an event of a stream that another endpoint began in chunks")
 )
 
-// next returns the bytes of the next complete event. At the end of the stream
-// it returns io.EOF and any bytes after the last complete event.
-func (e *eventReader) next() ([]byte, error) {
-	var event []byte
-	for {
-		line, err := e.reader.ReadSlice('\n')
-		event = append(event, line...)
-		if err == bufio.ErrBufferFull {
-			err = nil
-		}
-		if err != nil {
-			return event, err
-		}
-		if len(event) > maxEventBytes {
-			return nil, errEventTooLong
-		}
-		if field, found := bytes.CutPrefix(line, []byte("id:")); found {
-			e.lastID = string(bytes.TrimSpace(field))
-		}
-		if len(bytes.TrimRight(line, "\r\n")) == 0 {
-			return event, nil
-		}
-	}
+// streamRelay relays the stream of one attempt.
+type streamRelay struct {
+	exchange *callerExchange
+	send     *gateway.Send
+	response *h1.Response
+	// lastEventID is the id of the last event that the caller has; empty if it has none.
+	lastEventID string
+	// lead holds what came before the first event; the caller gets it with that.
+	lead     []byte
+	delivery gateway.Delivery
+	// lastEventAt is when the last event was relayed.
+	lastEventAt time.Time
 }
 
 // relayStream relays each event as soon as it is complete, so that a broken
 // stream can be continued after the last relayed event. Like attempt, it
 // returns the outcome or an empty string.
 func (c *callerExchange) relayStream(send *gateway.Send, response *h1.Response) string {
+	relay := &streamRelay{
+		exchange:    c,
+		send:        send,
+		response:    response,
+		lastEventID: send.LastEventID,
+		delivery:    gateway.Delivery{Status: response.StatusCode, Delimited: response.Delimited()},
+	}
 	events := &eventReader{reader: bufio.NewReader(response.Body)}
-	flusher := http.NewResponseController(c.writer)
-	lastEventID := send.LastEventID
-	delivery := gateway.Delivery{Status: response.StatusCode, Delimited: response.Delimited()}
-	var lastEventAt time.Time
 	for {
 		event, err := events.next()
 		if c.request.Context().Err() != nil {
 			return c.handleCallerLeft()
 		}
-		if err == io.EOF {
-			err = c.checkEnd(response, event, delivery.Events)
+		switch err {
+		case io.EOF:
+			err = relay.checkEnd(event.text)
+		case nil:
+			err = relay.check(event)
 		}
-		if err != nil && err != io.EOF {
-			c.reportFailure(send, streamFailure(response, err), lastEventID, err.Error())
+		switch {
+		case err == io.EOF:
+			return relay.finish()
+		case err != nil:
+			c.reportFailure(send, streamFailure(response, err), relay.lastEventID, err.Error())
 			return ""
 		}
-		if !c.headSent {
-			c.writeHead(response, unknownLength)
-			c.headSent = true
-		}
-		if err == nil {
-			if _, writeErr := c.writer.Write(event); writeErr != nil {
-				return c.handleCallerLeft()
-			}
-			if flushErr := flusher.Flush(); flushErr != nil {
-				return c.handleCallerLeft()
-			}
-			if events.lastID != "" {
-				lastEventID = events.lastID
-			}
-			delivery.Events++
-			now := time.Now()
-			if delivery.Events > 1 {
-				delivery.LongestGap = max(delivery.LongestGap, now.Sub(lastEventAt))
-			}
-			lastEventAt = now
-			if delivery.Events == 1 {
-				c.withGateway(func(g *gateway.Gateway) { g.HandleFirstEvent(c.active.handle, send.Attempt) })
-			}
-		}
-		if err == io.EOF {
-			c.finishAnswer()
-			c.withGateway(func(g *gateway.Gateway) { g.HandleDelivery(c.active.handle, send.Attempt, delivery) })
-			return relayed
+		if err := relay.write(event); err != nil {
+			return c.handleCallerLeft()
 		}
 	}
 }
 
-// checkEnd returns io.EOF if a stream may end here, and otherwise why it may not. A mark at its
-// end, a length or a last chunk, does not prove that the endpoint has written all of it. rest
-// holds the bytes after the last event; events counts those of this attempt.
-func (c *callerExchange) checkEnd(response *h1.Response, rest []byte, events int) error {
+// check returns why the stream may not go on with an event.
+func (r *streamRelay) check(e streamEvent) error {
+	if e.id == "" && len(r.lead)+len(e.text) > maxLeadBytes {
+		return errEventTooLong
+	}
+	return e.check(r.lastEventID)
+}
+
+// write sends an event to the caller, or keeps what comes before the first one.
+func (r *streamRelay) write(e streamEvent) error {
+	c := r.exchange
+	if e.id == "" && !c.headSent {
+		r.lead = append(r.lead, e.text...)
+		return nil
+	}
+	r.begin()
+	if _, err := c.writer.Write(append(r.lead, e.text...)); err != nil {
+		return errors.Trace(err)
+	}
+	r.lead = nil
+	if err := http.NewResponseController(c.writer).Flush(); err != nil {
+		return errors.Trace(err)
+	}
+	if e.id != "" {
+		r.recordEvent(e.id)
+	}
+	return nil
+}
+
+// begin sends the head, unless an earlier attempt has.
+func (r *streamRelay) begin() {
+	if c := r.exchange; !c.headSent {
+		c.writeHead(r.response, unknownLength)
+		c.headSent = true
+	}
+}
+
+// recordEvent records that the caller has got an event.
+func (r *streamRelay) recordEvent(id string) {
+	r.lastEventID = id
+	r.delivery.Events++
+	now := time.Now()
+	if r.delivery.Events > 1 {
+		r.delivery.LongestGap = max(r.delivery.LongestGap, now.Sub(r.lastEventAt))
+	}
+	r.lastEventAt = now
+	if r.delivery.Events == 1 {
+		r.exchange.withGateway(func(g *gateway.Gateway) { g.HandleFirstEvent(r.exchange.active.handle, r.send.Attempt) })
+	}
+}
+
+// finish ends the answer, and returns the outcome.
+func (r *streamRelay) finish() string {
+	c := r.exchange
+	r.begin()
+	c.finishAnswer()
+	c.withGateway(func(g *gateway.Gateway) { g.HandleDelivery(c.active.handle, r.send.Attempt, r.delivery) })
+	return relayed
+}
+
+// checkEnd returns io.EOF if the stream may end here, and otherwise why it may not. A mark at
+// its end, a length or a last chunk, does not prove that the endpoint has written all of it.
+// rest holds the bytes after the last event.
+func (r *streamRelay) checkEnd(rest []byte) error {
+	c := r.exchange
 	switch {
 	case len(rest) > 0:
 		return errEventCutOff
-	case events == 0 && !c.headSent && response.StatusCode != http.StatusNoContent:
+	case r.lastEventID == "" && r.response.StatusCode != http.StatusNoContent:
 		return errNoEvent
-	case !response.Delimited() && c.headSent && !c.endsWithConnection:
+	case !r.response.Delimited() && c.headSent && !c.endsWithConnection:
 		return errEndUnproved
 	}
 	return io.EOF
 }
 
-// streamFailure returns the kind of failure of a stream that broke off. An endpoint that marked
-// the end of an incomplete stream is at fault, but has not lost its connection.
+// streamFailure returns the kind of failure of a stream that may not go on. An endpoint that
+// sent what it may not, or marked the end of an incomplete stream, is at fault, but has not lost
+// its connection.
 func streamFailure(response *h1.Response, err error) gateway.AttemptFailure {
-	if response.Delimited() && (err == errEventCutOff || err == errNoEvent) {
+	switch err {
+	case errEventTooLong, errNotAnEvent, errEventOutOfTurn:
 		return gateway.InvalidResponse
+	case errEventCutOff, errNoEvent:
+		if response.Delimited() {
+			return gateway.InvalidResponse
+		}
 	}
 	return gateway.Broken
 }
--- a/anvilstandin/worker/model.go
+++ b/anvilstandin/worker/model.go
@@ -1,6 +1,7 @@
 package worker
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -147,6 +148,15 @@
 	out.Header().Set("Response-Seal", Signature(m.config.Name, id))
 	out.Header().Set("Content-Type", "text/event-stream")
 	f := m.worker.currentFaults()
+	if lastEventID > 0 && f.ResumeBody != "" {
+		out.Header().Set("Content-Type", f.ResumeType)
+		out.WriteHeader(cmp.Or(f.ResumeStatus, http.StatusOK))
+		_, _ = io.WriteString(out, f.ResumeBody)
+		return
+	}
+	if f.RepeatsEvents {
+		lastEventID = 0
+	}
 	closeDelimited := f.CloseDelimited || f.CloseDelimitedResumes && lastEventID > 0
 	if closeDelimited {
 		delimitByClose(out)
--- a/anvilstandin/worker/worker.go
+++ b/anvilstandin/worker/worker.go
@@ -162,6 +162,12 @@
 	TruncateAfter    int
 	TruncatesResumes bool
 	WithLength       bool
+	// ResumeType and ResumeBody replace the streams of model workers that go on after an
+	// event, with ResumeStatus or 200; RepeatsEvents makes these begin with the first event.
+	ResumeType    string
+	ResumeBody    string
+	ResumeStatus  int
+	RepeatsEvents bool
 	// CrashPart makes model workers crash when they begin to answer a request whose
 	// prompt has this part before its last one; empty for none.
 	CrashPart string
--- a/kernel/gateway/attempts.go
+++ b/kernel/gateway/attempts.go
@@ -223,7 +223,7 @@
 // sent again then.
 func (g *Gateway) HandlePartialRelay(h RequestHandle, id AttemptID) {
 	if r := g.requestOfAttempt(h, id); r != nil {
-		r.firstEventSent = true
+		r.firstEventSent, r.partlyRelayed = true, true
 	}
 }
 
@@ -350,7 +350,7 @@
 		r.declines++
 		return r.declines <= maxDeclinedAttempts && g.retryBudget.tryTake(g.now(), r.service, g.shareCount(g.now()))
 	}
-	if !r.route.Repeatable() || r.sends >= r.route.MaxAttempts || r.firstEventSent && r.route.Kind != published.Stream {
+	if !r.route.Repeatable() || r.sends >= r.route.MaxAttempts || r.partlyRelayed {
 		return false
 	}
 	if !r.deadline.After(g.now()) || r.firstEventSent && !g.canGoOn(r) {
--- a/kernel/gateway/forward.go
+++ b/kernel/gateway/forward.go
@@ -44,7 +44,7 @@
 // forward forwards a request to another instance, because this one has no path to the
 // endpoints of its service. It returns false if there is none to forward it to.
 func (g *Gateway) forward(r *request) bool {
-	if r.incoming.Forwarded != nil || len(r.triedMembers) >= maxForwardTries || r.firstEventSent && (!r.route.Resumable || r.lastEventID == "") {
+	if r.incoming.Forwarded != nil || len(r.triedMembers) >= maxForwardTries || r.partlyRelayed || r.firstEventSent && (!r.route.Resumable || r.lastEventID == "") {
 		return false
 	}
 	member := g.chooseForwardMember(r)
--- a/kernel/gateway/outcome_test.go
+++ b/kernel/gateway/outcome_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"anvilcross/kernel/endpoints"
+	"anvilcross/kernel/origin"
 )
 
 // A request with 17 ms left was answered NotRun by its timeout while the entry
@@ -148,3 +149,17 @@
 	tg.wantAnswer(h, BrokenOff)
 	tg.wantSteps(h, 2)
 }
+
+// A body other than a stream, in answer to a request that takes up a stream, breaks off after
+// its beginning was relayed, and the events of another endpoint follow it in the same answer.
+func TestPartlyRelayedBodyIsNotGoneOnWith(t *testing.T) {
+	tg := newConfigured(t)
+	tg.gateway.recordOrigins([]origin.Entry{{Stream: "first", Origin: origin.Origin{Service: "models", Version: "v1"}}})
+	h := tg.sendRequest("/verse/", func(c *CallerRequest) { c.Resumes, c.LastEventID = "first", "5" })
+	s := tg.wantSend(h)
+	tg.mustBeginWrite(h, s)
+	tg.gateway.HandleResponseHead(h, s.Attempt, true, endpoints.Load{})
+	tg.gateway.HandlePartialRelay(h, s.Attempt)
+	tg.gateway.HandleFailure(h, s.Attempt, Broken, "", "unexpected EOF")
+	tg.wantAnswer(h, BrokenOff)
+}
--- a/kernel/gateway/request.go
+++ b/kernel/gateway/request.go
@@ -135,10 +135,14 @@
 	// firstEventSent is set once the caller has received the beginning of a
 	// response: the first event of a stream, or a part of a large response.
 	firstEventSent bool
+	// partlyRelayed is set if that is a part of a response other than a stream, which no
+	// other endpoint can go on with.
+	partlyRelayed bool
 	// timeToFirstEvent is the time from the request's arrival to the first
 	// event of its stream.
 	timeToFirstEvent time.Duration
-	lastEventID      string
+	// lastEventID is the id of the last event that the caller has.
+	lastEventID string
 	// sharedParts are the parts of the prompt that other requests may share.
 	sharedParts         []ident.PromptPart
 	excluded            value.Set[ident.Endpoint]
@@ -205,6 +209,9 @@
 	timeout = min(timeout, r.route.Timeout)
 	r.deadline = now.Add(timeout)
 	r.abandonAt = now.Add(min(timeout, r.route.AbandonAfter()))
+	if r.takesUp() {
+		r.lastEventID = incoming.LastEventID
+	}
 	r.dueAt = now.Add(r.route.LatencyObjective - g.estimateWaited(r.route, incoming.Timeout))
 	if r.takesUp() {
 		// The objective was about the first event, which the caller has.
