Bound the memory of what endpoints reply over all requests

Seen by operators of another system: a faulty worker sent bytes that were no answer without an end; the machine ran out of memory, and the requests of other clients ended with it. Here each reply had a limit of its own, but 300 streams of one event without an end held 320 MB (an instance has 184 MB at the least), and each endpoint of a service could reply 4 MiB, several times as much when decoded, to a survey of prompts.

Cause: limits for each request, none for their sum, but for buffered bodies.

Ruled out, by tests that held before: endless heads, 1xx heads, trailers, chunk sizes and extensions, skipped answers.

Change: one memory of 32 MiB for buffered bodies, events beyond 16 KiB, lists of prompts (1 MiB, decoded one at a time) and replies of stages. What finds none left fails its attempt or call, so that the sum cannot grow.

--- a/anvilcrossd/entry/entry.go
+++ b/anvilcrossd/entry/entry.go
@@ -17,6 +17,7 @@
 
 	"anvilcross/anvilcrossd/forward"
 	"anvilcross/anvilcrossd/h1"
+	"anvilcross/anvilcrossd/replymemory"
 	"anvilcross/kernel/gateway"
 	"anvilcross/kernel/ident"
 	"anvilcross/kernel/published"
@@ -37,6 +38,8 @@
 	// function must not block.
 	WithGateway func(func(*gateway.Gateway))
 	HTTPClient  *h1.Client
+	// Memory is the memory for responses.
+	Memory *replymemory.Pool
 	// Limits returns what a caller may send.
 	Limits func() published.Limits
 	// ShuttingDown reports whether a graceful shutdown has begun. Each
@@ -60,7 +63,6 @@
 // Server is the HTTP handler for the callers' requests.
 type Server struct {
 	config         Config
-	buffers        bufferPool
 	lastHandle     atomic.Uint64
 	mutex          sync.Mutex
 	activeRequests map[gateway.RequestHandle]*activeRequest
--- a/anvilcrossd/entry/events.go
+++ b/anvilcrossd/entry/events.go
@@ -9,10 +9,16 @@
 	"github.com/juju/errors"
 
 	"anvilcross/anvilcrossd/h1"
+	"anvilcross/anvilcrossd/replymemory"
 )
 
-// maxEventBytes limits the size of one event of a stream.
-const maxEventBytes = 1 << 20
+const (
+	// maxEventBytes limits the size of one event of a stream.
+	maxEventBytes = 1 << 20
+	// freeEventBytes is the size up to which an event takes nothing from the memory for
+	// replies.
+	freeEventBytes = 16 << 10
+)
 
 // Errors of a stream with bytes that cannot belong to it.
 var (
@@ -73,15 +79,24 @@
 
 // eventReader splits a stream of server-sent events, each of which ends with an
 // empty line.
-type eventReader struct{ reader *bufio.Reader }
+type eventReader struct {
+	reader *bufio.Reader
+	memory *replymemory.Pool
+	// reserved is the memory that the present event takes.
+	reserved int64
+}
 
-// next returns the next event. At the end of the stream it
+// next returns the next event, which is valid until the next call. At the end of the stream it
 // returns io.EOF and any bytes after the last event.
 func (r *eventReader) next() (streamEvent, error) {
+	r.release()
 	var e streamEvent
 	lineStart := 0
 	for {
 		part, err := r.reader.ReadSlice('\n')
+		if !r.reserve(len(e.text) + len(part)) {
+			return e, replymemory.ErrExhausted
+		}
 		e.text = append(e.text, part...)
 		if err == bufio.ErrBufferFull {
 			err = nil
@@ -104,6 +119,24 @@
 	}
 }
 
+// reserve takes the memory for an event of a size. Growing takes up to twice the size.
+func (r *eventReader) reserve(size int) bool {
+	if needed := int64(2 * size); size > freeEventBytes && needed > r.reserved {
+		step := max(needed-r.reserved, freeEventBytes)
+		if !r.memory.Reserve(step) {
+			return false
+		}
+		r.reserved += step
+	}
+	return true
+}
+
+// release returns the memory of the present event.
+func (r *eventReader) release() {
+	r.memory.Release(r.reserved)
+	r.reserved = 0
+}
+
 // addLine evaluates a line of the event.
 func (e *streamEvent) addLine(line []byte) {
 	name, value, _ := bytes.Cut(line, []byte(":"))
--- a/anvilcrossd/entry/events_test.go
+++ b/anvilcrossd/entry/events_test.go
@@ -3,14 +3,18 @@
 import (
 	"bufio"
 	"io"
+	"runtime"
 	"strings"
+	"sync"
 	"testing"
+
+	"anvilcross/anvilcrossd/replymemory"
 )
 
 // wantEvents checks the events that a text consists of, and how it ends.
 func wantEvents(t *testing.T, text string, wantErr error, wantRest string, want ...string) {
 	t.Helper()
-	r := &eventReader{reader: bufio.NewReaderSize(strings.NewReader(text), 16)}
+	r := &eventReader{reader: bufio.NewReaderSize(strings.NewReader(text), 16), memory: newTestMemory()}
 	lastID := ""
 	for _, w := range want {
 		e, err := r.next()
@@ -53,3 +57,48 @@
 		wantEvents(t, "id: 9\n\nid: 10\n\n", io.EOF, "", "id: 9\n\n", "id: 10\n\n")
 	})
 }
+
+// Events without an end at many requests at once take more memory than an instance has.
+func TestEventsWithoutAnEndShareALimitedMemory(t *testing.T) {
+	const streams, sent, maxHeld = 300, maxEventBytes - 1, 64 << 20
+	memory := newTestMemory()
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	var readers []*eventReader
+	var held [][]byte
+	var mutex sync.Mutex
+	var reading sync.WaitGroup
+	exhausted := 0
+	for range streams {
+		r := &eventReader{reader: bufio.NewReader(io.LimitReader(endless{}, sent)), memory: memory}
+		readers = append(readers, r)
+		reading.Go(func() {
+			e, err := r.next()
+			mutex.Lock()
+			defer mutex.Unlock()
+			if err == replymemory.ErrExhausted {
+				exhausted++
+				r.release()
+				return
+			}
+			held = append(held, e.text)
+		})
+	}
+	reading.Wait()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	if grown := int64(after.HeapAlloc) - int64(before.HeapAlloc); grown > maxHeld {
+		t.Errorf("%d MB are held by %d streams, want %d at most", grown>>20, streams, maxHeld>>20)
+	}
+	if exhausted == 0 || len(held) == 0 {
+		t.Errorf("%d streams were broken off and %d were read", exhausted, len(held))
+	}
+	runtime.KeepAlive(held)
+	for _, r := range readers {
+		r.release()
+	}
+	if used := memory.Used(); used != 0 {
+		t.Errorf("%d bytes count as used after all were released", used)
+	}
+}
--- a/anvilcrossd/entry/stream.go
+++ b/anvilcrossd/entry/stream.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 
 	"anvilcross/anvilcrossd/h1"
+	"anvilcross/anvilcrossd/replymemory"
 	"anvilcross/kernel/gateway"
 )
 
@@ -49,7 +50,8 @@
 		lastEventID: send.LastEventID,
 		delivery:    gateway.Delivery{Status: response.StatusCode, Delimited: response.Delimited()},
 	}
-	events := &eventReader{reader: bufio.NewReader(response.Body)}
+	events := &eventReader{reader: bufio.NewReader(response.Body), memory: c.server.config.Memory}
+	defer events.release()
 	for {
 		event, err := events.next()
 		if c.request.Context().Err() != nil {
@@ -155,7 +157,7 @@
 // its connection.
 func streamFailure(response *h1.Response, err error) gateway.AttemptFailure {
 	switch err {
-	case errEventTooLong, errNotAnEvent, errEventOutOfTurn:
+	case errEventTooLong, errNotAnEvent, errEventOutOfTurn, replymemory.ErrExhausted:
 		return gateway.InvalidResponse
 	case errEventCutOff, errNoEvent:
 		if response.Delimited() {
--- a/anvilcrossd/gatewayd/gatewayd.go
+++ b/anvilcrossd/gatewayd/gatewayd.go
@@ -28,6 +28,7 @@
 	"anvilcross/anvilcrossd/owner"
 	"anvilcross/anvilcrossd/peer"
 	"anvilcross/anvilcrossd/promptlist"
+	"anvilcross/anvilcrossd/replymemory"
 	"anvilcross/anvilcrossd/settings"
 	"anvilcross/anvilcrossd/stagecall"
 	"anvilcross/kernel/batching"
@@ -64,6 +65,9 @@
 	// refuseUnsentMargin is how long before that limit the requests that have
 	// certainly not run are refused.
 	refuseUnsentMargin = 2 * time.Second
+	// maxReplyMemoryBytes is the memory for what endpoints reply: a fifth of that of the
+	// smallest instances.
+	maxReplyMemoryBytes = 32 << 20
 	// settingsPollPeriod is the interval at which the settings file is read.
 	settingsPollPeriod = 2 * time.Second
 	// memoryLimitShare is the share of the allowed memory that is set as the Go
@@ -139,8 +143,10 @@
 		},
 		PostTimeout: peerTimeout,
 	})
+	memory := replymemory.NewPool(replymemory.Config{LimitBytes: maxReplyMemoryBytes})
 	d.stageClient = stagecall.NewClient(stagecall.Config{
 		HTTPClient: d.httpClient,
+		Memory:     memory,
 		OnReply: func(id batching.CallID, r batching.Reply) {
 			d.withGateway(func(g *gateway.Gateway) { g.Batcher().HandleReply(id, r) })
 		},
@@ -158,6 +164,7 @@
 	})
 	prompts := promptlist.NewClient(promptlist.Config{
 		HTTPClient: d.httpClient,
+		Memory:     memory,
 		OnListed: func(e ident.Endpoint, list *origin.PromptList) {
 			d.withGateway(func(g *gateway.Gateway) { g.HandlePrompts(e, list) })
 		},
@@ -167,6 +174,7 @@
 	d.entry = entry.NewServer(entry.Config{
 		WithGateway:   d.withGateway,
 		HTTPClient:    d.httpClient,
+		Memory:        memory,
 		Limits:        func() published.Limits { return *d.limits.Load() },
 		ShuttingDown:  d.shuttingDown.Load,
 		RecordRequest: d.metrics.recordRequest,
--- a/anvilcrossd/promptlist/promptlist.go
+++ b/anvilcrossd/promptlist/promptlist.go
@@ -3,12 +3,13 @@
 
 import (
 	"context"
-	"io"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
 
 	"anvilcross/anvilcrossd/h1"
+	"anvilcross/anvilcrossd/replymemory"
 	"anvilcross/kernel/endpoints"
 	"anvilcross/kernel/ident"
 	"anvilcross/kernel/origin"
@@ -19,12 +20,14 @@
 	// callTimeout limits a call. Its result is of no use later.
 	callTimeout = 300 * time.Millisecond
 	// maxReplyBytes bounds a reply: tens of thousands of parts.
-	maxReplyBytes = 4 << 20
+	maxReplyBytes = 1 << 20
 )
 
 // Config sets up a Client.
 type Config struct {
 	HTTPClient *h1.Client
+	// Memory is the memory for replies.
+	Memory *replymemory.Pool
 	// OnListed receives what an endpoint says that it holds, or nil if the call failed.
 	OnListed func(ident.Endpoint, *origin.PromptList)
 	// OnNotice receives what the endpoint at an address says of itself in a response, and
@@ -35,7 +38,11 @@
 }
 
 // Client lists prompts, each call in its own goroutine.
-type Client struct{ config Config }
+type Client struct {
+	config Config
+	// decoding is held while a reply is decoded, which takes several times its size.
+	decoding sync.Mutex
+}
 
 // NewClient returns a client.
 func NewClient(c Config) *Client { return &Client{config: c} }
@@ -66,9 +73,12 @@
 		c.config.LogEvent("noticeRejected", "address", address, "reason", err)
 	}
 	c.config.OnNotice(address, notice, time.Since(started))
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes))
+	reply, err := c.config.Memory.ReadAll(response.Body, maxReplyBytes)
+	defer reply.Release()
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	return platform.DecodePromptList(response.StatusCode, body)
+	c.decoding.Lock()
+	defer c.decoding.Unlock()
+	return platform.DecodePromptList(response.StatusCode, reply.Data)
 }
--- a/anvilcrossd/stagecall/stagecall.go
+++ b/anvilcrossd/stagecall/stagecall.go
@@ -13,6 +13,7 @@
 	"github.com/juju/errors"
 
 	"anvilcross/anvilcrossd/h1"
+	"anvilcross/anvilcrossd/replymemory"
 	"anvilcross/kernel/batching"
 	"anvilcross/kernel/endpoints"
 	"anvilcross/kernel/ident"
@@ -35,6 +36,8 @@
 // Config sets up a Client.
 type Config struct {
 	HTTPClient *h1.Client
+	// Memory is the memory for replies.
+	Memory *replymemory.Pool
 	// Each call ends with OnReply or OnFailed; the string is a detail for the
 	// log.
 	OnReply  func(batching.CallID, batching.Reply)
@@ -84,7 +87,8 @@
 		return
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes))
+	body, err := c.config.Memory.ReadAll(response.Body, maxReplyBytes)
+	defer body.Release()
 	accepted, failure := platform.ReadStageResponseHead(response.Response)
 	if !accepted {
 		c.config.OnFailed(call.ID, failure, response.Status)
@@ -94,7 +98,7 @@
 		c.config.OnFailed(call.ID, batching.Broken, err.Error())
 		return
 	}
-	reply, err := platform.DecodeStageReply(body)
+	reply, err := platform.DecodeStageReply(body.Data)
 	if err != nil {
 		c.config.OnFailed(call.ID, batching.Broken, err.Error())
 		return
@@ -187,9 +191,10 @@
 		return 0, errors.Trace(err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes))
+	body, err := c.config.Memory.ReadAll(response.Body, maxReplyBytes)
+	defer body.Release()
 	if err != nil {
 		return 0, errors.Trace(err)
 	}
-	return platform.DecodeFreeCapacityBytes(body)
+	return platform.DecodeFreeCapacityBytes(body.Data)
 }
