Send nothing that a planned stop would cut off without an answer

Cause: unsent requests were refused once, two seconds before the limit; what arrived, got its place, its stage results or its connection after that was sent. Only streams were refused by time. At the end the rest was cut.

Evidence: the log of the test has `sent` within the last 1.3 s. Ruled out: requests of neighbours, which are refused from the signal on.

Change: one question, asked at admission, before each send and each first byte, and each 100 ms: can the request be without an answer when the stop has to end? Then it is answered at once, as not run if it has not been at an endpoint. 0.9 s before the limit what is unanswered and of which nothing was relayed is answered. So every whole request gets an answer, and what is sent has the time that it needs.

RefuseUnsent is gone; TestGracefulShutdown asked for its effect by calling it and asks for the same now by the passing of time, which is stricter.

--- a/anvilcrossd/gatewayd/gatewayd.go
+++ b/anvilcrossd/gatewayd/gatewayd.go
@@ -62,9 +62,9 @@
 	// shutdownMargin is how long before the platform's limit on a shutdown, which
 	// the setting stopLimit gives, the shutdown ends at the latest.
 	shutdownMargin = 700 * time.Millisecond
-	// refuseUnsentMargin is how long before that limit the requests that have
-	// certainly not run are refused.
-	refuseUnsentMargin = 2 * time.Second
+	// answerMargin is the part of shutdownMargin, before it, in which the answers of
+	// unfinished requests are written.
+	answerMargin = 200 * time.Millisecond
 	// maxReplyMemoryBytes is the memory for what endpoints reply: a fifth of that of the
 	// smallest instances.
 	maxReplyMemoryBytes = 32 << 20
@@ -196,6 +196,7 @@
 		Random:       rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		Timers:       timers,
 		DecodeRecord: platform.DecodeRecord,
+		StopLimit:    max(s.ShutdownTimeout-shutdownMargin-answerMargin, time.Millisecond),
 		Output: gateway.Output{
 			NextStep:        d.entry.HandleStep,
 			CancelAttempt:   d.entry.CancelAttempt,
@@ -355,8 +356,8 @@
 // shutDown performs a graceful shutdown. The instance reports at once that it
 // is not ready, accepts connections for drainDelay or until another signal, and
 // finishes the requests in flight; each connection is closed after its answer.
-// refuseUnsentMargin before the limit the requests that have certainly not run
-// are refused, and those still in flight shutdownMargin before it are abandoned.
+// The gateway refuses what cannot end in time. What is still unanswered answerMargin
+// before the end is answered then, and streams in flight at the end are abandoned.
 func (d *daemon) shutDown(callerServer *http.Server, signals <-chan os.Signal) {
 	startedAt := time.Now()
 	d.shuttingDown.Store(true)
@@ -368,10 +369,10 @@
 	case <-time.After(min(drainDelay, d.settings.ShutdownTimeout/2)):
 	case <-signals:
 	}
-	refuseTimer := time.AfterFunc(time.Until(startedAt.Add(d.settings.ShutdownTimeout-refuseUnsentMargin)), func() {
-		d.withGateway(func(g *gateway.Gateway) { g.RefuseUnsent() })
+	endTimer := time.AfterFunc(time.Until(startedAt.Add(d.settings.ShutdownTimeout-shutdownMargin-answerMargin)), func() {
+		d.withGateway(func(g *gateway.Gateway) { g.EndUnfinished() })
 	})
-	defer refuseTimer.Stop()
+	defer endTimer.Stop()
 	err := callerServer.Shutdown(ctx)
 	if err == nil {
 		err = d.finishForwarded(ctx)
--- a/anvilstandin/worker/worker.go
+++ b/anvilstandin/worker/worker.go
@@ -139,6 +139,8 @@
 	RepeatsRefusals bool
 	// Leaving makes workers say in all their answers that they leave.
 	Leaving bool
+	// ExtraWork is added to the service time of plain requests.
+	ExtraWork time.Duration
 	// Disconnects makes plain and stage workers close the connection after the
 	// work, without a response.
 	Disconnects bool
@@ -336,7 +338,7 @@
 	defer func() { _ = connection.Close() }()
 	defer w.config.Recorder.RecordRun(id, w.config.Name)()
 	_, _ = io.WriteString(connection, refusal)
-	time.Sleep(w.config.WorkTime)
+	time.Sleep(w.config.WorkTime + w.currentFaults().ExtraWork)
 	answer := ResponseBody(id, body)
 	_, _ = fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: %s\r\nContent-Length: %d\r\n\r\n%s", id, Signature(w.config.Name, id), len(answer), answer)
 	return true
@@ -356,7 +358,7 @@
 		return
 	}
 	defer w.config.Recorder.RecordRun(id, w.config.Name)()
-	time.Sleep(w.config.WorkTime)
+	time.Sleep(w.config.WorkTime + w.currentFaults().ExtraWork)
 	f := w.currentFaults()
 	if f.Disconnects {
 		panic(http.ErrAbortHandler)
--- a/kernel/gateway/attempts.go
+++ b/kernel/gateway/attempts.go
@@ -62,6 +62,10 @@
 		g.endQuarantined(r)
 		return
 	}
+	if g.stopsTooSoon(r) {
+		g.endStopping(r)
+		return
+	}
 	if g.paths.Lost(r.service) && g.forward(r) {
 		return
 	}
@@ -182,6 +186,10 @@
 		g.counters.AttemptsWithheld++
 		return false
 	}
+	if g.stopsTooSoon(r) {
+		g.endStopping(r)
+		return false
+	}
 	r.attempt.written = true
 	return true
 }
--- a/kernel/gateway/gateway.go
+++ b/kernel/gateway/gateway.go
@@ -87,7 +87,9 @@
 	// with an error is logged and ignored, except that the endpoint it names is
 	// dropped.
 	DecodeRecord func(replica.Record) (DecodedRecord, error)
-	Output       Output
+	// StopLimit is the time from BeginShutdown until EndUnfinished; zero for no limit.
+	StopLimit time.Duration
+	Output    Output
 }
 
 const (
@@ -316,33 +318,6 @@
 // It is the same at all instances that have them up to the same revision.
 func (g *Gateway) RecordCount() int { return g.records.Count() }
 
-// BeginShutdown starts a graceful shutdown: the instance is no longer ready,
-// and other instances take over the batching for its services.
-func (g *Gateway) BeginShutdown() {
-	g.shuttingDown = true
-	g.shutdownStartedAt = g.now()
-	g.members.Leave()
-	g.lender.Revoke(g.config.Self.Name, g.config.Self.Incarnation)
-	clear(g.batcherCache)
-	g.handOverOrigins()
-	g.cachedPong = nil
-	g.pingAll()
-	g.updateBatchingClaims(g.now())
-}
-
-// RefuseUnsent answers NotRun to every request that has certainly not run. It
-// is called late in a graceful shutdown: this instance has no time left for
-// these requests, but another one can serve them.
-func (g *Gateway) RefuseUnsent() {
-	for _, h := range value.SortedKeys(g.requests) {
-		r := g.requests[h]
-		if r.mayRun() || r.firstEventSent {
-			continue
-		}
-		g.end(r, NotRun, shutdownRetryAfter, "the instance is stopping")
-	}
-}
-
 // Reload applies settings that may change while the process runs.
 func (g *Gateway) Reload(seeds []string, limits RetryLimits) {
 	g.members.SetSeeds(seeds)
@@ -381,6 +356,7 @@
 	g.resubmitLostPieces(now)
 	g.crashes.expireBrokenExchanges(now)
 	g.updateQuarantine(now)
+	g.refuseLate()
 }
 
 // HandlePlatformUnavailable handles the start of a platform outage: the
--- a/kernel/gateway/request.go
+++ b/kernel/gateway/request.go
@@ -177,13 +177,6 @@
 	// try is assumed to have, as a share of the longest timeout on its route:
 	// the timeouts of first tries differ by up to a fifth.
 	firstTryTimeoutShare = 0.8
-	// streamAcceptTime is how long after the start of a shutdown streams are
-	// still admitted. The load balancer may send new requests for two seconds,
-	// and a stream admitted later may not end before the shutdown has to.
-	streamAcceptTime = 2200 * time.Millisecond
-	// shutdownRetryAfter is the Retry-After during a shutdown: another instance
-	// can serve the request at once.
-	shutdownRetryAfter = 50 * time.Millisecond
 	// defaultCallerTimeout applies to callers that send no timeout.
 	defaultCallerTimeout = 60 * time.Second
 	// timeoutMargin is how long before its timeout a request is ended, so that
@@ -218,7 +211,7 @@
 		r.dueAt = r.abandonAt
 	}
 	r.timeoutTimer = g.timers.After(timeout-timeoutMargin, func() { g.handleTimeout(r) })
-	if g.refuseForwarded(r) {
+	if g.refuseForwarded(r) || g.refuseStopping(r) {
 		return
 	}
 	g.recordPartUse(r)
@@ -309,10 +302,6 @@
 			return false
 		}
 	}
-	if g.shuttingDown && route.Kind == published.Stream && g.now().Sub(g.shutdownStartedAt) > streamAcceptTime {
-		g.answer(r, NotRun, shutdownRetryAfter, "the instance is stopping")
-		return false
-	}
 	if g.crashes.isPoison(g.now(), r.incoming.Digest) {
 		g.answer(r, Quarantined, 0, "the content has crashed the endpoints that ran it")
 		return false
--- a/kernel/gateway/stage_test.go
+++ b/kernel/gateway/stage_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"anvilcross/kernel/batching"
+	"anvilcross/kernel/endpoints"
 	"anvilcross/kernel/ident"
 	"anvilcross/kernel/membership"
 	"anvilcross/kernel/message"
@@ -75,19 +76,21 @@
 func TestGracefulShutdown(t *testing.T) {
 	t.Run("a caller that waits is told in time", func(t *testing.T) {
 		tg := newConfigured(t)
+		tg.gateway.config.StopLimit = 7 * time.Second
 		h := tg.sendRequest("/verse/", func(c *CallerRequest) { c.PieceCounts = []int{1, 4} })
 		tg.gateway.BeginShutdown()
-		tg.advance(time.Second)
-		tg.gateway.RefuseUnsent()
+		tg.advance(5 * time.Second)
 		tg.wantAnswer(h, NotRun)
 	})
 	t.Run("a request that runs goes on", func(t *testing.T) {
 		tg := newConfigured(t)
 		h := tg.sendRequest("/verse/", nil)
 		s := tg.wantSend(h)
+		tg.gateway.config.StopLimit = 7 * time.Second
 		tg.mustBeginWrite(h, s)
+		tg.gateway.HandleResponseHead(h, s.Attempt, false, endpoints.Load{})
 		tg.gateway.BeginShutdown()
-		tg.gateway.RefuseUnsent()
+		tg.advance(7 * time.Second)
 		tg.wantSteps(h, 1)
 	})
 	t.Run("a long request that comes late is refused at once", func(t *testing.T) {
