Close idle connections to endpoints that nobody asks for again

Cause: expired idle connections were closed only by the next request for their address, and nobody asks for that of an endpoint that is gone.

Change: each second expired idle connections are closed, and those to addresses at which no endpoint is listed; 1,024 over all stay at the most. Connections of callers and to endpoints are counted against seven eighths of the process's limit; a new one closes the one that has been idle for longest, callers come first. The batcher forgets endpoints that are gone.

--- a/anvilcrossd/gatewayd/gatewayd.go
+++ b/anvilcrossd/gatewayd/gatewayd.go
@@ -20,6 +20,7 @@
 
 	"github.com/juju/errors"
 
+	"anvilcross/anvilcrossd/descriptors"
 	"anvilcross/anvilcrossd/entry"
 	"anvilcross/anvilcrossd/eventlog"
 	"anvilcross/anvilcrossd/h1"
@@ -82,9 +83,6 @@
 	initialMaxHeaderBytes = 16 << 10
 	// maxHeaderBytes is net/http's limit; a configuration cannot allow more.
 	maxHeaderBytes = 1 << 20
-	// idleSweepPeriod is the interval at which idle connections of callers are
-	// checked.
-	idleSweepPeriod = time.Second
 )
 
 // Config sets up a daemon.
@@ -108,6 +106,7 @@
 	mesh        *peer.Mesh
 	stageClient *stagecall.Client
 	httpClient  *h1.Client
+	descriptors *descriptors.Budget
 	follower    *metadata.Follower
 	metrics     *gatewayMetrics
 	// limits are those of the configuration in force.
@@ -132,7 +131,12 @@
 	d.log = eventlog.NewLog(eventlog.Config{Writer: os.Stdout, Fields: []any{"seat", s.Seat, "dataCentre", s.DataCentre}})
 	debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.MemoryMegabytes) * (1 << 20)))
 	d.metrics = newGatewayMetrics(metricsConfig{CollectGauges: d.collectGauges})
-	d.httpClient = h1.NewClient(h1.Config{DialContext: c.DialEndpoint})
+	var err error
+	d.descriptors, err = descriptors.NewBudget(descriptors.Config{ReadProcessLimit: descriptors.ReadProcessLimit})
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	d.httpClient = h1.NewClient(h1.Config{DialContext: c.DialEndpoint, Descriptors: d.descriptors})
 	d.mesh = peer.NewMesh(peer.Config{
 		DataCentre:     s.DataCentre,
 		LocalTransport: link.NewTransport(link.Config{IdleTimeout: peerIdleTimeout, MaxConnectionsPerHost: maxConnectionsPerPeer}),
@@ -293,7 +297,7 @@
 		Handler:           d.entry,
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
-		ConnState:         d.idle.trackState,
+		ConnState:         d.trackCaller,
 		ConnContext:       entry.WithConnection,
 		ErrorLog:          newErrorLog(d.log),
 	}
@@ -426,20 +430,3 @@
 	})
 	d.log.WriteEvent("reloaded", "cause", cause, "seeds", len(s.Seeds))
 }
-
-// sweepIdleConnections closes the callers' connections that have been idle for
-// longer than the configuration allows.
-func (d *daemon) sweepIdleConnections(stop <-chan struct{}) {
-	ticker := time.NewTicker(idleSweepPeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-stop:
-			return
-		case <-ticker.C:
-			if limit := d.limits.Load().IdleTimeout; limit > 0 {
-				d.idle.closeIdle(limit)
-			}
-		}
-	}
-}
--- a/anvilcrossd/gatewayd/metrics.go
+++ b/anvilcrossd/gatewayd/metrics.go
@@ -99,6 +99,10 @@
 	})
 	gauges["log_lines_dropped"] = float64(d.log.DroppedLines())
 	gauges["endpoint_connections_opened"] = float64(d.httpClient.OpenedConnections())
+	gauges["endpoint_connections_idle"] = float64(d.httpClient.IdleCount())
+	gauges["endpoint_connections_closed_for_room"] = float64(d.httpClient.ClosedForRoom())
+	gauges["connections_open"] = float64(d.descriptors.Open())
+	gauges["connections_limit"] = float64(d.descriptors.Limit())
 	gauges["peer_messages_dropped"] = float64(d.mesh.DroppedMessages())
 	gauges["peer_bytes_sent"] = float64(d.mesh.SentBytes())
 	for name, v := range gauges {
--- a/anvilcrossd/h1/h1.go
+++ b/anvilcrossd/h1/h1.go
@@ -19,6 +19,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"anvilcross/anvilcrossd/descriptors"
 )
 
 const (
@@ -40,8 +42,6 @@
 	// endpoint with too many connections resets it one round trip and its own delay
 	// in accepting connections later.
 	resetMargin = 10 * time.Millisecond
-	// maxIdlePerAddress limits the idle connections to one address.
-	maxIdlePerAddress = 32
 	// smallBodyBytes is the size up to which a body is written before the
 	// response is read: it fits the send window. A larger one is written
 	// concurrently.
@@ -70,8 +70,15 @@
 type Client struct {
 	dialContext func(ctx context.Context, network, address string) (net.Conn, error)
 	mutex       sync.Mutex
-	idle        map[string][]*connection
-	opened      atomic.Int64
+	// idle holds the idle connections of each address, the one that was used last at the
+	// end; idleCount is their number.
+	idle      map[string][]*connection
+	idleCount int
+	opened    atomic.Int64
+	// descriptors counts the open connections; nil for no limit. closedIdle is the number
+	// of idle connections that were closed to make room for others.
+	descriptors *descriptors.Budget
+	closedIdle  atomic.Int64
 	// sleep waits while a new connection is watched; tests replace it.
 	sleep func(time.Duration)
 }
@@ -138,12 +145,24 @@
 	idleSince time.Time
 	// idleTimeout is how long the connection may stay idle.
 	idleTimeout time.Duration
+	// onClose is called once, when the connection is closed.
+	onClose func()
+	closing sync.Once
+}
+
+// Close closes the connection.
+func (k *connection) Close() error {
+	err := k.Conn.Close()
+	k.closing.Do(k.onClose)
+	return err
 }
 
 // Config configures a Client.
 type Config struct {
 	// DialContext opens a TCP connection; nil stands for one to the address itself.
 	DialContext func(ctx context.Context, network, address string) (net.Conn, error)
+	// Descriptors counts the connections; nil for no limit.
+	Descriptors *descriptors.Budget
 }
 
 // NewClient returns a client without connections.
@@ -151,7 +170,7 @@
 	if c.DialContext == nil {
 		c.DialContext = newDialer().DialContext
 	}
-	return &Client{idle: map[string][]*connection{}, sleep: time.Sleep, dialContext: c.DialContext}
+	return &Client{idle: map[string][]*connection{}, sleep: time.Sleep, dialContext: c.DialContext, descriptors: c.Descriptors}
 }
 
 func newDialer() *net.Dialer {
@@ -174,25 +193,6 @@
 // OpenedConnections returns the number of connections opened so far.
 func (c *Client) OpenedConnections() int64 { return c.opened.Load() }
 
-// takeIdle returns an idle connection that is open, or nil. It tries the one
-// that was used last first, and closes those that it rejects.
-func (c *Client) takeIdle(address string, avoidStale bool) *connection {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	list := c.idle[address]
-	for len(list) > 0 {
-		k := list[len(list)-1]
-		list = list[:len(list)-1]
-		c.idle[address] = list
-		idleTime := time.Since(k.idleSince)
-		if idleTime < k.idleTimeout && !(avoidStale && idleTime > staleAfter) && k.isQuiet() {
-			return k
-		}
-		_ = k.Close()
-	}
-	return nil
-}
-
 // isQuiet reports whether the connection is open and has received no bytes that
 // are still unread.
 func (k *connection) isQuiet() bool {
@@ -210,36 +210,16 @@
 	return err == nil && quiet
 }
 
-// putIdle keeps a connection for later requests. It closes the oldest ones if
-// they have expired or there are too many.
-func (c *Client) putIdle(address string, k *connection) {
-	k.idleSince = time.Now()
-	_ = k.SetDeadline(time.Time{})
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	list := c.idle[address]
-	for len(list) > 0 && time.Since(list[0].idleSince) > list[0].idleTimeout {
-		_ = list[0].Close()
-		list = list[1:]
-	}
-	if len(list) >= maxIdlePerAddress {
-		_ = list[0].Close()
-		list = list[1:]
-	}
-	c.idle[address] = append(list, k)
-}
-
 // dial opens a connection. With detectReset it waits until the endpoint would
 // have reset the connection, and fails if it did.
 func (c *Client) dial(ctx context.Context, address string, detectReset bool) (*connection, error) {
 	dialStart := time.Now()
-	n, err := c.dialContext(ctx, "tcp4", address)
+	n, err := c.open(ctx, address)
 	if err != nil {
 		return nil, errors.Annotate(ErrNotSent, err.Error())
 	}
-	c.opened.Add(1)
 	source := &limitedSource{conn: n}
-	k := &connection{Conn: n, source: source, reader: bufio.NewReaderSize(source, bufferBytes)}
+	k := &connection{Conn: n, source: source, reader: bufio.NewReaderSize(source, bufferBytes), onClose: c.countClosed}
 	if !detectReset {
 		return k, nil
 	}
@@ -255,11 +235,11 @@
 // connection was accepted. ConnectionRefused tells whether an error proves that no process
 // listens there.
 func (c *Client) Connect(ctx context.Context, address string) error {
-	n, err := c.dialContext(ctx, "tcp4", address)
+	n, err := c.open(ctx, address)
 	if err != nil {
 		return errors.Trace(err)
 	}
-	c.opened.Add(1)
+	defer c.countClosed()
 	return n.Close()
 }
 
--- a/kernel/batching/batching.go
+++ b/kernel/batching/batching.go
@@ -7,6 +7,7 @@
 package batching
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -374,6 +375,17 @@
 	return es
 }
 
+// ForgetUnlisted drops what is kept of endpoints that are not listed any more, once they have
+// neither calls nor results.
+func (b *Batcher) ForgetUnlisted() {
+	maps.DeleteFunc(b.endpointStates, func(e ident.Endpoint, es *endpointState) bool {
+		return es.runningCalls == 0 && es.reservedBytes == 0 && b.config.Directory.Lookup(e) == nil
+	})
+}
+
+// EndpointCount returns the number of endpoints of which the batcher keeps a state.
+func (b *Batcher) EndpointCount() int { return len(b.endpointStates) }
+
 // Submit queues the pieces of a request's stage. Submitting the same pieces
 // again is safe: a piece that is done is reported again, unless the work asks
 // to recompute it, and no piece is queued twice.
--- a/kernel/gateway/gateway.go
+++ b/kernel/gateway/gateway.go
@@ -9,6 +9,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"anvilcross/kernel/batching"
@@ -329,6 +330,16 @@
 // calls.
 func (g *Gateway) Batcher() *batching.Batcher { return g.batcher }
 
+// UnlistedAddresses returns those of some addresses at which neither an endpoint is known nor an
+// instance is a member.
+func (g *Gateway) UnlistedAddresses(addresses []string) []string {
+	members := value.NewSet[string]()
+	for _, m := range g.members.AllAddresses() {
+		members.Add(m.Address)
+	}
+	return slices.DeleteFunc(slices.Clone(addresses), func(a string) bool { return g.directory.ByAddress(a) != nil || members.Has(a) })
+}
+
 // tick runs the periodic checks.
 func (g *Gateway) tick() {
 	now := g.now()
@@ -352,6 +363,7 @@
 	g.paths.Forget(func(s ident.Service) bool { return g.catalog.Services[s] != nil })
 	g.updatePeerRequests(now)
 	g.batcher.DispatchAll()
+	g.batcher.ForgetUnlisted()
 	g.updateBatchingClaims(now)
 	g.resubmitLostPieces(now)
 	g.crashes.expireBrokenExchanges(now)
