Keep the faults of overlapping soak events apart

The worker said once that it leaves, or never, so the check asked for what had not been said.

Change: faults are kept by event and applied together, so that a worker says for the whole time of its event that it leaves, and also in refusals. The check is unchanged and now asks for more: the worker says it longer.

The new test tells that an event that ends leaves the faults of the others; the code before had nothing that could.

--- a/anvilload/soak/soak.go
+++ b/anvilload/soak/soak.go
@@ -21,6 +21,7 @@
 	"anvilcross/anvilload/fleet"
 	"anvilcross/anvilstandin/client"
 	"anvilcross/anvilstandin/site"
+	"anvilcross/anvilstandin/worker"
 )
 
 const (
@@ -87,6 +88,7 @@
 	// being restored.
 	limited   map[string]bool
 	restoring bool
+	faults    *faultTable
 	// version is the number of the newest configuration.
 	version int
 	// publishedAt holds the time at which each version was published.
@@ -97,6 +99,7 @@
 // run cannot be set up; violations are in the report.
 func Run(c Config) (*Report, error) {
 	r := &runner{config: c, proxies: map[string]*proxy{}, incarnations: make([]int, c.Daemons), signalling: make([]bool, c.Daemons), draining: map[string]bool{}, limited: map[string]bool{}}
+	r.faults = newFaultTable(func(name string, f worker.Faults) { r.site.SetFaults(name, f) })
 	defer r.close()
 	if err := r.start(); err != nil {
 		return nil, errors.Trace(err)
--- a/anvilload/soak/soak_test.go
+++ b/anvilload/soak/soak_test.go
@@ -141,3 +141,26 @@
 		}
 	}
 }
+
+// An event that ends takes back what another one has the same worker do or say: a worker that
+// leaves by its word stops to say so, and the requests that reach it then count as late.
+func TestOverlappingFaultsAreKeptApart(t *testing.T) {
+	applied := map[string]worker.Faults{}
+	faults := newFaultTable(func(name string, f worker.Faults) { applied[name] = f })
+	want := func(t *testing.T, w worker.Faults) {
+		t.Helper()
+		if got := applied["models-2"]; got != w {
+			t.Fatalf("got %+v, want %+v", got, w)
+		}
+	}
+	endLeaving := faults.begin("models-2", worker.Faults{Leaving: true})
+	endRest := faults.begin("models-2", worker.Faults{Full: true, Rest: "2"})
+	endFull := faults.begin("models-2", worker.Faults{Full: true})
+	want(t, worker.Faults{Leaving: true, Full: true, Rest: "2"})
+	endRest()
+	want(t, worker.Faults{Leaving: true, Full: true})
+	endFull()
+	want(t, worker.Faults{Leaving: true})
+	endLeaving()
+	want(t, worker.Faults{})
+}
--- a/anvilload/soak/workers.go
+++ b/anvilload/soak/workers.go
@@ -1,14 +1,56 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"anvilcross/anvilstandin/site"
 	"anvilcross/anvilstandin/worker"
 )
 
+// faultTable holds the faults of each worker by event, so that an event that ends leaves those
+// of the others.
+type faultTable struct {
+	mutex sync.Mutex
+	begun map[string][]*worker.Faults
+	// apply replaces the faults of a worker.
+	apply func(name string, f worker.Faults)
+}
+
+func newFaultTable(apply func(string, worker.Faults)) *faultTable {
+	return &faultTable{begun: map[string][]*worker.Faults{}, apply: apply}
+}
+
+// begin adds faults to those of a worker. The result ends them.
+func (t *faultTable) begin(name string, f worker.Faults) (end func()) {
+	t.change(name, func(all []*worker.Faults) []*worker.Faults { return append(all, &f) })
+	return func() {
+		t.change(name, func(all []*worker.Faults) []*worker.Faults {
+			return slices.DeleteFunc(all, func(other *worker.Faults) bool { return other == &f })
+		})
+	}
+}
+
+// change changes the faults of a worker and applies them together.
+func (t *faultTable) change(name string, edit func([]*worker.Faults) []*worker.Faults) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.begun[name] = edit(t.begun[name])
+	var sum worker.Faults
+	for _, f := range t.begun[name] {
+		sum.Full = sum.Full || f.Full
+		sum.Leaving = sum.Leaving || f.Leaving
+		sum.Disconnects = sum.Disconnects || f.Disconnects
+		sum.Rest = cmp.Or(sum.Rest, f.Rest)
+		sum.CutAfterEvents = max(sum.CutAfterEvents, f.CutAfterEvents)
+	}
+	t.apply(name, sum)
+}
+
 // limitWorker lets a worker name a rate limit. Only one event at a time limits it.
 func (r *runner) limitWorker(name string, e event) {
 	r.mutex.Lock()
@@ -49,9 +91,9 @@
 	if e.kind == eventWorkerLink {
 		r.impairLink(name, e)
 	} else {
-		r.site.SetFaults(name, faults[e.kind])
+		end := r.faults.begin(name, faults[e.kind])
 		time.Sleep(e.duration)
-		r.site.SetFaults(name, worker.Faults{})
+		end()
 	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
@@ -103,10 +145,10 @@
 		return
 	}
 	begun := time.Now()
-	r.site.SetFaults(name, worker.Faults{Leaving: true})
+	end := r.faults.begin(name, worker.Faults{Leaving: true})
 	time.Sleep(duration + 2*maxDrainDelay)
 	d := drainSpan{worker: name, to: time.Now()}
-	r.site.SetFaults(name, worker.Faults{})
+	end()
 	told, known := r.firstArrival(name, begun)
 	d.from = told.Add(noticeTime)
 	r.endLeaving(d, known)
