Make up no answer for a caller that closes its sending side

Cause: net/http takes the half-close for the end of the caller; the handler returned without an answer, and net/http then sends an empty 200.

Change: the connection is aborted, as with an answer that breaks off, so that nothing is claimed.

--- a/anvilcrossd/entry/entry.go
+++ b/anvilcrossd/entry/entry.go
@@ -104,7 +104,8 @@
 }
 
 // ServeHTTP serves one request. It panics with http.ErrAbortHandler, which
-// aborts the connection, if the caller has received only part of a response.
+// aborts the connection, if the caller has received only part of a response or
+// has closed its side of the connection.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if limit := s.config.Limits().MaxHeaderBytes; limit > 0 && headerBytes(r) > limit {
 		s.reject(w, r, http.StatusRequestHeaderFieldsTooLarge, "the header is too large")
@@ -146,7 +147,8 @@
 	c := &callerExchange{server: s, active: active, writer: w, request: r, body: body, forwarded: forwarding != nil}
 	outcome := c.run()
 	s.config.RecordRequest(outcome, time.Since(started))
-	if outcome == brokenOff {
+	if outcome == brokenOff || outcome == callerLeft {
+		// net/http would send an empty 200 to a caller that reads on.
 		panic(http.ErrAbortHandler)
 	}
 }
