Take over signals before anything else is initialised

Seen by operators: SIGHUP or SIGTERM in the first 20 ms of a process end it without a word.

Cause: signals were taken over once the listeners were open; until then their default ends the process.

Change: package signals takes them over as it is initialised, and both subcommands read them there when they are ready.

--- a/anvilcrossd/daemon/daemon.go
+++ b/anvilcrossd/daemon/daemon.go
@@ -13,7 +13,6 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"runtime/debug"
 	"syscall"
 	"time"
@@ -31,6 +30,7 @@
 	"anvilcross/anvilcrossd/peer"
 	"anvilcross/anvilcrossd/platform"
 	"anvilcross/anvilcrossd/settings"
+	"anvilcross/anvilcrossd/signals"
 	"anvilcross/kernel/configuration"
 	"anvilcross/kernel/ident"
 	"anvilcross/kernel/message"
@@ -278,14 +278,15 @@
 	go d.platformClient.Run(ctx)
 	go d.releaseStartupMemory()
 	d.log.WithField("callers", d.settings.CallerListen).Info("started")
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	select {
-	case err := <-serveErrors:
-		return errors.Annotate(err, "listener stopped")
-	case <-signals:
+	for stopped := false; !stopped; {
+		select {
+		case err := <-serveErrors:
+			return errors.Annotate(err, "listener stopped")
+		case s := <-signals.Incoming:
+			stopped = s != syscall.SIGHUP
+		}
 	}
-	d.shutDown(callerHTTP, signals)
+	d.shutDown(callerHTTP)
 	close(d.stop)
 	d.mesh.Close()
 	return errors.Trace(d.operatorServer.Close())
@@ -315,7 +316,7 @@
 // callers' listener after drainDelay, finishes the requests in flight, and hands
 // its tickets and its seat's memory over to another instance. A second signal or
 // the end of settings.Settings.ShutdownTimeout cuts it short.
-func (d *daemon) shutDown(callerHTTP *http.Server, signals <-chan os.Signal) {
+func (d *daemon) shutDown(callerHTTP *http.Server) {
 	d.log.Info("stopRequested")
 	drained := make(chan struct{})
 	d.withNode(func(n *node.Node) { n.BeginDrain() })
@@ -328,7 +329,7 @@
 	case <-drained:
 		_ = callerHTTP.Shutdown(ctx)
 		d.log.Info("stopComplete")
-	case <-signals:
+	case <-signals.Incoming:
 		d.log.Warn("stopCutShort")
 	case <-ctx.Done():
 		d.log.Warn("stopLimitReached")
--- a/anvilcrossd/gatewayd/gatewayd.go
+++ b/anvilcrossd/gatewayd/gatewayd.go
@@ -11,7 +11,6 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"runtime/debug"
 	"slices"
 	"sync/atomic"
@@ -31,6 +30,7 @@
 	"anvilcross/anvilcrossd/promptlist"
 	"anvilcross/anvilcrossd/replymemory"
 	"anvilcross/anvilcrossd/settings"
+	"anvilcross/anvilcrossd/signals"
 	"anvilcross/anvilcrossd/stagecall"
 	"anvilcross/kernel/batching"
 	"anvilcross/kernel/endpoints"
@@ -323,18 +323,16 @@
 	go d.watchSettings(stop)
 	go d.sweepIdleConnections(stop)
 	d.log.WriteEvent("started", "callers", d.settings.CallerListen, "seeds", len(d.settings.Seeds))
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	for {
 		select {
 		case err := <-serveErrors:
 			return errors.Annotate(err, "listener stopped")
-		case s := <-signals:
+		case s := <-signals.Incoming:
 			if s == syscall.SIGHUP {
 				d.reload("signal")
 				continue
 			}
-			d.shutDown(callerServer, signals)
+			d.shutDown(callerServer)
 			close(stop)
 			d.log.Close()
 			return nil
@@ -362,7 +360,7 @@
 // finishes the requests in flight; each connection is closed after its answer.
 // The gateway refuses what cannot end in time. What is still unanswered answerMargin
 // before the end is answered then, and streams in flight at the end are abandoned.
-func (d *daemon) shutDown(callerServer *http.Server, signals <-chan os.Signal) {
+func (d *daemon) shutDown(callerServer *http.Server) {
 	startedAt := time.Now()
 	d.shuttingDown.Store(true)
 	d.withGateway(func(g *gateway.Gateway) { g.BeginShutdown() })
@@ -371,7 +369,7 @@
 	defer cancel()
 	select {
 	case <-time.After(min(drainDelay, d.settings.ShutdownTimeout/2)):
-	case <-signals:
+	case <-signals.Incoming:
 	}
 	endTimer := time.AfterFunc(time.Until(startedAt.Add(d.settings.ShutdownTimeout-shutdownMargin-answerMargin)), func() {
 		d.withGateway(func(g *gateway.Gateway) { g.EndUnfinished() })
