Read what has arrived before a planned stop closes connections

Cause: net/http's Shutdown closes the listener with the connections that wait there, and each connection that counts as idle, also if requests have arrived that nobody has read, because the process had no processor time.

Change: before Shutdown, idle connections are closed one by one once nothing has arrived there for 20 ms, and the stop waits, a second at most, until nobody waits to be accepted.

--- a/anvilcrossd/gatewayd/gatewayd.go
+++ b/anvilcrossd/gatewayd/gatewayd.go
@@ -305,6 +305,7 @@
 	readyServer := &http.Server{Handler: http.HandlerFunc(d.serveReady), ReadHeaderTimeout: headerTimeout, ErrorLog: newErrorLog(d.log)}
 	metricsServer := &http.Server{Handler: d.metrics.handler(), ReadHeaderTimeout: headerTimeout, ErrorLog: newErrorLog(d.log)}
 	serveErrors := make(chan error, 4)
+	var callerListener *net.TCPListener
 	for _, l := range []struct {
 		server  *http.Server
 		address string
@@ -313,6 +314,9 @@
 		if err != nil {
 			return errors.Trace(err)
 		}
+		if l.server == callerServer {
+			callerListener = listener.(*net.TCPListener)
+		}
 		go func() { serveErrors <- l.server.Serve(listener) }()
 	}
 	stop := make(chan struct{})
@@ -332,7 +336,7 @@
 				d.reload("signal")
 				continue
 			}
-			d.shutDown(callerServer)
+			d.shutDown(callerServer, callerListener)
 			close(stop)
 			d.log.Close()
 			return nil
@@ -360,7 +364,7 @@
 // finishes the requests in flight; each connection is closed after its answer.
 // The gateway refuses what cannot end in time. What is still unanswered answerMargin
 // before the end is answered then, and streams in flight at the end are abandoned.
-func (d *daemon) shutDown(callerServer *http.Server) {
+func (d *daemon) shutDown(callerServer *http.Server, listener *net.TCPListener) {
 	startedAt := time.Now()
 	d.shuttingDown.Store(true)
 	d.withGateway(func(g *gateway.Gateway) { g.BeginShutdown() })
@@ -375,6 +379,7 @@
 		d.withGateway(func(g *gateway.Gateway) { g.EndUnfinished() })
 	})
 	defer endTimer.Stop()
+	d.closeCallersIdle(listener)
 	err := callerServer.Shutdown(ctx)
 	if err == nil {
 		err = d.finishForwarded(ctx)
--- a/anvilcrossd/gatewayd/idle.go
+++ b/anvilcrossd/gatewayd/idle.go
@@ -6,9 +6,19 @@
 	"sync"
 	"time"
 
+	"anvilcross/anvilcrossd/socket"
 	"anvilcross/kernel/gateway"
 )
 
+const (
+	// maxInputWait limits the time for which a stop waits until requests are read that have
+	// arrived before connections are closed, and inputPollPeriod is how often it looks.
+	maxInputWait    = time.Second
+	inputPollPeriod = 2 * time.Millisecond
+	// settleTime is the time from the arrival of a request until its head is read.
+	settleTime = 20 * time.Millisecond
+)
+
 // idleSweepPeriod is the interval at which idle connections are checked.
 const idleSweepPeriod = time.Second
 
@@ -18,16 +28,19 @@
 type idleConnections struct {
 	mutex     sync.Mutex
 	idleSince map[net.Conn]time.Time
+	// quietSince holds since when nothing has arrived at connections that are to be closed.
+	quietSince map[net.Conn]time.Time
 }
 
 func newIdleConnections() *idleConnections {
-	return &idleConnections{idleSince: map[net.Conn]time.Time{}}
+	return &idleConnections{idleSince: map[net.Conn]time.Time{}, quietSince: map[net.Conn]time.Time{}}
 }
 
 // trackState is the server's ConnState hook.
 func (i *idleConnections) trackState(c net.Conn, state http.ConnState) {
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
+	delete(i.quietSince, c)
 	if state == http.StateIdle {
 		i.idleSince[c] = time.Now()
 		return
@@ -35,16 +48,39 @@
 	delete(i.idleSince, c)
 }
 
-// closeIdle closes the connections that have been idle for at least the limit.
+// closeIdle closes the connections that have been idle for at least the limit, except those at
+// which a request has just arrived.
 func (i *idleConnections) closeIdle(limit time.Duration) {
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
 	for c, since := range i.idleSince {
-		if time.Since(since) >= limit {
+		if time.Since(since) >= limit && socket.InputOf(c) != socket.Unread {
+			_ = c.Close()
+			delete(i.idleSince, c)
+		}
+	}
+}
+
+// closeQuiet closes the connections at which nothing has arrived for settleTime, as seen by
+// calls of it, and returns how many are left. The server counts a connection as idle until it
+// has read the whole head of a request.
+func (i *idleConnections) closeQuiet() (left int) {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	for c := range i.idleSince {
+		quietSince, seen := i.quietSince[c]
+		switch {
+		case socket.InputOf(c) == socket.Unread:
+			i.quietSince[c] = time.Now().Add(maxInputWait)
+		case !seen:
+			i.quietSince[c] = time.Now()
+		case time.Since(quietSince) >= settleTime:
 			_ = c.Close()
 			delete(i.idleSince, c)
+			delete(i.quietSince, c)
 		}
 	}
+	return len(i.idleSince)
 }
 
 // trackCaller is the ConnState hook of the server for callers. Callers come first: where there
@@ -97,3 +133,19 @@
 		d.httpClient.CloseIdle(address)
 	}
 }
+
+// closeCallersIdle closes the idle connections of callers in a stop. After a pause of the process
+// requests may have arrived that nobody has read yet, at these and at connections that are not
+// accepted yet: these are read first.
+func (d *daemon) closeCallersIdle(listener *net.TCPListener) {
+	for deadline := time.Now().Add(maxInputWait); time.Now().Before(deadline); time.Sleep(inputPollPeriod) {
+		idle := d.idle.closeQuiet()
+		waiting, err := socket.Backlog(listener)
+		if err != nil {
+			d.log.WriteEvent("backlogUnknown", "reason", err)
+		}
+		if waiting == 0 && idle == 0 {
+			return
+		}
+	}
+}
--- a/anvilcrossd/h1/h1.go
+++ b/anvilcrossd/h1/h1.go
@@ -21,6 +21,7 @@
 	"github.com/juju/errors"
 
 	"anvilcross/anvilcrossd/descriptors"
+	"anvilcross/anvilcrossd/socket"
 )
 
 const (
@@ -195,20 +196,7 @@
 
 // isQuiet reports whether the connection is open and has received no bytes that
 // are still unread.
-func (k *connection) isQuiet() bool {
-	raw, err := k.Conn.(*net.TCPConn).SyscallConn()
-	if err != nil {
-		return false
-	}
-	quiet := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = err == syscall.EAGAIN
-		return true
-	})
-	return err == nil && quiet
-}
+func (k *connection) isQuiet() bool { return socket.InputOf(k.Conn) == socket.None }
 
 // dial opens a connection. With detectReset it waits until the endpoint would
 // have reset the connection, and fails if it did.
--- a/anvilload/fleet/stop_test.go
+++ b/anvilload/fleet/stop_test.go
@@ -33,13 +33,18 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = r.connection.Close() })
-	_, err = fmt.Fprintf(r.connection, "POST /%s/item HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nAuthorization: Bearer %s\r\nDeadline-Ms: 5000\r\nContent-Length: %d\r\n\r\n", route, site.Host, r.ID, r.APIKey, len(r.body))
-	if err != nil {
+	if err := r.writeHead(); err != nil {
 		t.Fatal(err)
 	}
 	return r
 }
 
+// writeHead sends the head.
+func (r *lateRequest) writeHead() error {
+	_, err := fmt.Fprintf(r.connection, "POST /%s/item HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nAuthorization: Bearer %s\r\nDeadline-Ms: 5000\r\nContent-Length: %d\r\n\r\n", r.Route, site.Host, r.ID, r.APIKey, len(r.body))
+	return err
+}
+
 // finish sends the body and returns the status of the answer, 0 if there is none.
 func (r *lateRequest) finish() int {
 	if _, err := io.WriteString(r.connection, r.body); err != nil {
