Blame whole requests as their prompt parts are blamed

Cause: contents were blamed by a count of their own: in progress at three crashes, whatever else was, and however often answered since; and a ping carried the reports of 12 contents only.

Ruled out: the part's quarantine, which is not in these prompts.

Change: a content is one more suspect beside its request's parts. So a whole answer clears it, for that crash for good; a known part takes the blame; reports are waited for, and told with all suspects of a crash. Where a content and a part explain as many crashes the content is quarantined, by the third. Reports of single contents go on for earlier builds, and are believed only from these.

The new test failed before: 658 and 670 sound requests refused beside a part, 478 and 471 for other reasons, at 3 and 66 instances; none now. The test of poison among many requests passed before too and does at 3, 66 and 295 instances.

--- a/kernel/blame/parts.go
+++ b/kernel/blame/parts.go
@@ -18,6 +18,10 @@
 	// are used least.
 	MinCrashes     int
 	MinTiedCrashes int
+	// IsWhole reports whether a suspect stands for whole requests, which have it in common
+	// only if they are alike. Of suspects with as many crashes those are quarantined, since
+	// that refuses no other request. It may be nil.
+	IsWhole func(ident.PromptPart) bool
 	// MaxCrashes bounds the number of crashes kept, and MaxPartsPerCrash the suspects of
 	// each: those that are used least are kept, since the others would have crashed more.
 	MaxCrashes       int
@@ -54,6 +58,8 @@
 	address string
 	at      time.Time
 	parts   value.Set[ident.PromptPart]
+	// cleared holds the parts that were suspects until a request with them was answered.
+	cleared value.Set[ident.PromptPart]
 	// learnedAt is when the latest part was added, and toldCount how often the crash has
 	// been among the news.
 	learnedAt time.Time
@@ -101,13 +107,15 @@
 func (p *Parts) AddCrash(now time.Time, report PartCrash) {
 	c := p.find(report)
 	if c == nil {
-		c = &knownCrash{address: report.Address, at: report.At, parts: value.NewSet[ident.PromptPart]()}
+		c = &knownCrash{address: report.Address, at: report.At, parts: value.NewSet[ident.PromptPart](), cleared: value.NewSet[ident.PromptPart]()}
 		p.crashes = append(p.crashes, c)
 	}
 	added := value.NewSet[ident.PromptPart]()
 	for _, d := range report.Parts {
 		switch {
+		case c.cleared.Has(d):
 		case p.soundAt[d].After(report.At):
+			c.cleared.Add(d)
 			p.clearedAt[d] = now
 		case !c.parts.Has(d):
 			c.parts.Add(d)
@@ -157,6 +165,7 @@
 	for _, c := range p.crashes {
 		if c.parts.Has(part) && at.After(c.at) {
 			delete(c.parts, part)
+			c.cleared.Add(part)
 			p.clearedAt[part] = now
 		}
 	}
@@ -294,13 +303,16 @@
 		if q, before := p.quarantined[d]; before && !now.Before(q.until) {
 			lapsed = append(lapsed, d)
 		}
-		count, inAll := countIndependent(byPart[d]), len(byPart[d])
+		count, inAll := countIndependent(byPart[d], p.addressInterval(d)), len(byPart[d])
 		if c := cmp.Or(cmp.Compare(count, most), cmp.Compare(inAll, mostInAll)); c > 0 {
 			most, mostInAll, top = count, inAll, []ident.PromptPart{d}
 		} else if c == 0 {
 			top = append(top, d)
 		}
 	}
+	if whole := slices.DeleteFunc(slices.Clone(top), func(d ident.PromptPart) bool { return !p.isWhole(d) }); len(whole) > 0 {
+		top = whole
+	}
 	switch {
 	case len(lapsed) > 0:
 		return lapsed
@@ -311,15 +323,28 @@
 	return slices.DeleteFunc(top, func(d ident.PromptPart) bool { return p.useCount(d) > least })
 }
 
+func (p *Parts) isWhole(d ident.PromptPart) bool {
+	return p.config.IsWhole != nil && p.config.IsWhole(d)
+}
+
+// addressInterval returns the time within which crashes at one address count as one. Requests
+// that are alike come to a crashed endpoint once more as soon as it is back.
+func (p *Parts) addressInterval(d ident.PromptPart) time.Duration {
+	if p.isWhole(d) {
+		return sameCrashWindow
+	}
+	return sameAddressInterval
+}
+
 // countIndependent counts crashes at different times and addresses.
-func countIndependent(crashes []*knownCrash) int {
+func countIndependent(crashes []*knownCrash, addressInterval time.Duration) int {
 	crashes = slices.Clone(crashes)
 	slices.SortFunc(crashes, func(x, y *knownCrash) int { return x.at.Compare(y.at) })
 	countedAt := map[string]time.Time{}
 	count := 0
 	var latest time.Time
 	for _, c := range crashes {
-		if c.at.Sub(latest) < simultaneousCrashes || c.at.Sub(countedAt[c.address]) < sameAddressInterval {
+		if c.at.Sub(latest) < simultaneousCrashes || c.at.Sub(countedAt[c.address]) < addressInterval {
 			continue
 		}
 		countedAt[c.address], latest = c.at, c.at
--- a/kernel/gateway/attempts.go
+++ b/kernel/gateway/attempts.go
@@ -319,7 +319,7 @@
 	}
 	switch {
 	case f == Broken:
-		g.crashes.recordBroken(a.endpoint, brokenExchange{digest: r.incoming.Digest, at: now, address: a.address, parts: r.suspectParts(now, a)})
+		g.crashes.recordBroken(a.endpoint, brokenExchange{digest: r.incoming.Digest, at: now, address: a.address, parts: r.suspectsOf(now, a)})
 		g.checkEndpointLater(a)
 	case e != nil && f == NotSent:
 		g.suspectPath(e)
--- a/kernel/gateway/crash.go
+++ b/kernel/gateway/crash.go
@@ -17,9 +17,6 @@
 	// reports in one ping.
 	maxCrashes        = 256
 	maxReportsPerPing = 12
-	// poisonCrashes is the number of crashes after which content is
-	// quarantined.
-	poisonCrashes = 3
 	// crashConfirmWindow is the time after a broken exchange within which the
 	// loss of the endpoint counts as its crash. A crashed endpoint stays listed
 	// for up to three heartbeats.
@@ -52,7 +49,7 @@
 
 func newCrashTracker() *crashTracker {
 	return &crashTracker{
-		table:           blame.NewTable(blame.Config{Retention: crashRetention, MaxCrashes: maxCrashes, PoisonCrashes: poisonCrashes}),
+		table:           blame.NewTable(blame.Config{Retention: crashRetention, MaxCrashes: maxCrashes, PoisonCrashes: partCrashes}),
 		parts:           newParts(),
 		brokenExchanges: map[ident.Endpoint][]brokenExchange{},
 		checking:        value.NewSet[ident.Endpoint](),
@@ -100,12 +97,6 @@
 	}
 }
 
-// isPoison reports whether content must not run any more: it has crashed
-// poisonCrashes endpoints.
-func (c *crashTracker) isPoison(now time.Time, d ident.Digest) bool {
-	return c.table.CrashCount(d) >= poisonCrashes && c.table.StatusOf(now, d) == blame.Poison
-}
-
 // latestReports returns the latest crash reports, to be sent to other
 // instances.
 func (c *crashTracker) latestReports(now time.Time) []message.CrashReport {
@@ -116,11 +107,23 @@
 	return reports
 }
 
-// mergeReports adds the crash reports of another instance.
-func (c *crashTracker) mergeReports(now time.Time, reports []message.CrashReport) {
-	for _, r := range reports {
-		c.table.AddReport(now, blame.Report{Digest: r.Digest, Endpoint: r.Endpoint, Service: r.Service, At: now.Add(-r.Age)})
+// mergeReports adds the crash reports of another instance. One of an earlier build tells of
+// contents in no other way.
+func (g *Gateway) mergeReports(now time.Time, p message.Ping) {
+	for _, r := range p.CrashReports {
+		g.crashes.table.AddReport(now, blame.Report{Digest: r.Digest, Endpoint: r.Endpoint, Service: r.Service, At: now.Add(-r.Age)})
+	}
+	if p.TellsContents || len(p.CrashReports) == 0 {
+		return
+	}
+	for _, r := range p.CrashReports {
+		address := string(r.Endpoint)
+		if e := g.directory.Lookup(r.Endpoint); e != nil {
+			address = e.Address
+		}
+		g.crashes.parts.AddCrash(now, blame.PartCrash{Address: address, At: now.Add(-r.Age), Parts: []ident.PromptPart{contentOf(r.Digest)}})
 	}
+	g.updateQuarantine(now)
 }
 
 // expireBrokenExchanges drops the broken exchanges of endpoints that were not
--- a/kernel/gateway/parts.go
+++ b/kernel/gateway/parts.go
@@ -5,12 +5,12 @@
 	"encoding/hex"
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"anvilcross/kernel/blame"
 	"anvilcross/kernel/ident"
 	"anvilcross/kernel/message"
-	"anvilcross/kernel/published"
 	"anvilcross/kernel/value"
 )
 
@@ -36,8 +36,8 @@
 	partNewsTime = 3 * time.Second
 	// maxPartCrashesPerPing limits the crashes in one ping.
 	maxPartCrashesPerPing = 16
-	// maxSuspects limits the parts that are suspects of one crash.
-	maxSuspects = 256
+	// maxSuspects limits the parts and contents that are suspects of one crash.
+	maxSuspects = 512
 	// maxTrackedParts limits the parts whose uses, or whose complete answers, are kept.
 	maxTrackedParts = 20_000
 	// maxSuspectsPerPing and maxSoundPartsPerPing limit the parts in one ping.
@@ -49,10 +49,14 @@
 	maxLoggedParts = 16
 )
 
-const quarantinedPartReason = "a part of the prompt has crashed the endpoints that answered it"
+// contentPrefix begins what contents are known by.
+const contentPrefix = "content:"
+
+const quarantinedPartReason = "a part of the prompt, or the content, has crashed the endpoints that ran it"
 
 func newParts() *blame.Parts {
-	return blame.NewParts(blame.PartsConfig{Retention: partRetention, MinCrashes: partCrashes, MinTiedCrashes: tiedPartCrashes, MaxCrashes: maxCrashes, MaxPartsPerCrash: maxSuspects, MaxPartsTracked: maxTrackedParts})
+	isContent := func(d ident.PromptPart) bool { return strings.HasPrefix(string(d), contentPrefix) }
+	return blame.NewParts(blame.PartsConfig{IsWhole: isContent, Retention: partRetention, MinCrashes: partCrashes, MinTiedCrashes: tiedPartCrashes, MaxCrashes: maxCrashes, MaxPartsPerCrash: maxSuspects, MaxPartsTracked: maxTrackedParts})
 }
 
 // sharedParts returns the prompt parts that other requests may share: all but the last. The
@@ -68,6 +72,16 @@
 	return parts
 }
 
+// contentOf returns what the content of a whole request is known by among the suspects of a
+// crash. No part has such an id, since the ids of parts hold no colon.
+func contentOf(d ident.Digest) ident.PromptPart { return ident.PromptPart(contentPrefix + d.String()) }
+
+// newSuspects returns what may make endpoints crash that run a request: the prompt parts that it
+// shares with others and, last, its content as a whole.
+func newSuspects(incoming CallerRequest) []ident.PromptPart {
+	return append(sharedParts(incoming.Prompt), contentOf(incoming.Digest))
+}
+
 // partOf returns what a part is known by: its id, or the digest of a long one.
 func partOf(id string) ident.PromptPart {
 	if len(id) <= maxPartIDBytes {
@@ -85,37 +99,42 @@
 	return append(slices.Clone(parts[:maxLoggedParts]), ident.PromptPart(fmt.Sprintf("+%d", len(parts)-maxLoggedParts)))
 }
 
-// suspectParts returns the parts that may have made an endpoint crash while it had an
-// attempt: none if it had been answering for a while.
-func (r *request) suspectParts(now time.Time, a *attempt) []ident.PromptPart {
-	if !a.written || !a.firstEventAt.IsZero() && now.Sub(a.firstEventAt) > beginningTime {
+// beginsAnswer reports whether an endpoint with an attempt has not answered it for long.
+func (a *attempt) beginsAnswer(now time.Time) bool {
+	return a.written && (a.firstEventAt.IsZero() || now.Sub(a.firstEventAt) <= beginningTime)
+}
+
+// suspectsOf returns what may have made an endpoint crash while it had an attempt: no part of
+// the prompt if it had been answering for a while.
+func (r *request) suspectsOf(now time.Time, a *attempt) []ident.PromptPart {
+	switch {
+	case !a.written:
 		return nil
+	case a.beginsAnswer(now):
+		return r.suspects
 	}
-	return r.sharedParts
+	return r.suspects[len(r.suspects)-1:]
 }
 
-// recordAnswered records that the parts of a request have not crashed the endpoint that
-// answered it. An answer that ended with its connection may have been cut off by a crash.
+// recordAnswered records that a request has not crashed the endpoint that answered it. An
+// answer that ended with its connection may have been cut off by a crash.
 func (g *Gateway) recordAnswered(r *request, d Delivery) {
-	if r.route.Kind != published.Stream || len(r.incoming.Prompt) == 0 {
-		return
-	}
 	now := g.now()
 	if !d.Delimited {
-		if parts := r.suspectParts(now, r.attempt); len(parts) > 0 {
-			g.crashes.recordBroken(r.attempt.endpoint, brokenExchange{digest: r.incoming.Digest, at: now, address: r.attempt.address, parts: parts})
+		if a := r.attempt; a.beginsAnswer(now) {
+			g.crashes.recordBroken(a.endpoint, brokenExchange{digest: r.incoming.Digest, at: now, address: a.address, parts: r.suspects})
 		}
 		return
 	}
-	for _, part := range r.sharedParts {
+	for _, part := range r.suspects {
 		g.crashes.parts.RecordSound(now, part, now)
 	}
 }
 
 // hasQuarantinedPart reports whether a request must not run because of a part of its
-// prompt.
+// prompt or because of its content.
 func (g *Gateway) hasQuarantinedPart(r *request) bool {
-	for _, part := range r.sharedParts {
+	for _, part := range r.suspects {
 		if g.crashes.parts.Quarantined(g.now(), part) {
 			return true
 		}
@@ -123,9 +142,9 @@
 	return false
 }
 
-// recordPartUse counts an admitted request for the parts of its prompt.
+// recordPartUse counts an admitted request for the parts of its prompt and its content.
 func (g *Gateway) recordPartUse(r *request) {
-	for _, part := range r.sharedParts {
+	for _, part := range r.suspects {
 		g.crashes.parts.RecordUse(g.now(), part)
 	}
 }
@@ -179,6 +198,7 @@
 // addPartNews adds to a ping what other instances have to know of crashes.
 func (g *Gateway) addPartNews(now time.Time, p *message.Ping) {
 	news := g.crashes.parts.NewsSince(now, now.Add(-partNewsTime), blame.NewsLimits{Crashes: maxPartCrashesPerPing, Suspects: maxSuspectsPerPing, Sound: maxSoundPartsPerPing})
+	p.TellsContents = len(p.CrashReports) > 0
 	for _, c := range news.Crashes {
 		p.PartCrashes = append(p.PartCrashes, message.PartCrash{Address: c.Address, Age: now.Sub(c.At), Parts: c.Parts})
 	}
--- a/kernel/gateway/peers.go
+++ b/kernel/gateway/peers.go
@@ -196,7 +196,7 @@
 		g.reportedAlive, g.reportedAliveAt = p.AliveCount, now
 	}
 	g.directory.MergeUnreachable(now, p.RecentlyUnreachable)
-	g.crashes.mergeReports(now, p.CrashReports)
+	g.mergeReports(now, p)
 	g.mergePartNews(now, p)
 	g.mergeLimits(now, p)
 	g.mergeNotices(now, p)
--- a/kernel/gateway/poison_test.go
+++ b/kernel/gateway/poison_test.go
@@ -29,15 +29,31 @@
 func TestPoisonContentIsQuarantined(t *testing.T) {
 	t.Run("after three crashes", func(t *testing.T) {
 		tg := newConfigured(t)
-		for range poisonCrashes {
+		for range partCrashes {
 			tg.crashEndpoint("/draft/")
 		}
 		tg.wantAnswer(tg.sendRequest("/draft/", func(c *CallerRequest) { c.Digest = poisonDigest }), Quarantined)
 	})
+	t.Run("that crashes endpoints after a while of answering", func(t *testing.T) {
+		tg := newConfigured(t)
+		poison := func(c *CallerRequest) { c.Digest = poisonDigest }
+		for range partCrashes {
+			h := tg.sendRequest("/draft/", poison)
+			s := tg.wantSend(h)
+			tg.mustBeginWrite(h, s)
+			tg.gateway.HandleResponseHead(h, s.Attempt, false, endpoints.Load{})
+			tg.gateway.HandleFirstEvent(h, s.Attempt)
+			tg.advance(2 * time.Second)
+			tg.gateway.HandleFailure(h, s.Attempt, Broken, "9", "reset")
+			tg.gateway.HandleChanges([]replica.Record{{Key: string(s.Endpoint), Revision: tg.gateway.AsOf() + 1, Removed: true}}, tg.gateway.AsOf()+1)
+			tg.advance(3 * time.Second)
+		}
+		tg.wantAnswer(tg.sendRequest("/draft/", poison), Quarantined)
+	})
 	t.Run("by the word of other instances", func(t *testing.T) {
 		tg := newConfigured(t)
 		var reports []message.CrashReport
-		for n := range poisonCrashes {
+		for n := range partCrashes {
 			reports = append(reports, message.CrashReport{Digest: poisonDigest, Endpoint: testListing("models", n).Name, Service: "models", Age: time.Duration(10*n+5) * time.Second})
 		}
 		tg.gateway.HandleMessage(message.Envelope{From: "two", Ping: &message.Ping{CrashReports: reports}})
--- a/kernel/gateway/poisonpart_test.go
+++ b/kernel/gateway/poisonpart_test.go
@@ -71,6 +71,9 @@
 	crashing bool
 	// common are the parts that all prompts begin with.
 	common []PromptPart
+	// alike is set if all sound requests have the same content, and poison if those that
+	// crash endpoints do so by their content, which is the same each time, not by a part.
+	alike, poison bool
 	// idSuffix ends the id of the crashing part.
 	idSuffix string
 	// undelimited is set if the answers that a crash cuts off look complete.
@@ -118,14 +121,21 @@
 	r := &partRequest{at: f.timers.Now(), instance: name, handle: h, crashing: crashing, root: fmt.Sprintf("root-%d", f.random.IntN(4))}
 	path, pieces, session := "/verse/", []int{0, 0}, fmt.Sprintf("session-%d", f.random.IntN(40))
 	prompt := []PromptPart{{ID: r.root, Tokens: 200}, {ID: session, Tokens: 300}}
-	if crashing {
+	digest, own := ident.Digest(h), fmt.Sprint("own-", h)
+	switch {
+	case crashing && f.poison:
+		digest, own = 42, "own-poison"
+	case !crashing && f.alike:
+		digest, own = 43, "own-alike"
+	}
+	if crashing && !f.poison {
 		prompt = append(prompt, PromptPart{ID: crashingPart + f.idSuffix, Tokens: 100})
-	} else if f.random.IntN(3) == 0 {
+	} else if !crashing && !f.alike && f.random.IntN(3) == 0 {
 		path, pieces, prompt[0].ID, r.root = "/draft/", []int{0}, "draft-root", "draft-root"
 	}
 	f.requests = append(f.requests, r)
 	f.byHandle[h] = r
-	f.gateways[name].HandleRequest(h, CallerRequest{ID: ident.RequestID(fmt.Sprint(h)), Host: "h", Path: path, Key: "key", Timeout: 6 * time.Second, PieceCounts: pieces, Prompt: slices.Concat(f.common, prompt, []PromptPart{{ID: fmt.Sprint("own-", h), Tokens: 50}}), Digest: ident.Digest(h)})
+	f.gateways[name].HandleRequest(h, CallerRequest{ID: ident.RequestID(fmt.Sprint(h)), Host: "h", Path: path, Key: "key", Timeout: 6 * time.Second, PieceCounts: pieces, Prompt: slices.Concat(f.common, prompt, []PromptPart{{ID: own, Tokens: 50}}), Digest: digest})
 }
 
 // takeStep lets an endpoint serve an attempt.
@@ -352,6 +362,58 @@
 	}
 }
 
+// Sound requests with the same content, some of which are always in progress, are refused with
+// the part that crashes endpoints, or because endpoints crash for other reasons.
+func TestSoundContentInProgressAtCrashesGoesOn(t *testing.T) {
+	for _, c := range []struct{ size, models int }{{3, 4}, {66, 24}} {
+		t.Run(fmt.Sprintf("beside a crashing part, %d instances", c.size), func(t *testing.T) {
+			t.Parallel()
+			f := newPartFleet(t, c.size, c.models, 2)
+			f.alike = true
+			f.wantPartQuarantined()
+		})
+		t.Run(fmt.Sprintf("endpoints that crash for other reasons, %d instances", c.size), func(t *testing.T) {
+			t.Parallel()
+			f := newPartFleet(t, c.size, c.models, 2)
+			f.alike = true
+			f.advance(4 * time.Second)
+			for n := range 6 {
+				f.crash(f.models[n%len(f.models)])
+				f.advance(4 * time.Second)
+			}
+			if n := f.quarantinedSound(f.timers.Now().Add(-time.Minute)); n > 0 {
+				t.Errorf("%d of %d sound requests were quarantined", n, len(f.requests))
+			}
+		})
+	}
+}
+
+// A content that crashes endpoints, sent again and again, is refused late where endpoints have
+// many other requests, because crash reports on them crowd out those on it.
+func TestPoisonContentAmongManyRequestsIsQuarantined(t *testing.T) {
+	for _, c := range []struct{ size, models int }{{3, 4}, {66, 24}, {295, 60}} {
+		t.Run(fmt.Sprint(c.size), func(t *testing.T) {
+			t.Parallel()
+			f := newPartFleet(t, c.size, c.models, 4)
+			f.poison = true
+			f.timers.Every(time.Second/300, func() { f.arrive(false) })
+			f.timers.Every(3*time.Second, func() { f.arrive(true) })
+			f.advance(30 * time.Second)
+			if len(f.crashTimes) < 3 {
+				t.Fatalf("only %d crashes", len(f.crashTimes))
+			}
+			late := countAfter(f.arrivals, f.crashTimes[2].Add(partContactTime))
+			t.Logf("%d crashes; the request reached endpoints %d times later than %v after the third", len(f.crashTimes), late, partContactTime)
+			if late > maxAfterFive {
+				t.Errorf("want %d at most", maxAfterFive)
+			}
+			if n := f.quarantinedSound(testStart); n > 0 {
+				t.Errorf("%d sound requests were quarantined", n)
+			}
+		})
+	}
+}
+
 // Endpoints that crash for other reasons must not get the parts of the requests that
 // were running there quarantined.
 func TestCrashesWithoutACommonPartQuarantineNone(t *testing.T) {
--- a/kernel/gateway/request.go
+++ b/kernel/gateway/request.go
@@ -143,8 +143,8 @@
 	timeToFirstEvent time.Duration
 	// lastEventID is the id of the last event that the caller has.
 	lastEventID string
-	// sharedParts are the parts of the prompt that other requests may share.
-	sharedParts         []ident.PromptPart
+	// suspects is what may make endpoints crash that begin to run the request.
+	suspects            []ident.PromptPart
 	excluded            value.Set[ident.Endpoint]
 	preferredDataCentre ident.DataCentre
 	finished            bool
@@ -189,7 +189,7 @@
 func (g *Gateway) HandleRequest(h RequestHandle, incoming CallerRequest) {
 	now := g.now()
 	g.counters.Arrived++
-	r := &request{handle: h, incoming: incoming, arrivedAt: now, sharedParts: sharedParts(incoming.Prompt), excluded: value.NewSet[ident.Endpoint](), triedMembers: value.NewSet[ident.Instance]()}
+	r := &request{handle: h, incoming: incoming, arrivedAt: now, suspects: newSuspects(incoming), excluded: value.NewSet[ident.Endpoint](), triedMembers: value.NewSet[ident.Instance]()}
 	g.requests[r.handle] = r
 	if !g.admit(r) {
 		return
@@ -215,7 +215,7 @@
 		return
 	}
 	g.recordPartUse(r)
-	g.out.LogEvent("arrived", "request", incoming.ID, "route", r.route.Name, "workspace", r.workspaceName(), "service", r.service, "version", g.catalog.Version, "patience", timeout, "pieces", incoming.PieceCounts, "prompt", loggedParts(r.sharedParts), "lastEvent", incoming.LastEventID, "resumes", incoming.Resumes, "forwardedBy", r.forwardedBy())
+	g.out.LogEvent("arrived", "request", incoming.ID, "route", r.route.Name, "workspace", r.workspaceName(), "service", r.service, "version", g.catalog.Version, "patience", timeout, "pieces", incoming.PieceCounts, "prompt", loggedParts(sharedParts(incoming.Prompt)), "lastEvent", incoming.LastEventID, "resumes", incoming.Resumes, "forwardedBy", r.forwardedBy())
 	if g.paths.Lost(r.service) && g.forward(r) {
 		return
 	}
@@ -302,10 +302,6 @@
 			return false
 		}
 	}
-	if g.crashes.isPoison(g.now(), r.incoming.Digest) {
-		g.answer(r, Quarantined, 0, "the content has crashed the endpoints that ran it")
-		return false
-	}
 	if g.hasQuarantinedPart(r) {
 		g.answer(r, Quarantined, 0, quarantinedPartReason)
 		return false
--- a/kernel/message/gateway.go
+++ b/kernel/message/gateway.go
@@ -51,6 +51,9 @@
 	// CrashReports holds reports of the latest crashes of endpoints, one for each
 	// content that was running.
 	CrashReports []CrashReport `json:"crashes,omitempty"`
+	// TellsContents is set beside CrashReports if PartCrashes and the fields below hold
+	// contents too. The sender is of an earlier build if it is not.
+	TellsContents bool `json:"tellsContents,omitempty"`
 	// PartCrashes and SoundParts are what the sender has learned lately of crashes and
 	// of prompt parts that did not cause them: the time since a request with the part
 	// was answered completely. QuarantinedParts holds the parts that must not run, with
