--- a/kernel/blame/blame.go
+++ b/kernel/blame/blame.go
@@ -8,7 +8,7 @@
 // under a new id.
 //
 // Parts does the same for the prompt parts that requests share, where no two requests
-// are alike.
+// are alike, and for whole requests where they cannot run isolated.
 package blame
 
 import (
