Test crowds of callers that nobody controls, before limiting them

Cause: callers outside our control sent many large, chunked and oversized bodies at once; a process ran out of memory. No test sends such load to a running daemon.

Change: anvilload/fleet/hostilecallers_test.go starts a daemon with 96 MB (memoryMegabytes) and 200 descriptors and connects 240 callers. The crowds and the bounds (96 MiB resident by VmHWM, 190 open descriptors, one ordinary request answered while the crowd is connected) are fixed here, before the product changes. fleet.Config gets additional settings for the daemons.

Ruled out: a limit of the process itself (ulimit -v, a cgroup) in place of a bound on what it takes; the Go runtime reserves more addresses than it uses, and an isolation tool may not be started here.

--- a/anvilload/fleet/fleet.go
+++ b/anvilload/fleet/fleet.go
@@ -53,6 +53,8 @@
 	// of proxies. Both are optional.
 	StoreAddress    func(daemon string) (string, error)
 	AnnounceAddress func(daemon, address string) (string, error)
+	// Settings is INI text that is appended to the settings of each daemon. It may be empty.
+	Settings string
 }
 
 // Daemon is one gateway daemon of the fleet. It can be killed and launched
@@ -171,6 +173,7 @@
 	zones := site.Zones()
 	text := fmt.Sprintf("[instance]\nseat = %s\ndataCentre = %s\nseeds = %s\n[listen]\ncallers = %s\nready = %s\npeers = %s\nannounce = %s\nmetrics = %s\n[platform]\naddress = %s\n",
 		name, zones[n%len(zones)], strings.Join(peerAddresses[:min(len(peerAddresses), 3)], ","), addresses[0], addresses[1], peerAddresses[n], announceAddress, addresses[2], storeAddress)
+	text += c.Settings
 	return d, errors.Trace(os.WriteFile(d.settingsPath, []byte(text), 0o600))
 }
 
--- /dev/null
+++ b/anvilload/fleet/hostilecallers_test.go
@@ -0,0 +1,289 @@
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+	"unsafe"
+
+	"anvilcross/anvilstandin/client"
+	"anvilcross/anvilstandin/site"
+)
+
+// The crowds of hostile callers and the bounds on the process. They were fixed before the
+// product limited what callers take, and hold for all crowds of this file.
+const (
+	// crowdSize is the number of connections of a crowd. One caller in wholeShare sends its
+	// whole body, the others stop one byte short of its end and stay open.
+	crowdSize  = 240
+	wholeShare = 8
+	// crowdBodyBytes is the size of a body, which is also max-body-bytes of the site.
+	crowdBodyBytes = 1 << 20
+	// crowdMemoryMegabytes is the memory that the settings give the process, and
+	// maxResidentBytes what it may take.
+	crowdMemoryMegabytes = 96
+	maxResidentBytes     = crowdMemoryMegabytes << 20
+	// crowdDescriptors is the process's limit of descriptors, and maxOpenDescriptors how many
+	// of them callers may bring it to: the others are left for endpoints, the store and other
+	// instances.
+	crowdDescriptors   = 200
+	maxOpenDescriptors = 190
+	// crowdWriteTimeout ends the sending of a caller whose bytes nobody reads.
+	crowdWriteTimeout = 15 * time.Second
+	// ordinaryTimeout ends the wait for the answer to an ordinary request.
+	ordinaryTimeout = 90 * time.Second
+)
+
+// limitedDaemon is a daemon with lowered limits in front of a site.
+type limitedDaemon struct {
+	*testFleet
+	daemon *Daemon
+	// mostDescriptors is the largest number of open descriptors that was seen. It is read
+	// after stopSampling.
+	mostDescriptors int
+	sampling        sync.WaitGroup
+	endSampling     chan struct{}
+}
+
+// startLimitedDaemon starts one daemon with the memory and the descriptors of these tests.
+func startLimitedDaemon(t *testing.T) *limitedDaemon {
+	t.Helper()
+	s, err := site.Start(site.Config{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.PublishConfiguration(2, func(c map[string]any) {
+		c["limits"].(map[string]any)["max-body-bytes"] = crowdBodyBytes
+	})
+	f, err := Start(Config{Binary: binary, Directory: t.TempDir(), Count: 1, Site: s, Settings: fmt.Sprintf("[limits]\nmemoryMegabytes = %d\n", crowdMemoryMegabytes)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := &limitedDaemon{
+		testFleet:   &testFleet{t: t, site: s, fleet: f, httpClient: &http.Client{Timeout: 20 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}},
+		daemon:      f.Daemons[0],
+		endSampling: make(chan struct{}),
+	}
+	t.Cleanup(func() {
+		f.Stop()
+		_ = s.Close()
+		if t.Failed() {
+			l.printLogTails()
+		}
+	})
+	limit := syscall.Rlimit{Cur: crowdDescriptors, Max: crowdDescriptors}
+	if _, _, code := syscall.RawSyscall6(syscall.SYS_PRLIMIT64, uintptr(l.pid()), syscall.RLIMIT_NOFILE, uintptr(unsafe.Pointer(&limit)), 0, 0, 0); code != 0 {
+		t.Fatal(code)
+	}
+	// The daemon reads its limit once a second.
+	time.Sleep(1500 * time.Millisecond)
+	l.wantOrdinaryAnswer()
+	l.sampling.Go(l.sampleDescriptors)
+	return l
+}
+
+func (l *limitedDaemon) pid() int { return l.daemon.command.Process.Pid }
+
+func (l *limitedDaemon) sampleDescriptors() {
+	ticker := time.NewTicker(10 * time.Millisecond)
+	defer ticker.Stop()
+	for {
+		if names, err := os.ReadDir(filepath.Join("/proc", strconv.Itoa(l.pid()), "fd")); err == nil {
+			l.mostDescriptors = max(l.mostDescriptors, len(names))
+		}
+		select {
+		case <-l.endSampling:
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// mostResidentBytes returns the largest resident memory that the process has had.
+func (l *limitedDaemon) mostResidentBytes() int {
+	l.t.Helper()
+	text, err := os.ReadFile(filepath.Join("/proc", strconv.Itoa(l.pid()), "status"))
+	if err != nil {
+		l.t.Fatal(err)
+	}
+	for line := range strings.Lines(string(text)) {
+		if fields := strings.Fields(line); len(fields) == 3 && fields[0] == "VmHWM:" {
+			kilobytes, err := strconv.Atoi(fields[1])
+			if err != nil {
+				l.t.Fatal(err)
+			}
+			return kilobytes << 10
+		}
+	}
+	l.t.Fatalf("no VmHWM in %q", text)
+	return 0
+}
+
+// wantOrdinaryAnswer fails the test unless a caller that sends an ordinary request, and sends it
+// again when it is refused, gets a whole answer.
+func (l *limitedDaemon) wantOrdinaryAnswer() {
+	l.t.Helper()
+	problem := ""
+	for deadline := time.Now().Add(ordinaryTimeout); time.Now().Before(deadline); time.Sleep(200 * time.Millisecond) {
+		request := client.NewRequest("order")
+		if problem = client.FindProblem(request, client.Send(context.Background(), l.httpClient, l.daemon.CallerAddress, request)); problem == "" {
+			return
+		}
+	}
+	l.t.Fatalf("an ordinary request got no answer: %s", problem)
+}
+
+// runCrowd lets a crowd of callers send at once, each on a connection of its own. It then checks
+// that the process lives, answers an ordinary request while the crowd is still connected, and
+// stays within its bounds.
+func (l *limitedDaemon) runCrowd(send func(c net.Conn, n int)) {
+	l.t.Helper()
+	var mutex sync.Mutex
+	var open []net.Conn
+	var sending sync.WaitGroup
+	for n := range crowdSize {
+		sending.Go(func() {
+			c, err := net.DialTimeout("tcp4", l.daemon.CallerAddress, crowdWriteTimeout)
+			if err != nil {
+				return
+			}
+			mutex.Lock()
+			open = append(open, c)
+			mutex.Unlock()
+			_ = c.SetWriteDeadline(time.Now().Add(crowdWriteTimeout))
+			send(c, n)
+		})
+	}
+	sending.Wait()
+	defer func() {
+		for _, c := range open {
+			_ = c.Close()
+		}
+	}()
+	select {
+	case err := <-l.daemon.exited:
+		l.daemon.exited <- err
+		l.t.Fatalf("the process has ended: %v", err)
+	default:
+	}
+	l.wantOrdinaryAnswer()
+	close(l.endSampling)
+	l.sampling.Wait()
+	resident := l.mostResidentBytes()
+	l.t.Logf("%d MiB resident at most (bound %d), %d descriptors at most (bound %d)", resident>>20, maxResidentBytes>>20, l.mostDescriptors, maxOpenDescriptors)
+	if resident > maxResidentBytes {
+		l.t.Errorf("the process took %d MiB, want %d at most", resident>>20, maxResidentBytes>>20)
+	}
+	if l.mostDescriptors > maxOpenDescriptors {
+		l.t.Errorf("the process had %d open descriptors, want %d at most", l.mostDescriptors, maxOpenDescriptors)
+	}
+}
+
+// crowdHead is the head of a request of a crowd, with the fields that frame its body.
+func crowdHead(framing string) string {
+	request := client.NewRequest("order")
+	return fmt.Sprintf("POST /order/x HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\nRequest-Id: %s\r\n%s\r\n", site.Host, site.APIKey, request.ID, framing)
+}
+
+// writePieces writes bytes in pieces of a size with a pause after each.
+func writePieces(c net.Conn, text []byte, size int, pause time.Duration) {
+	for len(text) > 0 {
+		n, err := c.Write(text[:min(size, len(text))])
+		if err != nil {
+			return
+		}
+		text = text[n:]
+		time.Sleep(pause)
+	}
+}
+
+// Many bodies of legal size at once, most of which stop short of their end, take the memory of
+// the process.
+func TestCrowdsOfLargeBodies(t *testing.T) {
+	body := bytes.Repeat([]byte("x"), crowdBodyBytes)
+	for _, c := range []struct {
+		name  string
+		piece int
+		pause time.Duration
+	}{{"whole", crowdBodyBytes, 0}, {"piece by piece", 16 << 10, 10 * time.Millisecond}} {
+		t.Run(c.name, func(t *testing.T) {
+			startLimitedDaemon(t).runCrowd(func(n net.Conn, i int) {
+				_, _ = io.WriteString(n, crowdHead(fmt.Sprintf("Content-Length: %d\r\n", len(body))))
+				sent := body
+				if i%wholeShare != 0 {
+					sent = body[:len(body)-1]
+				}
+				writePieces(n, sent, c.piece, c.pause)
+			})
+		})
+	}
+}
+
+// Many bodies of legal size in chunks at once, most of which stop short of their end, take the
+// memory of the process.
+func TestCrowdsOfChunkedBodies(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		chunk int
+	}{{"large chunks", 64 << 10}, {"very small chunks", 8}} {
+		t.Run(c.name, func(t *testing.T) {
+			chunk := fmt.Sprintf("%x\r\n%s\r\n", c.chunk, strings.Repeat("x", c.chunk))
+			body := bytes.Repeat([]byte(chunk), crowdBodyBytes/c.chunk)
+			startLimitedDaemon(t).runCrowd(func(n net.Conn, i int) {
+				_, _ = io.WriteString(n, crowdHead("Transfer-Encoding: chunked\r\n"))
+				writePieces(n, body, 64<<10, 0)
+				if i%wholeShare == 0 {
+					_, _ = io.WriteString(n, "0\r\n\r\n")
+				}
+			})
+		})
+	}
+}
+
+// Many bodies far over the limit at once, whether their length is announced or not, take the
+// memory of the process.
+func TestCrowdsOfBodiesOverTheLimit(t *testing.T) {
+	const sentBytes = 16 * crowdBodyBytes
+	piece := bytes.Repeat([]byte("x"), 64<<10)
+	for _, c := range []struct{ name, framing, before, after string }{
+		{"announced", fmt.Sprintf("Content-Length: %d\r\n", 64*crowdBodyBytes), "", ""},
+		{"just sent", "Transfer-Encoding: chunked\r\n", "10000\r\n", "\r\n"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			block := []byte(c.before + string(piece) + c.after)
+			startLimitedDaemon(t).runCrowd(func(n net.Conn, _ int) {
+				_, err := io.WriteString(n, crowdHead(c.framing))
+				for sent := 0; err == nil && sent < sentBytes; sent += len(piece) {
+					_, err = n.Write(block)
+				}
+			})
+		})
+	}
+}
+
+// Many connections that send nothing, the beginning of a head, or a head far over the limit that
+// stops short of what the server reads take the descriptors and the memory of the process.
+func TestCrowdsWithoutARequest(t *testing.T) {
+	field := "Name: " + strings.Repeat("x", 1000) + "\r\n"
+	head := []byte("POST /order/x HTTP/1.1\r\nHost: h\r\n" + strings.Repeat(field, crowdBodyBytes*7/8/len(field)))
+	for name, send := range map[string]func(net.Conn){
+		"nothing":               func(net.Conn) {},
+		"the beginning of one":  func(n net.Conn) { _, _ = io.WriteString(n, "POST /order/x HTTP/1.1\r\nHo") },
+		"a head without an end": func(n net.Conn) { writePieces(n, head, 64<<10, 0) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			startLimitedDaemon(t).runCrowd(func(n net.Conn, _ int) { send(n) })
+		})
+	}
+}
