Bound the memory and the connections that callers take

Cause: bodies of callers were read to their end with nothing that bounds their sum, nothing ended the waiting for their rest but 10 s, and callers could take every descriptor. net/http reads heads of up to 1 MiB, whatever the published limit. Messages of other instances had no time to arrive in, and refused bodies below 256 KiB were waited for without a limit before the refusal was sent.

Change: anvilcrossd/callermemory has one account of the bytes held for callers: a quarter of memoryMegabytes ([limits] callerMemoryShare). A body is read into memory that is reserved as it grows; both buffers count while one is copied. An announced length that does not fit is refused unread with 503, Not run and Retry-After. Where room is short, the holding that has held most for longest without progress (64 KiB within 1 s) is ended. Bodies above 64 KiB leave a quarter free for others. Heads count beyond 4 KiB and are not read beyond twice the published limit and 8 KiB. Connections without a whole request are bounded by descriptors and memory ([limits] waitingConnections); the one that has waited for longest is closed, and accepting waits until it is gone. The same holds, with limits of their own, for forwarded requests, messages of other instances, readiness and metrics. A refusal does not wait for the rest of the body. The digest of a request no longer copies its body.

Ruled out: reserving the announced length (a caller that announces and sends nothing would take it); one slot for each body (a slot of 4 MiB leaves nine); Server.ReadTimeout (it ends the context of running streams); net/http's MaxHeaderBytes for the published limit (it cannot change in a running server).

--- a/anvilcrossd/entry/entry.go
+++ b/anvilcrossd/entry/entry.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -15,6 +14,7 @@
 
 	"github.com/juju/errors"
 
+	"anvilcross/anvilcrossd/callermemory"
 	"anvilcross/anvilcrossd/forward"
 	"anvilcross/anvilcrossd/h1"
 	"anvilcross/anvilcrossd/replymemory"
@@ -30,6 +30,9 @@
 	maxQueuedSteps = 16
 	// bodyTimeout limits the time to read a request's body.
 	bodyTimeout = 10 * time.Second
+	// memoryRetryAfter is how long a caller waits that is refused for want of memory. A body
+	// that makes no progress loses its memory to others in that time.
+	memoryRetryAfter = time.Second
 )
 
 // Config sets up a Server.
@@ -40,6 +43,13 @@
 	HTTPClient  *h1.Client
 	// Memory is the memory for responses.
 	Memory *replymemory.Pool
+	// CallerMemory is the memory for the bodies of requests.
+	CallerMemory *callermemory.Account
+	// HandleWhole is called when the whole request on a connection has arrived.
+	HandleWhole func(net.Conn)
+	// OnRefused is called for each request that is refused because there is no memory for its
+	// body.
+	OnRefused func(*http.Request)
 	// Limits returns what a caller may send.
 	Limits func() published.Limits
 	// ShuttingDown reports whether a graceful shutdown has begun. Each
@@ -122,18 +132,27 @@
 	if s.config.ShuttingDown() {
 		w.Header().Set("Connection", "close")
 	}
-	body, status := s.readBody(w, r)
-	if status != 0 {
+	body, status := s.readBody(w, r, forwarding != nil)
+	defer body.Release()
+	switch status {
+	case 0:
+	case http.StatusServiceUnavailable:
+		s.refuseForMemory(w, r, forwarding != nil)
+		return
+	default:
 		s.reject(w, r, status, "the body is too large, too slow or cut off")
 		return
 	}
+	if n, ok := r.Context().Value(connectionKey{}).(net.Conn); ok {
+		s.config.HandleWhole(n)
+	}
 	incoming, err := platform.DecodeCallerRequest(r)
 	if err != nil {
 		s.reject(w, r, http.StatusBadRequest, err.Error())
 		return
 	}
 	incoming.Forwarded = forwarding
-	incoming.Digest = ident.NewDigest(ident.Pipeline(incoming.Host+r.RequestURI+" "+incoming.Key), string(body))
+	incoming.Digest = ident.NewBytesDigest(ident.Pipeline(incoming.Host+r.RequestURI+" "+incoming.Key), body.Data())
 	active := &activeRequest{handle: gateway.RequestHandle(s.lastHandle.Add(1)), steps: make(chan gateway.Step, maxQueuedSteps)}
 	s.mutex.Lock()
 	s.activeRequests[active.handle] = active
@@ -144,7 +163,7 @@
 		s.mutex.Unlock()
 	}()
 	s.config.WithGateway(func(g *gateway.Gateway) { g.HandleRequest(active.handle, incoming) })
-	c := &callerExchange{server: s, active: active, writer: w, request: r, body: body, forwarded: forwarding != nil}
+	c := &callerExchange{server: s, active: active, writer: w, request: r, body: body.Data(), forwarded: forwarding != nil}
 	outcome := c.run()
 	s.config.RecordRequest(outcome, time.Since(started))
 	if outcome == brokenOff || outcome == callerLeft {
@@ -171,37 +190,62 @@
 func (s *Server) reject(w http.ResponseWriter, r *http.Request, status int, reason string) {
 	s.config.LogEvent("rejected", "status", status, "reason", reason, "method", r.Method)
 	s.config.RecordRequest("rejected", 0)
-	w.Header().Set("Connection", "close")
+	stopReading(w)
 	http.Error(w, reason, status)
 }
 
-// readBody reads the complete body of a request. If that fails, it returns the
-// HTTP status for the answer, else zero.
-func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, int) {
+// refuseForMemory answers a request for whose body there is no memory: it has not run.
+func (s *Server) refuseForMemory(w http.ResponseWriter, r *http.Request, forwarded bool) {
+	s.config.OnRefused(r)
+	s.config.RecordRequest("refusedForMemory", 0)
+	stopReading(w)
+	step := gateway.Step{Answer: gateway.NotRun, RetryAfter: memoryRetryAfter, Reason: "no memory is left for the body of the request", Elsewhere: true}
+	if forwarded {
+		forward.SetAnswer(w.Header(), step.ForwardAnswer())
+	}
+	platform.WriteAnswer(w, r, step)
+}
+
+// stopReading closes the connection after the answer, and reads no more of a body that may still be
+// sent. net/http would otherwise wait for up to 256 KiB of it before it sends the answer.
+func stopReading(w http.ResponseWriter) {
+	w.Header().Set("Connection", "close")
+	_ = http.NewResponseController(w).SetReadDeadline(time.Unix(1, 0))
+}
+
+// readBody reads the complete body of a request. If that fails, it returns the HTTP status for the
+// answer, else zero. The body must be released in any case.
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request, forwarded bool) (*callermemory.Holding, int) {
+	controller := http.NewResponseController(w)
+	kind := callermemory.Bodies
+	if forwarded {
+		kind = callermemory.ForwardedBodies
+	}
+	body := s.config.CallerMemory.NewHolding(kind, func() { _ = controller.SetReadDeadline(time.Unix(1, 0)) })
 	if r.Body == nil || r.Body == http.NoBody {
-		return nil, 0
+		return body, 0
 	}
 	limit := int64(s.config.Limits().MaxBodyBytes)
 	if limit > 0 && r.ContentLength > limit {
-		return nil, http.StatusRequestEntityTooLarge
+		return body, http.StatusRequestEntityTooLarge
 	}
-	controller := http.NewResponseController(w)
 	_ = controller.SetReadDeadline(time.Now().Add(bodyTimeout))
 	reader := r.Body
 	if limit > 0 {
 		reader = http.MaxBytesReader(w, r.Body, limit)
 	}
-	body, err := io.ReadAll(reader)
-	if err != nil {
+	if err := body.Read(reader, r.ContentLength); err != nil {
 		var tooLarge *http.MaxBytesError
 		var timeout net.Error
 		switch {
+		case errors.Cause(err) == callermemory.ErrRefused:
+			return body, http.StatusServiceUnavailable
 		case errors.As(err, &tooLarge):
-			return nil, http.StatusRequestEntityTooLarge
+			return body, http.StatusRequestEntityTooLarge
 		case errors.As(err, &timeout) && timeout.Timeout():
-			return nil, http.StatusRequestTimeout
+			return body, http.StatusRequestTimeout
 		}
-		return nil, http.StatusBadRequest
+		return body, http.StatusBadRequest
 	}
 	_ = controller.SetReadDeadline(time.Time{})
 	return body, 0
--- a/anvilcrossd/gatewayd/callerconnection.go
+++ b/anvilcrossd/gatewayd/callerconnection.go
@@ -21,14 +21,16 @@
 // connections that have been accepted.
 type callerListener struct {
 	*net.TCPListener
+	// newHeadMemory returns the memory for the heads of a connection.
+	newHeadMemory func(net.Conn) *headMemory
 	// paused and resumed hand the accepting goroutine's pause over.
 	paused, resumed chan struct{}
 	closed          chan struct{}
 	closing         sync.Once
 }
 
-func newCallerListener(l *net.TCPListener) *callerListener {
-	return &callerListener{TCPListener: l, paused: make(chan struct{}), resumed: make(chan struct{}), closed: make(chan struct{})}
+func newCallerListener(l *net.TCPListener, newHeadMemory func(net.Conn) *headMemory) *callerListener {
+	return &callerListener{TCPListener: l, newHeadMemory: newHeadMemory, paused: make(chan struct{}), resumed: make(chan struct{}), closed: make(chan struct{})}
 }
 
 // Accept returns a callerConnection.
@@ -55,7 +57,7 @@
 		_ = c.Close()
 		return nil, errors.Trace(err)
 	}
-	return &callerConnection{TCPConn: c, raw: raw}, nil
+	return &callerConnection{TCPConn: c, raw: raw, head: l.newHeadMemory(c)}, nil
 }
 
 // pause stops accepting connections, and reports whether that was so within a time.
@@ -90,6 +92,8 @@
 	// received is set before any bytes are taken from the socket, so that at each moment they
 	// are seen there or here. handled is set while a request is handled.
 	received, handled atomic.Bool
+	// head is the memory for the head that is being received.
+	head *headMemory
 }
 
 // Read reads from the connection.
@@ -116,6 +120,11 @@
 	case n == 0:
 		return 0, io.EOF
 	}
+	if !c.handled.Load() {
+		if err := c.head.add(n); err != nil {
+			return 0, err
+		}
+	}
 	return n, nil
 }
 
@@ -139,6 +148,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if c, ok := r.Context().Value(callerKey{}).(*callerConnection); ok {
 			c.handled.Store(true)
+			c.head.release()
 		}
 		next.ServeHTTP(w, r)
 	})
--- a/anvilcrossd/gatewayd/gatewayd.go
+++ b/anvilcrossd/gatewayd/gatewayd.go
@@ -19,6 +19,7 @@
 
 	"github.com/juju/errors"
 
+	"anvilcross/anvilcrossd/callermemory"
 	"anvilcross/anvilcrossd/descriptors"
 	"anvilcross/anvilcrossd/entry"
 	"anvilcross/anvilcrossd/eventlog"
@@ -113,6 +114,13 @@
 	limits       atomic.Pointer[published.Limits]
 	shuttingDown atomic.Bool
 	callers      *callerConnections
+	// callerMemory is the memory for what callers send, and peerMemory that for the messages
+	// of other instances.
+	callerMemory, peerMemory *callermemory.Account
+	// callersWaiting bounds the connections of callers without a whole request, and
+	// peersWaiting those of other instances.
+	callersWaiting, peersWaiting *callermemory.Connections
+	refusals                     *refusalLog
 }
 
 // Run serves until a signal ends it or a listener fails.
@@ -130,6 +138,7 @@
 	d.limits.Store(&published.Limits{MaxHeaderBytes: initialMaxHeaderBytes, HeaderTimeout: headerTimeout})
 	d.log = eventlog.NewLog(eventlog.Config{Writer: os.Stdout, Fields: []any{"seat", s.Seat, "dataCentre", s.DataCentre}})
 	debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.MemoryMegabytes) * (1 << 20)))
+	d.newCallerLimits()
 	d.metrics = newGatewayMetrics(metricsConfig{CollectGauges: d.collectGauges})
 	var err error
 	d.descriptors, err = descriptors.NewBudget(descriptors.Config{ReadProcessLimit: descriptors.ReadProcessLimit})
@@ -142,6 +151,7 @@
 		LocalTransport: link.NewTransport(link.Config{IdleTimeout: peerIdleTimeout, MaxConnectionsPerHost: maxConnectionsPerPeer}),
 		HandleMessage:  func(e message.Envelope) { d.applyUpdate(func(g *gateway.Gateway) { g.HandleMessage(e) }) },
 		BuildReply:     d.answerPing,
+		ReadBody:       d.readPeerBody,
 		OnSendFailure: func(to ident.Instance, reason string) {
 			d.withGateway(func(g *gateway.Gateway) { g.HandlePeerFailure(to, reason) })
 		},
@@ -179,6 +189,9 @@
 		WithGateway:   d.withGateway,
 		HTTPClient:    d.httpClient,
 		Memory:        memory,
+		CallerMemory:  d.callerMemory,
+		HandleWhole:   d.handleWhole,
+		OnRefused:     d.refusals.add,
 		Limits:        func() published.Limits { return *d.limits.Load() },
 		ShuttingDown:  d.shuttingDown.Load,
 		RecordRequest: d.metrics.recordRequest,
@@ -301,9 +314,9 @@
 		ConnContext:       withCaller,
 		ErrorLog:          newErrorLog(d.log),
 	}
-	peerServer := &http.Server{Handler: d.peerHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: 2 * peerIdleTimeout, ConnContext: entry.WithConnection, ErrorLog: newErrorLog(d.log)}
-	readyServer := &http.Server{Handler: http.HandlerFunc(d.serveReady), ReadHeaderTimeout: headerTimeout, ErrorLog: newErrorLog(d.log)}
-	metricsServer := &http.Server{Handler: d.metrics.handler(), ReadHeaderTimeout: headerTimeout, ErrorLog: newErrorLog(d.log)}
+	peerServer := &http.Server{Handler: d.peerHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: 2 * peerIdleTimeout, MaxHeaderBytes: maxPeerHeaderBytes, ConnState: d.peersWaiting.HandleState, ConnContext: entry.WithConnection, ErrorLog: newErrorLog(d.log)}
+	readyServer := d.newOperatorsServer(http.HandlerFunc(d.serveReady))
+	metricsServer := d.newOperatorsServer(d.metrics.handler())
 	serveErrors := make(chan error, 4)
 	var listener *callerListener
 	for _, l := range []struct {
@@ -315,7 +328,7 @@
 			return errors.Trace(err)
 		}
 		if l.server == callerServer {
-			listener = newCallerListener(tcp.(*net.TCPListener))
+			listener = newCallerListener(tcp.(*net.TCPListener), d.newHeadMemory)
 			tcp = listener
 		}
 		go func() { serveErrors <- l.server.Serve(tcp) }()
--- a/anvilcrossd/gatewayd/idle.go
+++ b/anvilcrossd/gatewayd/idle.go
@@ -44,8 +44,10 @@
 	case http.StateIdle:
 		c.received.Store(false)
 		c.handled.Store(false)
+		c.head.release()
 		i.idleSince[c] = time.Now()
 	case http.StateClosed, http.StateHijacked:
+		c.head.release()
 		delete(i.idleSince, c)
 	default:
 		i.idleSince[c] = time.Time{}
@@ -77,14 +79,14 @@
 	return false
 }
 
-// trackCaller is the ConnState hook of the server for callers. Callers come first: where there
-// is no room, an idle connection to an endpoint is closed for each of theirs.
+// trackCaller is the ConnState hook of the server for callers.
 func (d *daemon) trackCaller(c net.Conn, state http.ConnState) {
 	d.callers.trackState(c, state)
+	d.callersWaiting.HandleState(c, state)
 	switch state {
 	case http.StateNew:
 		if !d.descriptors.Add() {
-			d.httpClient.MakeRoom()
+			d.makeRoomFor(c)
 		}
 	case http.StateClosed, http.StateHijacked:
 		d.descriptors.Remove()
@@ -111,6 +113,7 @@
 		if err := d.descriptors.UpdateLimit(); err != nil {
 			d.log.WriteEvent("descriptorLimitUnknown", "reason", err)
 		}
+		d.refusals.flush()
 		if closed := d.httpClient.ClosedForRoom(); closed > closedForRoom {
 			d.log.WriteEvent("descriptorsScarce", "open", d.descriptors.Open(), "limit", d.descriptors.Limit(), "idleClosed", closed-closedForRoom)
 			closedForRoom = closed
--- a/anvilcrossd/gatewayd/idle_test.go
+++ b/anvilcrossd/gatewayd/idle_test.go
@@ -23,7 +23,9 @@
 		Handler:     markHandled(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })),
 	}
 	defer func() { _ = server.Close() }()
-	go func() { _ = server.Serve(newCallerListener(listener.(*net.TCPListener))) }()
+	go func() {
+		_ = server.Serve(newCallerListener(listener.(*net.TCPListener), func(net.Conn) *headMemory { return nil }))
+	}()
 	c, err := net.Dial("tcp4", listener.Addr().String())
 	if err != nil {
 		t.Fatal(err)
--- a/anvilcrossd/gatewayd/metrics.go
+++ b/anvilcrossd/gatewayd/metrics.go
@@ -9,6 +9,7 @@
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 
+	"anvilcross/anvilcrossd/callermemory"
 	"anvilcross/anvilcrossd/eventlog"
 	"anvilcross/anvilcrossd/metrics"
 	"anvilcross/kernel/gateway"
@@ -103,6 +104,18 @@
 	gauges["endpoint_connections_closed_for_room"] = float64(d.httpClient.ClosedForRoom())
 	gauges["connections_open"] = float64(d.descriptors.Open())
 	gauges["connections_limit"] = float64(d.descriptors.Limit())
+	for _, k := range callermemory.Kinds() {
+		gauges["caller_memory_"+k.String()+"_bytes"] = float64(d.callerMemory.Used(k) + d.peerMemory.Used(k))
+	}
+	counts := d.callerMemory.Counts()
+	gauges["caller_memory_limit_bytes"] = float64(d.callerMemory.Limit())
+	gauges["caller_memory_refused"] = float64(counts.Refused)
+	gauges["caller_memory_ended"] = float64(counts.Ended)
+	gauges["peer_memory_limit_bytes"] = float64(d.peerMemory.Limit())
+	gauges["peer_memory_refused"] = float64(d.peerMemory.Counts().Refused)
+	gauges["caller_connections_waiting"] = float64(d.callersWaiting.Waiting())
+	gauges["caller_connections_waiting_limit"] = float64(d.maxWaitingCallers())
+	gauges["caller_connections_closed_waiting"] = float64(d.callersWaiting.Closed())
 	gauges["peer_messages_dropped"] = float64(d.mesh.DroppedMessages())
 	gauges["peer_bytes_sent"] = float64(d.mesh.SentBytes())
 	for name, v := range gauges {
--- a/anvilcrossd/peer/peer.go
+++ b/anvilcrossd/peer/peer.go
@@ -61,6 +61,10 @@
 	// OnSendFailure is called when a batch could not be delivered; it may be
 	// nil.
 	OnSendFailure func(to ident.Instance, reason string)
+	// ReadBody reads the body of a received batch of at most a number of bytes. The function
+	// that it returns releases the body. If ReadBody is nil, nothing bounds the memory of all
+	// bodies together or the time for reading one.
+	ReadBody func(w http.ResponseWriter, r *http.Request, maxBytes int64) (body []byte, release func(), err error)
 	// PostTimeout bounds one POST; zero means two seconds.
 	PostTimeout time.Duration
 }
@@ -98,6 +102,9 @@
 	if c.PostTimeout == 0 {
 		c.PostTimeout = defaultPostTimeout
 	}
+	if c.ReadBody == nil {
+		c.ReadBody = readBody
+	}
 	return &Mesh{
 		queuesByAddress: map[string]*queue{},
 		config:          c,
@@ -273,12 +280,19 @@
 	return mux
 }
 
+func readBody(w http.ResponseWriter, r *http.Request, maxBytes int64) ([]byte, func(), error) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBytes))
+	return body, func() {}, err
+}
+
 func (m *Mesh) handleBatch(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	body, release, err := m.config.ReadBody(w, r, maxBodyBytes)
 	if err != nil {
+		w.Header().Set("Connection", "close")
 		http.Error(w, "body too large or cut off", http.StatusBadRequest)
 		return
 	}
+	defer release()
 	if len(m.config.SigningKey) > 0 && !hmac.Equal([]byte(m.sign(body)), []byte(r.Header.Get(headerSignature))) {
 		http.Error(w, "wrong signature", http.StatusForbidden)
 		return
--- a/anvilcrossd/settings/gateway.go
+++ b/anvilcrossd/settings/gateway.go
@@ -34,6 +34,12 @@
 	// MemoryMegabytes is the memory that the process may use, in units of
 	// 1 << 20 bytes.
 	MemoryMegabytes int
+	// CallerMemoryShare is the share of that memory that may be held for callers' bodies
+	// and heads.
+	CallerMemoryShare float64
+	// MaxWaitingConnections limits the callers' connections on which no whole request has
+	// arrived. It is zero if it follows from the memory and the descriptors.
+	MaxWaitingConnections int
 	// ProcessorShare is the share of a processor core that the process may use,
 	// and LinkMegabitsPerSecond the bandwidth of its machine's link. Both are
 	// zero if they are not set.
@@ -60,6 +66,8 @@
 		listenSetting("metrics", func(s *Gateway) *string { return &s.MetricsListen }),
 		textSetting("platform", "address", true, func(s *Gateway) *string { return &s.PlatformAddress }),
 		countSetting("memoryMegabytes", func(s *Gateway) *int { return &s.MemoryMegabytes }),
+		{section: "limits", key: "callerMemoryShare", apply: applyCallerMemoryShare},
+		countSetting("waitingConnections", func(s *Gateway) *int { return &s.MaxWaitingConnections }),
 		numberSetting("limits", "processorShare", func(s *Gateway) *float64 { return &s.ProcessorShare }),
 		numberSetting("limits", "linkMegabits", func(s *Gateway) *float64 { return &s.LinkMegabitsPerSecond }),
 		numberSetting("retries", "ratio", func(s *Gateway) *float64 { return &s.RetryRatio }),
@@ -87,6 +95,17 @@
 	}}
 }
 
+// applyCallerMemoryShare parses the share of the memory for callers. Replies of endpoints and the
+// process itself need the rest.
+func applyCallerMemoryShare(s *Gateway, text string) error {
+	f, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(f > 0 && f <= maxCallerMemoryShare) {
+		return fmt.Errorf("%q is not a share above 0 and of at most %v", text, maxCallerMemoryShare)
+	}
+	s.CallerMemoryShare = f
+	return nil
+}
+
 // applySeeds parses a comma-separated list of addresses.
 func applySeeds(s *Gateway, text string) error {
 	s.Seeds = nil
@@ -117,9 +136,13 @@
 const (
 	defaultGatewayShutdownTimeout = 8 * time.Second
 	defaultMemoryMegabytes        = 256
-	defaultRetryRatio             = 0.1
-	defaultRetrySlack             = 20
-	defaultRetryWindow            = 10 * time.Second
+	// defaultCallerMemoryShare is 36 MB of the smallest instances' 144 MB: six bodies of
+	// the published 4 MiB at once while their buffers grow, and thousands of usual ones.
+	defaultCallerMemoryShare = 0.25
+	maxCallerMemoryShare     = 0.5
+	defaultRetryRatio        = 0.1
+	defaultRetrySlack        = 20
+	defaultRetryWindow       = 10 * time.Second
 )
 
 // ParseGateway parses a gateway's settings from INI text. Overrides are
@@ -127,11 +150,12 @@
 // every problem.
 func ParseGateway(text []byte, overrides []string) (*Gateway, error) {
 	s := &Gateway{
-		ShutdownTimeout: defaultGatewayShutdownTimeout,
-		MemoryMegabytes: defaultMemoryMegabytes,
-		RetryRatio:      defaultRetryRatio,
-		RetrySlack:      defaultRetrySlack,
-		RetryWindow:     defaultRetryWindow,
+		ShutdownTimeout:   defaultGatewayShutdownTimeout,
+		MemoryMegabytes:   defaultMemoryMegabytes,
+		CallerMemoryShare: defaultCallerMemoryShare,
+		RetryRatio:        defaultRetryRatio,
+		RetrySlack:        defaultRetrySlack,
+		RetryWindow:       defaultRetryWindow,
 	}
 	if err := parse(text, overrides, s, knownGatewaySettings()); err != nil {
 		return nil, errors.Trace(err)
--- a/anvilload/fleet/hostilecallers_test.go
+++ b/anvilload/fleet/hostilecallers_test.go
@@ -1,8 +1,10 @@
 package fleet
 
 import (
+	"bufio"
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -287,3 +289,94 @@
 		})
 	}
 }
+
+// A single request inside the published limits is refused on the smallest machine.
+func TestLargestRequestsOnTheSmallestMachine(t *testing.T) {
+	const memoryMegabytes, bodyBytes = 144, 4 << 20
+	s, err := site.Start(site.Config{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = s.Close() }()
+	s.PublishConfiguration(2, func(c map[string]any) { c["limits"].(map[string]any)["max-body-bytes"] = bodyBytes })
+	f, err := Start(Config{Binary: binary, Directory: t.TempDir(), Count: 1, Site: s, Settings: fmt.Sprintf("[limits]\nmemoryMegabytes = %d\n", memoryMegabytes)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Stop()
+	body := strings.Repeat("x", bodyBytes)
+	padding := "Padding: " + strings.Repeat("x", 15<<10) + "\r\n"
+	for name, request := range map[string]string{
+		"a length":               fmt.Sprintf("Content-Length: %d\r\n\r\n%s", bodyBytes, body),
+		"chunks":                 fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", bodyBytes, body),
+		"a large head":           padding + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", bodyBytes, body),
+		"Expect: 100-continue":   fmt.Sprintf("Expect: 100-continue\r\nContent-Length: %d\r\n\r\n%s", bodyBytes, body),
+		"a trailer":              "Transfer-Encoding: chunked\r\nTrailer: T\r\n\r\n1\r\nx\r\n0\r\nT: v\r\n\r\n",
+		"a chunk with extension": "Transfer-Encoding: chunked\r\n\r\n1;name=value\r\nx\r\n0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			c, err := net.Dial("tcp4", f.Daemons[0].CallerAddress)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = c.Close() }()
+			_ = c.SetDeadline(time.Now().Add(30 * time.Second))
+			head := strings.TrimSuffix(crowdHead(""), "\r\n")
+			if _, err := io.WriteString(c, head+request); err != nil {
+				t.Fatal(err)
+			}
+			reader := bufio.NewReader(c)
+			response, err := http.ReadResponse(reader, nil)
+			for err == nil && response.StatusCode == http.StatusContinue {
+				response, err = http.ReadResponse(reader, nil)
+			}
+			if err != nil || response.StatusCode != http.StatusOK {
+				t.Fatalf("got %v and %v, want status 200", response, err)
+			}
+			_ = response.Body.Close()
+		})
+	}
+}
+
+// What callers send beside heads and bodies of the usual form holds a connection for good, takes
+// memory without a limit, or ends the process.
+func TestOddRequestsAreEnded(t *testing.T) {
+	l := startLimitedDaemon(t)
+	chunked := crowdHead("Transfer-Encoding: chunked\r\n")
+	for name, c := range map[string]struct{ beginning, piece string }{
+		"trailers without an end":                  {chunked + "1\r\nx\r\n0\r\n", "Name: value\r\n"},
+		"a chunk extension without an end":         {chunked + "1;", "x"},
+		"a chunk size without an end":              {chunked, "0"},
+		"a head without an end":                    {"POST /order/x HTTP/1.1\r\nHost: h\r\n", "Name: value\r\n"},
+		"a body over the limit that waits for 100": {crowdHead("Expect: 100-continue\r\nContent-Length: 99999999\r\n"), ""},
+		"a large body on a method without one":     {strings.Replace(crowdHead("Content-Length: 99999999\r\n"), "POST /order", "GET /lookup", 1), "x"},
+		"a large head and a body that stops":       {crowdHead("Padding: " + strings.Repeat("x", 18<<10) + "\r\nContent-Length: 1000\r\n"), ""},
+		"requests without an end and no reading":   {"", crowdHead("Content-Length: 0\r\n")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			n, err := net.Dial("tcp4", l.daemon.CallerAddress)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = n.Close() }()
+			_ = n.SetWriteDeadline(time.Now().Add(crowdWriteTimeout))
+			_, err = io.WriteString(n, c.beginning)
+			for sent := 0; err == nil && c.piece != "" && sent < 4<<20; sent += len(c.piece) {
+				_, err = io.WriteString(n, c.piece)
+			}
+			// The answer, or what is left of it after a reset, has an end.
+			_ = n.SetReadDeadline(time.Now().Add(ordinaryTimeout))
+			if name != "requests without an end and no reading" {
+				if _, err := io.Copy(io.Discard, n); err != nil && errors.Is(err, os.ErrDeadlineExceeded) {
+					t.Errorf("the connection is open after %v", ordinaryTimeout)
+				}
+			}
+		})
+	}
+	l.wantOrdinaryAnswer()
+	close(l.endSampling)
+	l.sampling.Wait()
+	if resident := l.mostResidentBytes(); resident > maxResidentBytes {
+		t.Errorf("the process took %d MiB", resident>>20)
+	}
+}
--- a/kernel/ident/ident.go
+++ b/kernel/ident/ident.go
@@ -76,6 +76,15 @@
 	return Digest(d.Sum64())
 }
 
+// NewBytesDigest returns the digest that NewDigest returns for the same body, without a copy of it.
+func NewBytesDigest(pipeline Pipeline, body []byte) Digest {
+	d := xxhash.New()
+	_, _ = d.WriteString(string(pipeline))
+	_, _ = d.Write([]byte{0})
+	_, _ = d.Write(body)
+	return Digest(d.Sum64())
+}
+
 // String returns the digest in hexadecimal.
 func (d Digest) String() string { return fmt.Sprintf("%016x", uint64(d)) }
 
