Take the end of a response for its end only once the request is written

Cause: a reset is reported once for each socket. The goroutine that writes a body above 8 KiB took it, and the reader saw an ordinary end, which ends a response that has no length. The caller got the part that had come as a complete 200. An endpoint that closed its side in the middle was believed likewise.

Change: at the end of a response without a length the reader asks for the result of writing (2 s at most); without success the response has failed.

Ruled out: asking the socket for its error (SO_ERROR): it has been taken by then. Refusing all responses without a length to uploads: endpoints of HTTP/1.0 form have no other.

--- a/anvilcrossd/h1/h1.go
+++ b/anvilcrossd/h1/h1.go
@@ -58,6 +58,9 @@
 	maxResponseHeads = 3
 	// soTCPUserTimeout is the TCP_USER_TIMEOUT socket option on Linux.
 	soTCPUserTimeout = 0x12
+	// unreadRequestTimeout limits the time for which an endpoint that has ended its response
+	// may still read the request.
+	unreadRequestTimeout = 2 * time.Second
 	// bufferBytes is the size of a connection's read buffer.
 	bufferBytes = 4 << 10
 )
@@ -284,6 +287,11 @@
 	detachContext func() bool
 	// writeResult receives the result of writing the request.
 	writeResult chan error
+	// written is set once the result of writing has been received, which is writeErr.
+	written  bool
+	writeErr error
+	// undelimited is set if the response ends with the connection.
+	undelimited bool
 	// reusable is set if the connection can be kept after a complete body.
 	reusable bool
 	finished bool
@@ -368,13 +376,14 @@
 func (x *exchange) wrapResponse(response *http.Response) *Response {
 	x.connection.idleTimeout = parseIdleTimeout(response)
 	select {
-	case err := <-x.writeResult:
-		x.reusable = err == nil
+	case x.writeErr = <-x.writeResult:
+		x.written = true
 	default:
 		// The response came before the request body was written: the endpoint
 		// may still expect the rest of it.
 	}
-	x.reusable = x.reusable && !x.request.SingleUse && delimited(response) && !response.Close && x.connection.idleTimeout > 0
+	x.undelimited = !delimited(response)
+	x.reusable = x.written && x.writeErr == nil && !x.request.SingleUse && delimited(response) && !response.Close && x.connection.idleTimeout > 0
 	response.Body = &responseBody{ReadCloser: response.Body, exchange: x}
 	return &Response{Response: response, exchange: x}
 }
@@ -411,6 +420,10 @@
 // arrived.
 var ErrLongerThanNamed = errors.New("the response is longer than its head says")
 
+// ErrEndUnproved is returned where a response without a length ends, but the request could not be
+// written: the connection may have been reset in the middle of the response.
+var ErrEndUnproved = errors.New("the connection ended while the request was being written, in a response without a length")
+
 // responseBody finishes the exchange when it is read to its end or closed.
 type responseBody struct {
 	io.ReadCloser
@@ -420,8 +433,11 @@
 func (b *responseBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if err == io.EOF {
-		if b.exchange.goesOn() {
+		switch {
+		case b.exchange.goesOn():
 			err = ErrLongerThanNamed
+		case !b.exchange.endProved():
+			err = ErrEndUnproved
 		}
 		b.exchange.finish(true)
 	}
@@ -440,6 +456,22 @@
 	return !strings.HasPrefix(responseStart, string(start))
 }
 
+// endProved reports whether the end of the connection can be that of the response. A response
+// without a length is whole only if the request has been written: Linux reports a reset only once,
+// and if the writing side gets it, the reading side sees an ordinary end.
+func (x *exchange) endProved() bool {
+	if !x.undelimited || x.finished {
+		return true
+	}
+	if !x.written {
+		expiry := time.AfterFunc(unreadRequestTimeout, func() { _ = x.connection.SetDeadline(time.Unix(1, 0)) })
+		x.writeErr = <-x.writeResult
+		x.written = true
+		expiry.Stop()
+	}
+	return x.writeErr == nil
+}
+
 func (b *responseBody) Close() error {
 	b.exchange.finish(false)
 	return nil
