Refuse responses with a status that does not exist

Cause: h1 skipped every status below 200 as informational, also 000 and 101, and took what followed for the response; statuses from 600 to 999 were relayed. Messages between instances counted as delivered with any status below 300.

Change: a status below 100 or above 599, and 101, fails the exchange (h1.ErrInvalidStatus), as an invalid response of that endpoint. A batch is delivered with 200 or 204.

Ruled out: a limit on 1xx responses; there is one of three heads and 64 KiB (TestInformationalResponses- AreBounded held before).

--- a/anvilcrossd/entry/entry.go
+++ b/anvilcrossd/entry/entry.go
@@ -356,8 +356,11 @@
 	}
 	if err != nil {
 		failure := gateway.Broken
-		if h1.NotSent(err) {
+		switch {
+		case h1.NotSent(err):
 			failure = gateway.NotSent
+		case errors.Cause(err) == h1.ErrInvalidStatus:
+			failure = gateway.InvalidResponse
 		}
 		c.reportFailure(send, failure, "", err.Error())
 		return ""
--- a/anvilcrossd/h1/h1.go
+++ b/anvilcrossd/h1/h1.go
@@ -329,7 +329,10 @@
 		if err != nil {
 			return nil, errors.Annotate(err, "reading the response")
 		}
-		if response.StatusCode < http.StatusOK {
+		switch {
+		case !validStatus(response.StatusCode):
+			return nil, errors.Annotatef(ErrInvalidStatus, "status %q", response.Status)
+		case response.StatusCode < http.StatusOK:
 			continue
 		}
 		if x.request.MatchesResponse == nil || x.request.MatchesResponse(response) {
@@ -343,6 +346,13 @@
 	return nil, errors.New("too many responses to other requests")
 }
 
+// validStatus reports whether a response can have a status. No request of ours asks for another
+// protocol.
+func validStatus(code int) bool {
+	const first, last = 100, 599
+	return code >= first && code <= last && code != http.StatusSwitchingProtocols
+}
+
 // skipBody reads the body of a response to another request to its end.
 func (x *exchange) skipBody(response *http.Response) error {
 	expiry := time.AfterFunc(skipTimeout, func() { _ = x.connection.Close() })
@@ -413,6 +423,10 @@
 	return defaultIdleTimeout
 }
 
+// ErrInvalidStatus is the cause of an error if a response has a status that no response to a request
+// of ours has.
+var ErrInvalidStatus = errors.New("the response has an invalid status")
+
 // responseStart begins each response.
 const responseStart = "HTTP/"
 
--- a/anvilcrossd/peer/peer.go
+++ b/anvilcrossd/peer/peer.go
@@ -240,7 +240,7 @@
 		return errors.Trace(err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode >= http.StatusMultipleChoices {
+	if response.StatusCode != http.StatusOK && response.StatusCode != http.StatusNoContent {
 		reason, _ := io.ReadAll(io.LimitReader(response.Body, maxReasonBytes))
 		return errors.Errorf("the peer rejected %d messages: %s: %s", len(batch), response.Status, bytes.TrimSpace(reason))
 	}
--- a/anvilcrossd/peer/peer_test.go
+++ b/anvilcrossd/peer/peer_test.go
@@ -1,8 +1,11 @@
 package peer
 
 import (
+	"bufio"
 	"bytes"
 	"encoding/json"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -85,3 +88,36 @@
 		t.Fatalf("%d messages count as dropped, want 1", sender.DroppedMessages())
 	}
 }
+
+// A batch counts as delivered because its response has a status that no instance sends.
+func TestOddStatusesOfAPeerAreFailures(t *testing.T) {
+	for _, status := range []string{"000", "099", "150", "201", "206", "302", "600", "999"} {
+		t.Run(status, func(t *testing.T) {
+			listener, err := net.Listen("tcp4", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = listener.Close() }()
+			go func() {
+				c, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				defer func() { _ = c.Close() }()
+				if request, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+					_, _ = io.Copy(io.Discard, request.Body)
+				}
+				_, _ = io.WriteString(c, "HTTP/1.1 "+status+" Odd\r\nContent-Length: 0\r\n\r\n")
+			}()
+			failed := make(chan string, 1)
+			m := NewMesh(Config{DataCentre: "a", LocalTransport: link.NewTransport(link.Config{}), PostTimeout: time.Second, OnSendFailure: func(_ ident.Instance, reason string) { failed <- reason }})
+			m.SendToAddress(listener.Addr().String(), message.Envelope{To: "b"})
+			select {
+			case reason := <-failed:
+				t.Log(reason)
+			case <-time.After(3 * time.Second):
+				t.Fatal("the batch counts as delivered")
+			}
+		})
+	}
+}
