--- a/anvilcrossd/h1/status_test.go
+++ b/anvilcrossd/h1/status_test.go
@@ -39,3 +39,33 @@
 		})
 	}
 }
+
+// A response that has no body by its status has one: it claims less than it sends.
+func TestBodiesOfResponsesWithoutOneAreRefused(t *testing.T) {
+	for name, text := range map[string]string{
+		"204, a length":        "HTTP/1.1 204 No Content\r\nId: a\r\nContent-Length: 12\r\n\r\n",
+		"204, length and body": "HTTP/1.1 204 No Content\r\nId: a\r\nContent-Length: 12\r\n\r\ntwelve bytes",
+		"204, chunks":          "HTTP/1.1 204 No Content\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\nc\r\ntwelve bytes\r\n0\r\n\r\n",
+		"204, no mark":         "HTTP/1.1 204 No Content\r\nId: a\r\n\r\ntwelve bytes",
+		"304, no mark":         "HTTP/1.1 304 Not Modified\r\nId: a\r\n\r\ntwelve bytes",
+		"304, a length":        "HTTP/1.1 304 Not Modified\r\nId: a\r\nContent-Length: 12\r\n\r\ntwelve bytes",
+	} {
+		t.Run(name, func(t *testing.T) {
+			address, _ := startEndpoint(t, text)
+			if body, err := get(NewClient(Config{}), address, "a"); err == nil {
+				t.Errorf("got %q, want an error", body)
+			}
+		})
+	}
+	for name, text := range map[string]string{
+		"204, a length of zero":      "HTTP/1.1 204 No Content\r\nId: a\r\nContent-Length: 0\r\n\r\n",
+		"204":                        "HTTP/1.1 204 No Content\r\nId: a\r\n\r\n",
+		"304, the length of another": "HTTP/1.1 304 Not Modified\r\nId: a\r\nContent-Length: 12\r\n\r\n",
+	} {
+		t.Run(name+" without a body", func(t *testing.T) {
+			address, _ := startEndpoint(t, text)
+			body, err := get(NewClient(Config{}), address, "a")
+			wantBody(t, body, err, "")
+		})
+	}
+}
