--- a/anvilcrossd/gatewayd/callerconnection.go
+++ b/anvilcrossd/gatewayd/callerconnection.go
@@ -17,12 +17,19 @@
 	"anvilcross/anvilcrossd/socket"
 )
 
+// writeTimeout limits the time for which a caller may take none of what is written to it: it would
+// keep its connection, its request and the endpoint's answer. net/http writes 4 KiB at a time, and at
+// most the buffered 1 MiB of an answer.
+const writeTimeout = 30 * time.Second
+
 // callerListener accepts callers' connections. While it is paused, the server knows all
 // connections that have been accepted.
 type callerListener struct {
 	*net.TCPListener
 	// newHeadMemory returns the memory for the heads of a connection.
 	newHeadMemory func(net.Conn) *headMemory
+	// writeTimeout limits the time for which a caller may take nothing.
+	writeTimeout time.Duration
 	// paused and resumed hand the accepting goroutine's pause over.
 	paused, resumed chan struct{}
 	closed          chan struct{}
@@ -30,7 +37,7 @@
 }
 
 func newCallerListener(l *net.TCPListener, newHeadMemory func(net.Conn) *headMemory) *callerListener {
-	return &callerListener{TCPListener: l, newHeadMemory: newHeadMemory, paused: make(chan struct{}), resumed: make(chan struct{}), closed: make(chan struct{})}
+	return &callerListener{TCPListener: l, newHeadMemory: newHeadMemory, writeTimeout: writeTimeout, paused: make(chan struct{}), resumed: make(chan struct{}), closed: make(chan struct{})}
 }
 
 // Accept returns a callerConnection.
@@ -57,7 +64,7 @@
 		_ = c.Close()
 		return nil, errors.Trace(err)
 	}
-	return &callerConnection{TCPConn: c, raw: raw, head: l.newHeadMemory(c)}, nil
+	return &callerConnection{TCPConn: c, raw: raw, head: l.newHeadMemory(c), writeTimeout: l.writeTimeout}, nil
 }
 
 // pause stops accepting connections, and reports whether that was so within a time.
@@ -94,6 +101,8 @@
 	received, handled atomic.Bool
 	// head is the memory for the head that is being received.
 	head *headMemory
+	// writeTimeout limits the time for one write.
+	writeTimeout time.Duration
 }
 
 // Read reads from the connection.
@@ -128,6 +137,27 @@
 	return n, nil
 }
 
+// maxWriteBytes is the most that is written within one writeTimeout, so that a caller that reads
+// slowly is not taken for one that does not read.
+const maxWriteBytes = 64 << 10
+
+// Write writes to the connection. It fails if the caller takes nothing for too long.
+func (c *callerConnection) Write(p []byte) (int, error) {
+	written := 0
+	for {
+		_ = c.SetWriteDeadline(time.Now().Add(c.writeTimeout))
+		n, err := c.TCPConn.Write(p[written:min(len(p), written+maxWriteBytes)])
+		if written += n; err != nil || written == len(p) {
+			return written, err
+		}
+	}
+}
+
+// ReadFrom writes what it reads, as Write does. The method of TCPConn would write without it.
+func (c *callerConnection) ReadFrom(r io.Reader) (int64, error) {
+	return io.Copy(struct{ io.Writer }{c}, r)
+}
+
 // hasRequest reports whether a request, or a part of it, has arrived that is not handled yet.
 func (c *callerConnection) hasRequest() bool {
 	// In this order: what is unread may be read in between.
--- a/anvilcrossd/gatewayd/callerlimits.go
+++ b/anvilcrossd/gatewayd/callerlimits.go
@@ -202,36 +202,42 @@
 	h.received = 0
 }
 
-// refusalLog writes who was refused for memory, with at most one line in refusalLogPeriod.
+// refusalLog writes who was refused for memory and what was closed for others, with at most one line in
+// refusalLogPeriod.
 type refusalLog struct {
 	daemon *daemon
 	mutex  sync.Mutex
-	// unwritten is the number of refusals since the last line, lastCaller and lastHost who was
-	// refused last.
-	unwritten            int
+	// refused is the number of refused requests since the last line, and lastCaller and lastHost
+	// who sent the last one.
+	refused              int
 	lastCaller, lastHost string
-	writtenAt            time.Time
+	// ended and closed are the totals of ended holdings and closed connections at the last line.
+	ended, closed int64
+	writtenAt     time.Time
 }
 
 // add records a refused request.
 func (l *refusalLog) add(r *http.Request) {
 	l.mutex.Lock()
-	l.unwritten++
+	l.refused++
 	l.lastCaller, l.lastHost = r.RemoteAddr, r.Host
 	l.mutex.Unlock()
 	l.flush()
 }
 
-// flush writes a line if there are refusals that no line tells of.
+// flush writes a line if something has happened of which no line tells. It is called once a second
+// too.
 func (l *refusalLog) flush() {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if l.unwritten == 0 || time.Since(l.writtenAt) < refusalLogPeriod {
+	m := l.daemon.callerMemory
+	ended, closed := m.Counts().Ended, l.daemon.callersWaiting.Closed()
+	if l.refused == 0 && ended == l.ended && closed == l.closed || time.Since(l.writtenAt) < refusalLogPeriod {
 		return
 	}
-	m := l.daemon.callerMemory
-	l.daemon.log.WriteEvent("callersRefusedForMemory", "refused", l.unwritten, "lastCaller", l.lastCaller, "lastHost", l.lastHost,
-		"held", m.Used(callermemory.Bodies)+m.Used(callermemory.ForwardedBodies)+m.Used(callermemory.Heads), "limit", m.Limit(),
-		"ended", m.Counts().Ended, "connectionsClosed", l.daemon.callersWaiting.Closed())
-	l.unwritten, l.writtenAt = 0, time.Now()
+	l.daemon.log.WriteEvent("callersLimited", "refused", l.refused, "lastCaller", l.lastCaller, "lastHost", l.lastHost,
+		"bodiesEnded", ended-l.ended, "connectionsClosed", closed-l.closed, "connectionsWaiting", l.daemon.callersWaiting.Waiting(),
+		"held", m.Used(callermemory.Bodies)+m.Used(callermemory.ForwardedBodies)+m.Used(callermemory.Heads), "limit", m.Limit())
+	l.refused, l.ended, l.closed, l.writtenAt = 0, ended, closed, time.Now()
+	l.lastCaller, l.lastHost = "", ""
 }
