Send nothing to evacuated data centres, and keep requests in their regions

Cause: a record op/evacuate/ZONE was ignored. Routes and workspaces could not be restricted to regions.

Change: kernel/evacuation keeps which data centres are evacuated, unconfirmed removals, the share that returns afterwards, and the bound of a request's regions. The directory excludes evacuated endpoints without a fallback, BeginWrite refuses attempts that were chosen before, pools there are dissolved, their waiting pieces go back to their origins and move, running calls drain. Requests without an endpoint left are refused at once. Pieces of a request that is bound to regions are computed in the pool of one data centre, so that batchers of earlier builds keep to the regions too. Settings [regions], metrics evacuated_data_centres and evacuated_running, log lines evacuationBegun and evacuationEnded.

Ruled out: a fallback when all data centres are evacuated (the record is binding), withdrawing running pieces (computed twice), a field with allowed data centres in StageWork (earlier builds would ignore it), random draws for each stage call (they would be repeated for every call that is formed).

Run: the tests of kernel/evacuation, ratelimit, batching, endpoints, platform and anvilcrossd, the unit tests of evacuations and regions, the tests of the retry budget, forwards and limits in kernel/gateway; fleet tests at 6, 85 and 295 instances before the two packages were moved out. The whole package kernel/gateway has not finished yet.

--- a/anvilcrossd/gatewayd/gatewayd.go
+++ b/anvilcrossd/gatewayd/gatewayd.go
@@ -197,6 +197,7 @@
 		},
 		Seeds:        s.Seeds,
 		Retry:        gateway.RetryLimits{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow},
+		Regions:      s.Regions,
 		Random:       rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		Timers:       timers,
 		DecodeRecord: platform.DecodeRecord,
@@ -431,6 +432,7 @@
 	}
 	d.withGateway(func(g *gateway.Gateway) {
 		g.Reload(s.Seeds, gateway.RetryLimits{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow})
+		g.SetRegions(s.Regions)
 	})
 	d.log.WriteEvent("reloaded", "cause", cause, "seeds", len(s.Seeds))
 }
--- a/anvilcrossd/settings/gateway.go
+++ b/anvilcrossd/settings/gateway.go
@@ -8,6 +8,7 @@
 
 	"github.com/juju/errors"
 
+	"anvilcross/kernel/evacuation"
 	"anvilcross/kernel/ident"
 )
 
@@ -45,6 +46,8 @@
 	RetryRatio  float64
 	RetrySlack  float64
 	RetryWindow time.Duration
+	// Regions holds the region of each data centre.
+	Regions evacuation.Regions
 }
 
 func knownGatewaySettings() []setting[Gateway] {
@@ -65,6 +68,9 @@
 		numberSetting("retries", "ratio", func(s *Gateway) *float64 { return &s.RetryRatio }),
 		numberSetting("retries", "slack", func(s *Gateway) *float64 { return &s.RetrySlack }),
 		durationSetting("retries", "window", func(s *Gateway) *time.Duration { return &s.RetryWindow }),
+		{section: "regions", applyKey: func(s *Gateway, dataCentre, region string) {
+			s.Regions[ident.DataCentre(dataCentre)] = ident.Region(region)
+		}},
 	}
 }
 
@@ -132,6 +138,7 @@
 		RetryRatio:      defaultRetryRatio,
 		RetrySlack:      defaultRetrySlack,
 		RetryWindow:     defaultRetryWindow,
+		Regions:         evacuation.Regions{},
 	}
 	if err := parse(text, overrides, s, knownGatewaySettings()); err != nil {
 		return nil, errors.Trace(err)
--- a/anvilcrossd/settings/settings.go
+++ b/anvilcrossd/settings/settings.go
@@ -55,6 +55,8 @@
 	key     string
 	// apply parses the key's value into settings of type T.
 	apply func(s *T, text string) error
+	// applyKey replaces key and apply for a section whose keys are free names.
+	applyKey func(s *T, key, text string)
 	// required is set if the key has no default.
 	required bool
 }
@@ -185,6 +187,10 @@
 	}
 	for _, k := range known {
 		section, _ := file.GetSection(k.section)
+		if k.applyKey != nil {
+			applyKeys(section, s, k.applyKey)
+			continue
+		}
 		if section == nil || !section.HasKey(k.key) {
 			if k.required {
 				problems = append(problems, fmt.Sprintf("[%s] %s: is required", k.section, k.key))
@@ -202,6 +208,16 @@
 	return nil
 }
 
+// applyKeys applies all keys of a section, which may be nil.
+func applyKeys[T any](section *ini.Section, s *T, apply func(s *T, key, text string)) {
+	if section == nil {
+		return
+	}
+	for _, key := range section.Keys() {
+		apply(s, key.Name(), key.String())
+	}
+}
+
 // applyOverride sets one key in the file. It returns false if the text is not
 // section.key=value.
 func applyOverride(file *ini.File, text string) bool {
@@ -217,13 +233,15 @@
 // unknownKeys returns a problem for each key of the file that is not known.
 func unknownKeys[T any](file *ini.File, known []setting[T]) []string {
 	names := map[string]bool{}
+	free := map[string]bool{}
 	for _, k := range known {
 		names[k.section+"."+k.key] = true
+		free[k.section] = free[k.section] || k.applyKey != nil
 	}
 	var problems []string
 	for _, section := range file.Sections() {
 		for _, key := range section.Keys() {
-			if !names[section.Name()+"."+key.Name()] {
+			if !free[section.Name()] && !names[section.Name()+"."+key.Name()] {
 				problems = append(problems, fmt.Sprintf("[%s] %s: unknown key", section.Name(), key.Name()))
 			}
 		}
--- a/kernel/batching/batching.go
+++ b/kernel/batching/batching.go
@@ -383,6 +383,14 @@
 	})
 }
 
+// RunningCalls returns the number of calls that run at an endpoint.
+func (b *Batcher) RunningCalls(e ident.Endpoint) int {
+	if es := b.endpointStates[e]; es != nil {
+		return es.runningCalls
+	}
+	return 0
+}
+
 // EndpointCount returns the number of endpoints of which the batcher keeps a state.
 func (b *Batcher) EndpointCount() int { return len(b.endpointStates) }
 
--- a/kernel/batching/pools.go
+++ b/kernel/batching/pools.go
@@ -9,7 +9,7 @@
 // DispatchService starts calls for the pools of a service that have waiting
 // pieces.
 func (b *Batcher) DispatchService(s ident.Service) {
-	for _, pool := range b.waitingPools() {
+	for _, pool := range b.WaitingPools() {
 		if pool.Service == s {
 			b.Dispatch(pool)
 		}
@@ -18,13 +18,13 @@
 
 // DispatchAll starts calls for all pools that have waiting pieces.
 func (b *Batcher) DispatchAll() {
-	for _, pool := range b.waitingPools() {
+	for _, pool := range b.WaitingPools() {
 		b.Dispatch(pool)
 	}
 }
 
-// waitingPools returns the pools that have waiting pieces, in a fixed order.
-func (b *Batcher) waitingPools() []ident.Pool {
+// WaitingPools returns the pools that have waiting pieces, in a fixed order.
+func (b *Batcher) WaitingPools() []ident.Pool {
 	var pools []ident.Pool
 	for pool, q := range b.queues {
 		if len(q.waiting) > 0 {
--- a/kernel/endpoints/endpoints.go
+++ b/kernel/endpoints/endpoints.go
@@ -112,6 +112,8 @@
 	// partitioned holds the data centres that this instance can probably not
 	// reach.
 	partitioned value.Set[ident.DataCentre]
+	// evacuated holds the data centres whose endpoints get nothing, by the operator's word.
+	evacuated value.Set[ident.DataCentre]
 }
 
 // NewDirectory returns an empty directory.
@@ -225,11 +227,22 @@
 // ByService returns all endpoints of a service, sorted by name.
 func (d *Directory) ByService(s ident.Service) []*Endpoint { return d.byService[s] }
 
+// InDataCentre returns the endpoints of all services in a data centre.
+func (d *Directory) InDataCentre(dataCentre ident.DataCentre) []*Endpoint {
+	var found []*Endpoint
+	for _, e := range d.byName {
+		if e.DataCentre == dataCentre {
+			found = append(found, e)
+		}
+	}
+	return found
+}
+
 // Count returns the number of known endpoints.
 func (d *Directory) Count() int { return len(d.byName) }
 
 // Candidates returns the endpoints of a service that may get new work: those that
-// are not leaving, excluded or ejected and want no rest. Endpoints that only other
+// are not evacuated, leaving, excluded or ejected and want no rest. Endpoints that only other
 // instances could not reach or have to leave alone, or that are in a partitioned
 // data centre, are returned if there are no others.
 func (d *Directory) Candidates(now time.Time, s ident.Service, excluded value.Set[ident.Endpoint]) []*Endpoint {
@@ -260,7 +273,7 @@
 	var usable, doubtful []*Endpoint
 	for _, e := range all {
 		switch {
-		case e.Withheld(now) || excluded.Has(e.Name) || now.Before(e.ejectedUntil):
+		case d.Evacuated(e) || e.Withheld(now) || excluded.Has(e.Name) || now.Before(e.ejectedUntil):
 		case now.Before(e.peerReportUntil) || now.Before(e.said.avoidUntil) || d.partitioned.Has(e.DataCentre):
 			doubtful = append(doubtful, e)
 		default:
@@ -279,6 +292,12 @@
 	d.partitioned = dataCentres
 }
 
+// SetEvacuated sets the data centres whose endpoints get nothing.
+func (d *Directory) SetEvacuated(dataCentres value.Set[ident.DataCentre]) { d.evacuated = dataCentres }
+
+// Evacuated reports whether an endpoint is in an evacuated data centre.
+func (d *Directory) Evacuated(e *Endpoint) bool { return d.evacuated.Has(e.DataCentre) }
+
 // InPartition reports whether an endpoint is in a partitioned data centre.
 func (d *Directory) InPartition(e *Endpoint) bool { return d.partitioned.Has(e.DataCentre) }
 
--- a/kernel/endpoints/notice.go
+++ b/kernel/endpoints/notice.go
@@ -192,11 +192,14 @@
 
 // PoolWithheldFor reports whether all endpoints of a pool get no requests from this
 // instance at their own wish, and for how long; ever is false if none of them will get one
-// again. A pool without endpoints is not withheld.
+// again. A pool without endpoints is not withheld, and neither is that of an evacuated data
+// centre: its pieces move to another one.
 func (d *Directory) PoolWithheldFor(now time.Time, pool ident.Pool) (wait time.Duration, ever, withheld bool) {
 	for _, e := range d.poolMembers(pool) {
 		switch {
-		case e.IsLeaving():
+		case d.Evacuated(e) && pool.DataCentre != "":
+			return 0, true, false
+		case d.Evacuated(e) || e.IsLeaving():
 		case e.RestLeft(now) == 0:
 			return 0, true, false
 		case !ever || e.RestLeft(now) < wait:
--- a/kernel/gateway/attempts.go
+++ b/kernel/gateway/attempts.go
@@ -31,7 +31,7 @@
 	// run.
 	InvalidResponse
 	// Withheld means that no byte of the request was written, because the endpoint had
-	// come to want no requests since it was chosen.
+	// come to want no requests, or been evacuated, since it was chosen.
 	Withheld
 )
 
@@ -95,10 +95,10 @@
 func (g *Gateway) sendTo(r *request, e *endpoints.Endpoint) {
 	now := g.now()
 	if r.attemptCount == 0 {
-		g.throttle.recordAdmission(now, r.service)
+		g.throttle.RecordAdmission(now, r.service)
 	}
 	r.attemptCount++
-	r.attempt = &attempt{id: r.attemptCount, endpoint: e.Name, address: e.Address, version: e.Version, startedAt: now}
+	r.attempt = &attempt{id: r.attemptCount, endpoint: e.Name, dataCentre: e.DataCentre, address: e.Address, version: e.Version, startedAt: now}
 	r.sends++
 	e.OwnRequests++
 	g.startAttemptTimeout(r, e)
@@ -175,13 +175,14 @@
 // endpoint; the entry server calls it right before the first byte. If it returns
 // true, the request counts as one that may have run. If it returns false, nothing
 // may be written: the caller may have been told by now that the request has not
-// run, or the endpoint has said since that it wants no requests.
+// run, or the endpoint has said since that it wants no requests, or its data centre has been
+// evacuated since.
 func (g *Gateway) BeginWrite(h RequestHandle, id AttemptID) bool {
 	r := g.requestOfAttempt(h, id)
 	if r == nil {
 		return false
 	}
-	if e := g.directory.Lookup(r.attempt.endpoint); e != nil && e.Withheld(g.now()) {
+	if e := g.directory.Lookup(r.attempt.endpoint); e != nil && e.Withheld(g.now()) || g.evacuations.InForce(r.attempt.dataCentre) {
 		r.attempt.withheld = true
 		g.counters.AttemptsWithheld++
 		return false
@@ -256,7 +257,7 @@
 		return false
 	}
 	r.excluded.Add(r.attempt.endpoint)
-	if e := g.chooseEndpoint(r); e == nil || g.isLimited(e) || !g.retryBudget.tryTake(g.now(), r.service, g.shareCount(g.now())) {
+	if e := g.chooseEndpoint(r); e == nil || g.isLimited(e) || !g.retryBudget.TryTake(g.now(), r.service, g.shareCount(g.now())) {
 		return false
 	}
 	g.counters.Retried++
@@ -367,7 +368,7 @@
 		return r.unsentAttempts <= maxUnsentAttempts && g.now().Before(r.abandonAt)
 	case Declined, Replaced:
 		r.declines++
-		return r.declines <= maxDeclinedAttempts && g.retryBudget.tryTake(g.now(), r.service, g.shareCount(g.now()))
+		return r.declines <= maxDeclinedAttempts && g.retryBudget.TryTake(g.now(), r.service, g.shareCount(g.now()))
 	}
 	if !r.route.Repeatable() || r.sends >= r.route.MaxAttempts || r.partlyRelayed {
 		return false
@@ -375,7 +376,7 @@
 	if !r.deadline.After(g.now()) || r.firstEventSent && !g.canGoOn(r) {
 		return false
 	}
-	if !g.retryBudget.tryTake(g.now(), r.service, g.shareCount(g.now())) {
+	if !g.retryBudget.TryTake(g.now(), r.service, g.shareCount(g.now())) {
 		return false
 	}
 	if r.firstEventSent {
--- a/kernel/gateway/batchers.go
+++ b/kernel/gateway/batchers.go
@@ -57,8 +57,8 @@
 }
 
 // batcherOf returns the instance that batches for a pool, from this instance's
-// view of the fleet. It is empty if the pool is that of a data centre none of
-// whose instances is alive.
+// view of the fleet. It is empty if the pool is that of a data centre that is evacuated or
+// none of whose instances is alive.
 func (g *Gateway) batcherOf(pool ident.Pool) ident.Instance {
 	batcher, cached := g.batcherCache[pool]
 	if !cached {
@@ -126,7 +126,7 @@
 	key := "batcher/" + pool.String()
 	lacksPath := func(name ident.Instance) bool { return g.lacksPath(name, pool.Service) }
 	hashOwner := g.members.OwnerExcept(now, key, pool.DataCentre, lacksPath)
-	if hashOwner == "" {
+	if hashOwner == "" || g.evacuations.InForce(pool.DataCentre) {
 		return ""
 	}
 	if to := g.redirectedTo(now, pool); to != "" && hashOwner != self && !lacksPath(to) {
--- a/kernel/gateway/fleet_test.go
+++ b/kernel/gateway/fleet_test.go
@@ -57,6 +57,9 @@
 	// path returns what happens to messages between two instances that are up;
 	// nil if all arrive.
 	path func(from, to ident.Instance) pathState
+	// extraDelay returns what a message takes longer than linkDelay, so that messages can
+	// overtake each other; nil if none does.
+	extraDelay func() time.Duration
 }
 
 // pathTo returns what happens to messages between two instances.
@@ -206,7 +209,11 @@
 		f.timers.After(linkDelay, func() { f.gateways[from].HandlePeerFailure(to, "reset") })
 		return
 	}
-	f.timers.After(linkDelay, func() {
+	delay := linkDelay
+	if f.extraDelay != nil {
+		delay += f.extraDelay()
+	}
+	f.timers.After(delay, func() {
 		f.received[to]++
 		f.gateways[to].HandleMessage(e)
 		if e.Ping == nil {
--- a/kernel/gateway/forward.go
+++ b/kernel/gateway/forward.go
@@ -89,7 +89,7 @@
 		if isLocal {
 			localCount++
 		}
-		if !g.members.AcceptsForwards(name) || r.triedMembers.Has(name) || g.lacksPath(name, r.service) {
+		if !g.members.AcceptsForwards(name) || r.triedMembers.Has(name) || g.lacksPath(name, r.service) || !g.mayForwardTo(r, name) {
 			continue
 		}
 		all = append(all, name)
--- a/kernel/gateway/gateway.go
+++ b/kernel/gateway/gateway.go
@@ -14,6 +14,7 @@
 
 	"anvilcross/kernel/batching"
 	"anvilcross/kernel/endpoints"
+	"anvilcross/kernel/evacuation"
 	"anvilcross/kernel/ident"
 	"anvilcross/kernel/membership"
 	"anvilcross/kernel/message"
@@ -22,6 +23,7 @@
 	"anvilcross/kernel/published"
 	"anvilcross/kernel/ratelimit"
 	"anvilcross/kernel/replica"
+	"anvilcross/kernel/retrybudget"
 	"anvilcross/kernel/timer"
 	"anvilcross/kernel/value"
 )
@@ -65,25 +67,22 @@
 	// Endpoint is set for every endpoint record, including removals and records
 	// that cannot be decoded.
 	Endpoint ident.Endpoint
+	// Evacuated is set for the record of a data centre's evacuation, including removals.
+	Evacuated ident.DataCentre
 }
 
 // RetryLimits sets the retry budget of the whole fleet.
-type RetryLimits struct {
-	// Within any Window a service may receive Ratio times its requests plus
-	// Slack as retries. A retry is any arrival of a request at an endpoint
-	// after its first one.
-	Ratio  float64
-	Slack  float64
-	Window time.Duration
-}
+type RetryLimits = retrybudget.Limits
 
 // Config sets up a Gateway.
 type Config struct {
-	Self   membership.Member
-	Seeds  []string
-	Retry  RetryLimits
-	Random *rand.Rand
-	Timers *timer.Scheduler
+	Self  membership.Member
+	Seeds []string
+	Retry RetryLimits
+	// Regions holds the region of each data centre.
+	Regions evacuation.Regions
+	Random  *rand.Rand
+	Timers  *timer.Scheduler
 	// DecodeRecord decodes a record of the platform. A record that it rejects
 	// with an error is logged and ignored, except that the endpoint it names is
 	// dropped.
@@ -115,7 +114,7 @@
 	directory   *endpoints.Directory
 	members     *membership.Table
 	batcher     *batching.Batcher
-	retryBudget *retryBudget
+	retryBudget *retrybudget.Budget
 	crashes     *crashTracker
 
 	// limits holds the rate limits of endpoints. lender leases this instance's share of
@@ -125,7 +124,7 @@
 	issuer    *ratelimit.Issuer
 	permits   *permitClient
 	fleetSize fleetSize
-	throttle  *throttle
+	throttle  *ratelimit.Throttle
 
 	// origins holds which software versions began the streams that this instance keeps,
 	// and lookups those that it asks for. survey asks endpoints for the prompts they hold.
@@ -165,6 +164,10 @@
 	partitioned value.Set[ident.DataCentre]
 	// poolCache holds the division into pools; nil when it has to be computed.
 	poolCache *poolMap
+	// evacuations holds the evacuated data centres. evacuationsChanged is set while a change
+	// of them has not been applied.
+	evacuations        *evacuation.Table
+	evacuationsChanged bool
 	// recordsOfferedAt is when a member first reported that it has records, while
 	// this instance has none.
 	recordsOfferedAt time.Time
@@ -240,6 +243,7 @@
 		redirects:        map[ident.Pool]redirect{},
 		loggedReading:    noReading,
 		partitioned:      value.NewSet[ident.DataCentre](),
+		evacuations:      evacuation.NewTable(),
 		paths:            paths.NewTable(),
 		pathReports:      map[ident.Instance]pathReport{},
 		forwardsTo:       map[ident.Instance]int{},
@@ -248,11 +252,11 @@
 	g.lender = ratelimit.NewLender(g.startedAt)
 	g.issuer = ratelimit.NewIssuer(ratelimit.IssuerConfig{Self: c.Self.Name, Incarnation: c.Self.Incarnation, StartedAt: g.startedAt})
 	g.permits = newPermitClient()
-	g.throttle = newThrottle()
+	g.throttle = ratelimit.NewThrottle()
 	g.origins = origin.NewTable(origin.TableConfig{Retention: originRetention, MaxStreams: maxOrigins})
 	g.lookups = newOriginLookups()
 	g.survey = newPromptSurvey()
-	g.retryBudget = newRetryBudget(c.Retry)
+	g.retryBudget = retrybudget.NewBudget(c.Retry)
 	g.crashes = newCrashTracker()
 	g.batcher = batching.NewBatcher(batching.Config{
 		Timers:       c.Timers,
@@ -323,9 +327,12 @@
 func (g *Gateway) Reload(seeds []string, limits RetryLimits) {
 	g.members.SetSeeds(seeds)
 	g.config.Retry = limits
-	g.retryBudget.limits = limits
+	g.retryBudget.SetLimits(limits)
 }
 
+// SetRegions sets the region of each data centre.
+func (g *Gateway) SetRegions(regions evacuation.Regions) { g.config.Regions = regions }
+
 // Batcher returns the batcher, to which the owner reports the outcomes of stage
 // calls.
 func (g *Gateway) Batcher() *batching.Batcher { return g.batcher }
@@ -365,6 +372,7 @@
 	g.batcher.DispatchAll()
 	g.batcher.ForgetUnlisted()
 	g.updateBatchingClaims(now)
+	g.returnEvacuatedPieces()
 	g.resubmitLostPieces(now)
 	g.recordWhole(g.crashes.expireBrokenExchanges(now))
 	g.updateQuarantine(now)
@@ -401,11 +409,14 @@
 			if g.applyListing(*decoded.Listing, r.Revision, source) {
 				changedServices.Add(decoded.Listing.Service)
 			}
+		case decoded.Evacuated != "":
+			g.recordEvacuation(decoded.Evacuated, r, source, unconfirmedFor)
 		case decoded.Endpoint != "" && r.Removed:
 			g.applyRemoval(decoded.Endpoint, r.Revision, source, unconfirmedFor)
 		}
 	}
 	g.poolCache = nil
+	g.applyEvacuations()
 	for _, s := range changedServices.Sorted() {
 		g.batcher.DispatchService(s)
 	}
--- a/kernel/gateway/limits.go
+++ b/kernel/gateway/limits.go
@@ -107,3 +107,20 @@
 		return !ever || wait > 0
 	})
 }
+
+// limitsRefuse reports whether to refuse a request whose stages have not run yet, because
+// all endpoints of its service have rate limits that leave no room for it.
+func (g *Gateway) limitsRefuse(r *request) bool {
+	if g.limits.Empty() {
+		return false
+	}
+	now := g.now()
+	g.throttle.RecordArrival(now, r.service)
+	candidates := g.directory.Candidates(now, r.service, g.outsideBound(r))
+	for _, e := range candidates {
+		if !g.isLimited(e) {
+			return false
+		}
+	}
+	return len(candidates) > 0 && len(r.stageServices()) > 0 && g.random.Float64() >= g.throttle.AdmittedShare(now, r.service)
+}
--- a/kernel/gateway/origins.go
+++ b/kernel/gateway/origins.go
@@ -246,31 +246,36 @@
 // up.
 func (g *Gateway) canGoOn(r *request) bool {
 	excluded := g.excludedFor(r)
-	return slices.ContainsFunc(g.directory.ByService(r.service), func(e *endpoints.Endpoint) bool { return !e.IsLeaving() && !excluded.Has(e.Name) })
+	return slices.ContainsFunc(g.directory.ByService(r.service), func(e *endpoints.Endpoint) bool {
+		return !e.IsLeaving() && !g.directory.Evacuated(e) && !excluded.Has(e.Name)
+	})
 }
 
 // excludedFor returns the endpoints that must not get a request: those at which it failed
-// and, once its stream has begun, those of other versions.
+// and those that barredEndpoints returns.
 func (g *Gateway) excludedFor(r *request) value.Set[ident.Endpoint] {
-	others := g.otherVersions(r)
-	if len(others) == 0 {
+	barred := g.barredEndpoints(r)
+	if len(barred) == 0 {
 		return r.excluded
 	}
-	maps.Copy(others, r.excluded)
-	return others
+	maps.Copy(barred, r.excluded)
+	return barred
 }
 
-// otherVersions returns the endpoints that must not get a request's stream, once that has
-// begun, because another software version began it.
-func (g *Gateway) otherVersions(r *request) value.Set[ident.Endpoint] {
+// barredEndpoints returns the endpoints that must not get a request: those outside its regions
+// and, once its stream has begun, those of other software versions than began it.
+func (g *Gateway) barredEndpoints(r *request) value.Set[ident.Endpoint] {
+	barred := g.outsideBound(r)
 	if !r.firstEventSent && !r.takesUp() {
-		return nil
+		return barred
+	}
+	if barred == nil {
+		barred = value.NewSet[ident.Endpoint]()
 	}
-	others := value.NewSet[ident.Endpoint]()
 	for _, e := range g.directory.ByService(r.service) {
 		if e.Version != r.origin.Version || !r.origin.Known() {
-			others.Add(e.Name)
+			barred.Add(e.Name)
 		}
 	}
-	return others
+	return barred
 }
--- a/kernel/gateway/partition_test.go
+++ b/kernel/gateway/partition_test.go
@@ -38,8 +38,10 @@
 	busyUntil      map[ident.Endpoint]time.Time
 	declined       int
 	lastHandle     RequestHandle
-	arrivals       []*arrival
-	byHandle       map[RequestHandle]*arrival
+	// records are those of the platform.
+	records  []replica.Record
+	arrivals []*arrival
+	byHandle map[RequestHandle]*arrival
 }
 
 // arrival is a caller's request and what became of it.
@@ -73,6 +75,7 @@
 			records = append(records, testRecord(t, string(l.Name), 1, l))
 		}
 	}
+	f.records = records
 	f.publish(records)
 	f.advance(4 * time.Second)
 	f.timers.Every(time.Second/time.Duration(perSecond), f.arrive)
--- a/kernel/gateway/paths.go
+++ b/kernel/gateway/paths.go
@@ -76,7 +76,7 @@
 	all := g.directory.ByService(s)
 	for _, at := range g.random.Perm(len(all)) {
 		switch e := all[at]; {
-		case e == first || e.Withheld(g.now()):
+		case e == first || g.withheld(g.now(), e):
 		case centres.Has(e.DataCentre):
 			rest = append(rest, e.Name)
 		default:
@@ -113,7 +113,7 @@
 func (g *Gateway) seemsUnreachable(s ident.Service) bool {
 	now := g.now()
 	return g.paths.Checking(s) && !slices.ContainsFunc(g.directory.ByService(s), func(e *endpoints.Endpoint) bool {
-		return !e.Withheld(now) && !e.Ejected(now)
+		return !g.withheld(now, e) && !e.Ejected(now)
 	})
 }
 
--- a/kernel/gateway/permits.go
+++ b/kernel/gateway/permits.go
@@ -206,7 +206,7 @@
 	p := r.granted
 	r.granted = ident.EndpointProcess{}
 	e, now := g.directory.Lookup(p.Endpoint), g.now()
-	if e == nil || e.Process() != p || e.Withheld(now) || e.Ejected(now) || g.excludedFor(r).Has(e.Name) {
+	if e == nil || e.Process() != p || g.withheld(now, e) || e.Ejected(now) || g.excludedFor(r).Has(e.Name) {
 		return nil
 	}
 	return e
@@ -216,6 +216,9 @@
 // permit, the pool is dispatched again once there is one.
 func (g *Gateway) mayCall(e *endpoints.Endpoint, pool ident.Pool) bool {
 	now := g.now()
+	if !g.recovered(now, e, pool) {
+		return false
+	}
 	if !g.isLimited(e) || now.Before(g.permits.callPermits[e.Name]) {
 		return true
 	}
@@ -247,16 +250,17 @@
 // inspectEndpoint asks a stage endpoint for its free result capacity, unless it wants no
 // requests or has a rate limit: its calls go first.
 func (g *Gateway) inspectEndpoint(name ident.Endpoint, address string) {
-	if e := g.directory.Lookup(name); e == nil || !g.isLimited(e) && !e.Withheld(g.now()) {
+	if e := g.directory.Lookup(name); e == nil || !g.isLimited(e) && !g.withheld(g.now(), e) {
 		g.out.InspectEndpoint(name, address)
 	}
 }
 
 // freeResults frees results. Those at an endpoint that has a rate limit or wants a rest are
-// collected first, and those at one that leaves end with it.
+// collected first. Those at one that leaves end with it, and those at an evacuated one by
+// themselves.
 func (g *Gateway) freeResults(address string, handles []message.ResultHandle) {
 	e := g.directory.ByAddress(address)
-	if e != nil && e.IsLeaving() {
+	if e != nil && (e.IsLeaving() || g.directory.Evacuated(e)) {
 		return
 	}
 	if e == nil || !g.isLimited(e) && e.RestLeft(g.now()) == 0 {
@@ -277,7 +281,7 @@
 	for _, address := range value.SortedKeys(g.permits.heldFrees) {
 		held := g.permits.heldFrees[address]
 		e := g.directory.ByAddress(address)
-		if e == nil || e.IsLeaving() {
+		if e == nil || e.IsLeaving() || g.directory.Evacuated(e) {
 			delete(g.permits.heldFrees, address)
 			continue
 		}
--- a/kernel/gateway/pools.go
+++ b/kernel/gateway/pools.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"anvilcross/kernel/evacuation"
 	"anvilcross/kernel/ident"
 	"anvilcross/kernel/published"
 	"anvilcross/kernel/value"
@@ -24,7 +25,8 @@
 	sampledCentres = 2
 )
 
-// poolMap holds the stage endpoints that are listed, by service and data centre.
+// poolMap holds the stage endpoints that are listed in data centres that are not evacuated,
+// by service and data centre.
 type poolMap struct {
 	// divided is set if each data centre's endpoints form a pool of their own.
 	divided bool
@@ -53,6 +55,9 @@
 		counts := map[ident.DataCentre]int{}
 		total := 0
 		for _, e := range g.directory.ByService(s) {
+			if g.directory.Evacuated(e) {
+				continue
+			}
 			counts[e.DataCentre]++
 			total++
 		}
@@ -102,15 +107,15 @@
 	return services.Sorted()
 }
 
-// servingCentres returns the data centres that can run all stages of a request
+// servingCentres returns the data centres that can and may run all stages of a request
 // and whose batchers are alive.
-func (g *Gateway) servingCentres(services []ident.Service) []ident.DataCentre {
+func (g *Gateway) servingCentres(r *request, services []ident.Service) []ident.DataCentre {
 	centres := value.NewSet[ident.DataCentre]()
 	for dataCentre := range g.pools().counts[services[0]] {
 		serves := !slices.ContainsFunc(services, func(s ident.Service) bool {
 			return g.pools().counts[s][dataCentre] == 0 || g.batcherOf(g.poolOf(s, dataCentre)) == ""
 		})
-		if serves {
+		if serves && g.mayServe(r, dataCentre) {
 			centres.Add(dataCentre)
 		}
 	}
@@ -127,7 +132,7 @@
 	if !g.pools().divided || len(services) == 0 {
 		return home
 	}
-	serving := g.servingCentres(services)
+	serving := evacuation.Without(g.servingCentres(r, services), g.held(), func(d ident.DataCentre) ident.DataCentre { return d })
 	best, bestWait := ident.DataCentre(""), time.Duration(0)
 	consider := func(dataCentre ident.DataCentre, penalty time.Duration) {
 		wait := penalty
@@ -155,7 +160,7 @@
 func (g *Gateway) homeDataCentre(r *request) ident.DataCentre {
 	if r.route.CarriesPrompts {
 		prefix, _ := r.sharedPrefix()
-		candidates := g.directory.Candidates(g.now(), r.service, nil)
+		candidates := g.directory.Candidates(g.now(), r.service, g.outsideBound(r))
 		if affinity, _ := affinityEndpoints(prefix, candidates, g.dataCentreWeights(r, candidates)); affinity != nil {
 			return affinity.DataCentre
 		}
--- a/kernel/gateway/readers.go
+++ b/kernel/gateway/readers.go
@@ -258,8 +258,13 @@
 func (g *Gateway) settleRemovals(now time.Time) {
 	if g.directory.PlatformUnavailable() && !g.platformInReach(now) {
 		g.directory.PostponeRemovals(now)
+		g.evacuations.Postpone(now)
 		return
 	}
+	for _, dataCentre := range g.evacuations.Settle(now) {
+		g.logEvacuationEnded(dataCentre, "unconfirmed for long enough")
+	}
+	g.applyEvacuations()
 	for _, name := range g.directory.PurgeRemoved(now) {
 		g.out.LogEvent("endpointLapsed", "endpoint", name)
 	}
@@ -288,8 +293,13 @@
 		if !r.Removed {
 			continue
 		}
-		if decoded, err := g.config.DecodeRecord(r); err == nil && decoded.Endpoint != "" && g.directory.ConfirmRemoval(decoded.Endpoint) {
+		decoded, err := g.config.DecodeRecord(r)
+		switch {
+		case err != nil:
+		case decoded.Endpoint != "" && g.directory.ConfirmRemoval(decoded.Endpoint):
 			g.out.LogEvent("endpointLapsed", "endpoint", decoded.Endpoint, "cause", "confirmed by another instance")
+		case decoded.Evacuated != "" && g.evacuations.Confirm(g.now(), decoded.Evacuated, r.Revision):
+			g.logEvacuationEnded(decoded.Evacuated, "confirmed by another instance")
 		}
 	}
 }
--- a/kernel/gateway/request.go
+++ b/kernel/gateway/request.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"anvilcross/kernel/evacuation"
 	"anvilcross/kernel/ident"
 	"anvilcross/kernel/message"
 	"anvilcross/kernel/origin"
@@ -53,8 +54,10 @@
 	id       AttemptID
 	endpoint ident.Endpoint
 	// member is the instance to which the request is forwarded; endpoint is empty then.
-	member  ident.Instance
-	address string
+	member ident.Instance
+	// dataCentre is that of the endpoint.
+	dataCentre ident.DataCentre
+	address    string
 	// version is that of the endpoint's software.
 	version   ident.SoftwareVersion
 	startedAt time.Time
@@ -111,6 +114,8 @@
 	route     *published.Route
 	service   ident.Service
 	workspace *published.Workspace
+	// bound restricts the regions of the request's endpoints.
+	bound     evacuation.Bound
 	arrivedAt time.Time
 	// deadline is when the request times out: after the caller's timeout, but at
 	// most the route's. The request is ended timeoutMargin earlier.
@@ -225,8 +230,11 @@
 	}
 	g.countArrival(now, r)
 	g.setUpStages(r)
+	if g.refuseEvacuated(r) {
+		return
+	}
 	if len(r.stageServices()) > 0 && g.pools().divided && r.preferredDataCentre == "" {
-		g.answer(r, NotRun, busyRetryAfter, "no data centre within reach can run the stages")
+		g.answer(r, NotRun, busyRetryAfter, noStageCentre)
 		return
 	}
 	if g.limitsRefuse(r) {
@@ -253,7 +261,7 @@
 		r.sends = f.Sends
 	}
 	if r.sends == 0 {
-		g.retryBudget.countRequest(now, r.service)
+		g.retryBudget.CountRequest(now, r.service)
 	}
 }
 
@@ -311,6 +319,7 @@
 		return false
 	}
 	r.service = g.pickService(route)
+	r.bound = evacuation.NewBound(route.AllowedRegions, r.workspace.Regions())
 	return true
 }
 
--- a/kernel/gateway/stages.go
+++ b/kernel/gateway/stages.go
@@ -29,6 +29,8 @@
 	// maxRecomputes limits how often lost results of a request are computed
 	// again.
 	maxRecomputes = 4
+	// noStageCentre is the reason of an answer.
+	noStageCentre = "no data centre within reach can run the stages"
 )
 
 // setUpStages sets up the state of the route's stages. A stage may have no
@@ -54,7 +56,7 @@
 // advance takes the next steps that are possible: it submits the stages whose
 // inputs exist, and sends the request once all stages are done.
 func (g *Gateway) advance(r *request) {
-	if r.finished {
+	if r.finished || g.refuseEvacuated(r) {
 		return
 	}
 	allDone := true
@@ -65,7 +67,12 @@
 		}
 		allDone = false
 		if !s.submitted && g.inputsReady(r, s) {
-			g.submitStage(r, i)
+			if !g.leaveEvacuated(r) {
+				return
+			}
+			if g.submitStage(r, i); r.finished {
+				return
+			}
 		}
 	}
 	if allDone && r.attempt == nil && !r.awaitsPermit && !r.awaitsOrigin && !r.awaitsPath {
@@ -175,13 +182,18 @@
 }
 
 // submitStage sends a stage's missing pieces to the instance that batches for
-// the stage's service.
+// the stage's service. If no data centre can run them, the request is answered.
 func (g *Gateway) submitStage(r *request, index int) {
 	s := &r.stages[index]
 	now := g.now()
+	pool, found := g.poolFor(r, s.stage.Service)
+	if !found {
+		g.answer(r, g.failureAnswer(r), busyRetryAfter, noStageCentre)
+		return
+	}
 	s.submitted = true
 	s.submittedAt = now
-	s.pool = g.poolOf(s.stage.Service, r.preferredDataCentre)
+	s.pool = pool
 	s.batcher = g.batcherOf(s.pool)
 	s.batcherIncarnation = g.members.Incarnation(s.batcher)
 	var pieces []int
@@ -466,7 +478,9 @@
 					g.moveStages(r)
 					break
 				}
-				g.submitStage(r, i)
+				if g.submitStage(r, i); r.finished {
+					break
+				}
 			}
 		}
 	}
--- a/kernel/gateway/survey.go
+++ b/kernel/gateway/survey.go
@@ -56,7 +56,7 @@
 	for _, s := range services {
 		for _, e := range g.directory.ByService(s) {
 			holder := holderOf(e)
-			if e.RefusesContact(now) || g.isLimited(e) || g.survey.asked[e.Name] == holder || g.survey.holdings.Fresh(now.Add(surveyTimeout), holder) {
+			if e.RefusesContact(now) || g.directory.Evacuated(e) || g.isLimited(e) || g.survey.asked[e.Name] == holder || g.survey.holdings.Fresh(now.Add(surveyTimeout), holder) {
 				continue
 			}
 			g.survey.asked[e.Name] = holder
--- a/kernel/gateway/testgateway_test.go
+++ b/kernel/gateway/testgateway_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -79,6 +80,9 @@
 		c.BuildIndex()
 		return DecodedRecord{Catalog: c}, err
 	}
+	if dataCentre, found := strings.CutPrefix(r.Key, evacuationTestKey); found {
+		return DecodedRecord{Evacuated: ident.DataCentre(dataCentre)}, nil
+	}
 	decoded := DecodedRecord{Endpoint: ident.Endpoint(r.Key)}
 	if r.Removed {
 		return decoded, nil
@@ -87,6 +91,9 @@
 	return decoded, json.Unmarshal(r.Value, decoded.Listing)
 }
 
+// evacuationTestKey begins the keys of the records that ask for evacuations.
+const evacuationTestKey = "evacuate/"
+
 func testRecord(t *testing.T, key string, revision replica.Revision, v any) replica.Record {
 	t.Helper()
 	value, err := json.Marshal(v)
--- a/kernel/gateway/withheld.go
+++ b/kernel/gateway/withheld.go
@@ -15,7 +15,7 @@
 // rate limit does not want any; ever is false if it gets none again.
 func (g *Gateway) sendableIn(now time.Time, e *endpoints.Endpoint) (wait time.Duration, ever bool) {
 	switch {
-	case e.IsLeaving():
+	case e.IsLeaving() || g.directory.Evacuated(e):
 		return 0, false
 	case g.isLimited(e):
 		return max(e.RestLeft(now), g.permits.blockedFor(now, e.Process())), true
@@ -29,7 +29,7 @@
 func (g *Gateway) noEndpointRetryAfter(r *request) time.Duration {
 	now := g.now()
 	earliest, found := time.Duration(0), false
-	others := g.otherVersions(r)
+	others := g.barredEndpoints(r)
 	for _, e := range g.directory.ByService(r.service) {
 		wait, ever := g.sendableIn(now, e)
 		switch {
--- a/kernel/ident/ident.go
+++ b/kernel/ident/ident.go
@@ -26,6 +26,9 @@
 // DataCentre names a failure domain with its own instances and endpoints.
 type DataCentre string
 
+// Region names a group of data centres, to which requests may be restricted.
+type Region string
+
 // Workspace names a customer's scope of request ids, with its own key, rate and
 // share.
 type Workspace string
--- a/kernel/published/published.go
+++ b/kernel/published/published.go
@@ -72,6 +72,9 @@
 	Resumable bool
 	// CarriesPrompts means that requests carry prompts for a model engine.
 	CarriesPrompts bool
+	// AllowedRegions restricts the endpoints of the route's requests; no restriction if it
+	// is empty.
+	AllowedRegions []ident.Region
 }
 
 // Repeatable reports whether a request of the route may run more than once.
@@ -149,6 +152,18 @@
 	// Priority overrides the priority of the route if HasPriority is set.
 	Priority    int
 	HasPriority bool
+	// AllowedRegions restricts the endpoints of the workspace's requests; no restriction if
+	// it is empty. Where a route has a list too, a region must be in both.
+	AllowedRegions []ident.Region
+}
+
+// Regions returns the regions to which requests of the workspace are restricted. The workspace
+// may be nil.
+func (w *Workspace) Regions() []ident.Region {
+	if w == nil {
+		return nil
+	}
+	return w.AllowedRegions
 }
 
 // Catalog is one version of the configuration. BuildIndex must be called before the
--- a/review/standin/daemons.go
+++ b/review/standin/daemons.go
@@ -75,6 +75,7 @@
 	}
 	for _, d := range all {
 		text := strings.NewReplacer(
+			"{{#zones}}\n{{@}} = {{.}}\n{{/zones}}\n", "",
 			"{{node-name}}", d.name, "{{zone}}", d.zone, "{{seeds}}", strings.Join(seeds, ","),
 			"{{listen.front}}", d.front, "{{listen.ready}}", d.ready, "{{listen.control}}", d.control,
 			"{{ip}}", d.ip, "{{platform.address}}", storeAddress,
