--- a/anvilcrossd/forward/forward_test.go
+++ b/anvilcrossd/forward/forward_test.go
@@ -46,3 +46,18 @@
 		t.Fatalf("an endpoint's response is taken for an own answer: %v", err)
 	}
 }
+
+// The mark of a forwarded request, which any client of the peers' address can send, or of an answer
+// ends the process or passes with values that no instance sends.
+func FuzzMarks(f *testing.F) {
+	f.Add(`{"by":"a","sends":1}`)
+	f.Add(`{"answer":1,"retryAfter":1000000000,"reason":"full","elsewhere":true}`)
+	f.Fuzz(func(t *testing.T, text string) {
+		if g, err := TakeRequest(http.Header{HeaderRequest: {text}}); err == nil && (g.By == "" || g.Sends < 0) {
+			t.Errorf("%q gives %+v", text, g)
+		}
+		if a, isAnswer, err := ReadAnswer(http.Header{HeaderAnswer: {text}}); err == nil && isAnswer && (!a.Answer.Valid() || a.RetryAfter < 0) {
+			t.Errorf("%q gives %+v", text, a)
+		}
+	})
+}
