Check a platform's configuration before it is sent

Cause: anvilcross check knew only the product's own configuration. A route that never matches, a key held twice or an objective above the timeout were found in force, or never.

The time of a call with one piece and the cover of the retry budget are now computed by one function each for the check and for the instances. Evacuations no longer dissolve pools at once: the tick does within 100 ms, and no test could tell the difference, since the directory excludes the endpoints before.

Ruled out: warnings for unknown fields, since later builds have more of them; digests of keys in the list of changes, since keys are secret.

Run: go test ./kernel/published ./platform ./anvilcross/..., the unit tests of evacuations in kernel/gateway, vet and staticcheck on the changed packages.

--- a/anvilcross/command/command.go
+++ b/anvilcross/command/command.go
@@ -17,7 +17,7 @@
 // commands lists the subcommands; kong names each after its field.
 type commands struct {
 	Generate generate   `cmd:"" help:"Generate a configuration from the answers."`
-	Check    check      `cmd:"" help:"Check answers and list every problem, or check a configuration up to the first one."`
+	Check    check      `cmd:"" help:"Check a configuration or answers before they are sent."`
 	Diff     diff       `cmd:"" help:"Show what a new configuration changes, and its effects."`
 	Accept   accept     `cmd:"" help:"Accept a configuration as the next revision, ready to be published."`
 	Rollout  rollout    `cmd:"" help:"Wait until a revision is in force on every instance."`
--- a/kernel/evacuation/regions.go
+++ b/kernel/evacuation/regions.go
@@ -35,6 +35,9 @@
 // Restricts reports whether the bound imposes a restriction.
 func (b Bound) Restricts() bool { return b.restricted }
 
+// Regions returns the regions of a bound that restricts.
+func (b Bound) Regions() []ident.Region { return b.regions }
+
 // Permits reports whether a data centre is in one of the bound's regions.
 func (b Bound) Permits(regions Regions, dataCentre ident.DataCentre) bool {
 	region := regions[dataCentre]
--- a/kernel/gateway/evacuation_test.go
+++ b/kernel/gateway/evacuation_test.go
@@ -311,8 +311,12 @@
 		t.Fatalf("the stream that is taken up goes on at %s", s.Endpoint)
 	}
 	tg.evacuate(allTestCentres...)
+	resumed := tg.gateway.Counters().Resumed
 	tg.gateway.HandleFailure(h, tg.wantSend(h).Attempt, Broken, "8", "reset")
 	tg.wantAnswer(h, BrokenOff)
+	if got := tg.gateway.Counters().Resumed; got != resumed {
+		t.Fatal("a retry was spent on a stream that nothing can go on with")
+	}
 }
 
 // Inspections, prompt lists and releases of results go to the evacuated data centre.
@@ -356,8 +360,8 @@
 		for _, pieces := range [][]int{nil, {3, 2}} {
 			h := tg.sendRequest(path, func(c *CallerRequest) { c.PieceCounts = pieces })
 			tg.wantAnswer(h, NotRun)
-			if tg.lastStep(h).RetryAfter <= 0 {
-				t.Fatalf("%s: no Retry-After", path)
+			if s := tg.lastStep(h); s.RetryAfter <= 0 || !strings.Contains(s.Reason, "evacuated") {
+				t.Fatalf("%s: answered with Retry-After %v: %s", path, s.RetryAfter, s.Reason)
 			}
 		}
 	}
@@ -373,6 +377,33 @@
 	}
 }
 
+// The first stages of a request run although all endpoints of a later one are evacuated.
+func TestStagesDoNotRunIfALaterOneIsEvacuated(t *testing.T) {
+	tg := newConfigured(t)
+	for _, name := range []string{"planning-0", "planning-2"} {
+		tg.gateway.HandleChanges([]replica.Record{{Key: name, Revision: tg.gateway.AsOf() + 1, Removed: true}}, tg.gateway.AsOf()+1)
+	}
+	tg.evacuate("west")
+	tg.wantAnswer(tg.sendRequest("/verse/", func(c *CallerRequest) { c.PieceCounts = []int{1, 4} }), NotRun)
+	h := tg.sendRequest("/verse/", func(c *CallerRequest) { c.PieceCounts = []int{1} })
+	tg.wantSteps(h, 0)
+}
+
+// A caller is told to come back before any endpoint takes requests, because an evacuated one
+// seems to.
+func TestRetryAfterIgnoresEvacuatedEndpoints(t *testing.T) {
+	tg := newConfigured(t)
+	tg.evacuate("west")
+	for _, name := range []ident.Endpoint{"orders-0", "orders-2"} {
+		tg.gateway.HandleNotice(tg.gateway.directory.Lookup(name).Process(), endpoints.Notice{Rest: 5 * time.Second}, 0)
+	}
+	h := tg.sendRequest("/lookup/", nil)
+	tg.wantAnswer(h, NotRun)
+	if after := tg.lastStep(h).RetryAfter; after < 5*time.Second {
+		t.Fatalf("the caller may come back after %v", after)
+	}
+}
+
 // Records that arrive late or out of order end an evacuation that is in force, or begin one
 // that has ended.
 func TestEvacuationRecordsOutOfOrder(t *testing.T) {
--- a/kernel/gateway/evacuations.go
+++ b/kernel/gateway/evacuations.go
@@ -29,8 +29,8 @@
 	g.out.LogEvent("evacuationEnded", "evacuated", dataCentre, "source", source, "running", g.runningIn(dataCentre))
 }
 
-// applyEvacuations applies a change of the evacuated data centres: the pools there are
-// dissolved, and requests that wait are sent elsewhere or answered.
+// applyEvacuations applies a change of the evacuated data centres: requests that wait are sent
+// elsewhere or answered. The next tick dissolves the pools there and returns their pieces.
 func (g *Gateway) applyEvacuations() {
 	if !g.evacuationsChanged {
 		return
@@ -42,8 +42,6 @@
 	if g.catalog == nil {
 		return
 	}
-	g.updateBatchingClaims(g.now())
-	g.returnEvacuatedPieces()
 	for _, h := range value.SortedKeys(g.requests) {
 		if r := g.requests[h]; r != nil && r.route != nil && r.attempt == nil {
 			g.advance(r)
--- a/kernel/gateway/stages.go
+++ b/kernel/gateway/stages.go
@@ -336,7 +336,7 @@
 // singlePieceCallTime returns the time of a call with one piece to a service.
 func (g *Gateway) singlePieceCallTime(s ident.Service) time.Duration {
 	if profile := g.batchProfile(s); profile != nil {
-		return profile.CallOverhead + profile.TimePerPiece
+		return profile.SinglePieceCallTime()
 	}
 	return 0
 }
--- a/kernel/published/published.go
+++ b/kernel/published/published.go
@@ -27,6 +27,9 @@
 	Stream
 )
 
+// String returns the kind's name.
+func (k Kind) String() string { return [...]string{"safe", "unsafe", "stream"}[k] }
+
 // RouteName identifies a route of the configuration.
 type RouteName string
 
--- a/kernel/retrybudget/retrybudget.go
+++ b/kernel/retrybudget/retrybudget.go
@@ -33,6 +33,15 @@
 	Window time.Duration
 }
 
+// RetriesOfOne returns how many retries the budget covers of a request that comes alone.
+func (l Limits) RetriesOfOne() float64 { return l.allowed(1, 1) }
+
+// allowed returns how many retries an instance may make for a number of requests, with one of
+// the given number of shares of the fixed part.
+func (l Limits) allowed(requests, shares int) float64 {
+	return usableBudgetShare * (l.Ratio*float64(requests) + l.Slack/float64(max(shares, 1)))
+}
+
 // Budget limits this instance's retries to each service. The fixed part of
 // the fleet's budget is divided by the number of alive instances, so the limit
 // needs no shared counter and also holds in a partitioned fleet.
@@ -83,8 +92,7 @@
 			retries += slot.retries
 		}
 	}
-	allowed := usableBudgetShare * (b.limits.Ratio*float64(requests) + b.limits.Slack/float64(max(shares, 1)))
-	if float64(retries+1) > allowed {
+	if float64(retries+1) > b.limits.allowed(requests, shares) {
 		return false
 	}
 	current.retries++
