Keep cold endpoints within their rate

Cause: an endpoint that has just started, or has become cold again, crashes if it gets much more than the cold-per-s of its service. Nothing limited it, and the least busy endpoint is chosen first, so a new process got what its predecessor had, from all instances at once.

Change: kernel/warmup keeps which endpoint processes are cold, from their records, their start, signs that they may have started again, their health responses and other instances. A cold process counts as one with a rate limit, so that the issuer of permits bounds the sum over all instances. Instances lease their shares continuously where a service has cold endpoints. A permit that is not counted against the limit of cold endpoints counts as denied. Requests that must not be repeated go to cold endpoints last. A request is not written to an endpoint that has become cold since, nor long after its permit. One instance asks a suspected endpoint on its health path.

Ruled out: a bucket in each instance (295 instances share 7.7 requests a second); telling listed cold endpoints in pings (every instance gets the records itself, and 47 reports would exceed the control traffic); a suspicion on every broken exchange or time-out, which limits endpoints that are only slow.

--- a/anvilcrossd/gatewayd/gatewayd.go
+++ b/anvilcrossd/gatewayd/gatewayd.go
@@ -23,6 +23,7 @@
 	"anvilcross/anvilcrossd/entry"
 	"anvilcross/anvilcrossd/eventlog"
 	"anvilcross/anvilcrossd/h1"
+	"anvilcross/anvilcrossd/healthquery"
 	"anvilcross/anvilcrossd/link"
 	"anvilcross/anvilcrossd/metadata"
 	"anvilcross/anvilcrossd/owner"
@@ -175,6 +176,13 @@
 		OnNotice: d.handleNoticeAt,
 		LogEvent: d.log.WriteEvent,
 	})
+	health := healthquery.NewClient(healthquery.Config{
+		HTTPClient: d.httpClient,
+		OnNotice: func(p ident.EndpointProcess, n endpoints.Notice, sentAgo time.Duration) {
+			d.withGateway(func(g *gateway.Gateway) { g.HandleNotice(p, n, sentAgo) })
+		},
+		LogEvent: d.log.WriteEvent,
+	})
 	d.entry = entry.NewServer(entry.Config{
 		WithGateway:   d.withGateway,
 		HTTPClient:    d.httpClient,
@@ -211,6 +219,7 @@
 			InspectEndpoint: d.stageClient.InspectEndpoint,
 			CheckEndpoint:   d.checkEndpoint,
 			ListPrompts:     prompts.List,
+			QueryHealth:     health.Query,
 		},
 	})})
 	d.follower = d.newFollower()
--- a/kernel/endpoints/endpoints.go
+++ b/kernel/endpoints/endpoints.go
@@ -50,6 +50,8 @@
 	StartedUnixMillis int64
 	// Version is the version of the endpoint's software; empty if the listing names none.
 	Version ident.SoftwareVersion
+	// ColdFor is how much longer the process is cold; nil if the listing does not tell.
+	ColdFor *time.Duration
 	// Sequence rises with what the process says of itself.
 	Sequence int64
 }
--- a/kernel/endpoints/notice.go
+++ b/kernel/endpoints/notice.go
@@ -26,6 +26,8 @@
 	// RateLimit is the rate limit that it names; nil if the answer does not tell whether
 	// there is one.
 	RateLimit *ratelimit.Rate
+	// ColdFor is how much longer the process is cold; nil if the answer does not tell.
+	ColdFor *time.Duration
 	// Leaving is set if the process is about to end.
 	Leaving bool
 	// Rest is how long the process wants no requests from this instance; zero if it does
--- a/kernel/gateway/attempts.go
+++ b/kernel/gateway/attempts.go
@@ -95,10 +95,10 @@
 func (g *Gateway) sendTo(r *request, e *endpoints.Endpoint) {
 	now := g.now()
 	if r.attemptCount == 0 {
-		g.throttle.recordAdmission(now, r.service)
+		g.throttle.RecordAdmission(now, r.service)
 	}
 	r.attemptCount++
-	r.attempt = &attempt{id: r.attemptCount, endpoint: e.Name, address: e.Address, version: e.Version, startedAt: now}
+	r.attempt = &attempt{id: r.attemptCount, endpoint: e.Name, address: e.Address, version: e.Version, startedAt: now, permitted: g.isLimited(e)}
 	r.sends++
 	e.OwnRequests++
 	g.startAttemptTimeout(r, e)
@@ -181,7 +181,7 @@
 	if r == nil {
 		return false
 	}
-	if e := g.directory.Lookup(r.attempt.endpoint); e != nil && e.Withheld(g.now()) {
+	if e := g.directory.Lookup(r.attempt.endpoint); e != nil && (e.Withheld(g.now()) || g.lacksPermit(r.attempt, e)) {
 		r.attempt.withheld = true
 		g.counters.AttemptsWithheld++
 		return false
@@ -256,7 +256,7 @@
 		return false
 	}
 	r.excluded.Add(r.attempt.endpoint)
-	if e := g.chooseEndpoint(r); e == nil || g.isLimited(e) || !g.retryBudget.tryTake(g.now(), r.service, g.shareCount(g.now())) {
+	if e := g.chooseEndpoint(r); e == nil || g.isLimited(e) || !g.retryBudget.TryTake(g.now(), r.service, g.shareCount(g.now())) {
 		return false
 	}
 	g.counters.Retried++
@@ -334,7 +334,9 @@
 		g.checkEndpointLater(a)
 	case e != nil && f == NotSent:
 		g.suspectPath(e)
+		g.suspectCold(e)
 	case e != nil && f == Replaced:
+		g.suspectCold(e)
 		g.recordEndpointGone(e)
 	}
 	r.mayHaveRun = r.mayHaveRun || !provedNotRun
@@ -367,7 +369,7 @@
 		return r.unsentAttempts <= maxUnsentAttempts && g.now().Before(r.abandonAt)
 	case Declined, Replaced:
 		r.declines++
-		return r.declines <= maxDeclinedAttempts && g.retryBudget.tryTake(g.now(), r.service, g.shareCount(g.now()))
+		return r.declines <= maxDeclinedAttempts && g.retryBudget.TryTake(g.now(), r.service, g.shareCount(g.now()))
 	}
 	if !r.route.Repeatable() || r.sends >= r.route.MaxAttempts || r.partlyRelayed {
 		return false
@@ -375,7 +377,7 @@
 	if !r.deadline.After(g.now()) || r.firstEventSent && !g.canGoOn(r) {
 		return false
 	}
-	if !g.retryBudget.tryTake(g.now(), r.service, g.shareCount(g.now())) {
+	if !g.retryBudget.TryTake(g.now(), r.service, g.shareCount(g.now())) {
 		return false
 	}
 	if r.firstEventSent {
--- a/kernel/gateway/choose.go
+++ b/kernel/gateway/choose.go
@@ -113,7 +113,7 @@
 		if e.DataCentre != g.config.Self.DataCentre {
 			cost += crossTripCostMillis
 		}
-		if cost < bestCost {
+		if cost += g.coldCostMillis(r, e); cost < bestCost {
 			best, bestCost = e, cost
 		}
 	}
@@ -158,7 +158,7 @@
 		if e.DataCentre != g.config.Self.DataCentre {
 			cost += crossTripCostMillis
 		}
-		if cost < bestCost {
+		if cost += g.coldCostMillis(r, e); cost < bestCost {
 			best, bestCost = e, cost
 		}
 	}
--- a/kernel/gateway/eras.go
+++ b/kernel/gateway/eras.go
@@ -96,6 +96,7 @@
 	g.eras.recordListing(now, l, r)
 	old := g.directory.Lookup(l.Name)
 	isNew := g.directory.Upsert(l)
+	g.listWarmup(l)
 	if isNew && old != nil {
 		g.recordEndpointGone(old)
 	}
--- a/kernel/gateway/fleet_test.go
+++ b/kernel/gateway/fleet_test.go
@@ -52,6 +52,8 @@
 	checkEndpoint func(ident.Instance, ident.Endpoint)
 	// listPrompts carries out an instance's question for the prompts of an endpoint.
 	listPrompts func(ident.Instance, ident.Endpoint)
+	// queryHealth carries out an instance's question whether a process is cold.
+	queryHealth func(ident.Instance, ident.EndpointProcess)
 	// onStart is called for each instance that start starts.
 	onStart func(ident.Instance)
 	// path returns what happens to messages between two instances that are up;
@@ -143,6 +145,7 @@
 		f.timers.After(2*linkDelay, func() { f.gateways[name].HandleEndpointChecked(e, paths.Accepted) })
 	}
 	f.listPrompts = func(ident.Instance, ident.Endpoint) {}
+	f.queryHealth = func(ident.Instance, ident.EndpointProcess) {}
 	return f
 }
 
@@ -186,6 +189,7 @@
 			InspectEndpoint: func(ident.Endpoint, string) {},
 			CheckEndpoint:   func(e ident.Endpoint, _ string) { f.checkEndpoint(m.Name, e) },
 			ListPrompts:     func(e ident.Endpoint, _ string) { f.listPrompts(m.Name, e) },
+			QueryHealth:     func(p ident.EndpointProcess, _, _ string) { f.queryHealth(m.Name, p) },
 			FreeResults:     func(address string, handles []message.ResultHandle) { f.freeResults(m.Name, address, handles) },
 		},
 	})
--- a/kernel/gateway/forward_test.go
+++ b/kernel/gateway/forward_test.go
@@ -199,7 +199,7 @@
 		tg := newConfigured(t)
 		h := tg.sendRequest("/lookup/x", forwarded(1))
 		s := tg.wantSend(h)
-		if n := tg.gateway.retryBudget.slot(tg.timers.Now(), "orders").requests; n != 0 {
+		if n := tg.gateway.retryBudget.Requests(tg.timers.Now(), "orders"); n != 0 {
 			t.Fatalf("%d requests count for the retry budget", n)
 		}
 		tg.mustBeginWrite(h, s)
--- a/kernel/gateway/gateway.go
+++ b/kernel/gateway/gateway.go
@@ -22,8 +22,10 @@
 	"anvilcross/kernel/published"
 	"anvilcross/kernel/ratelimit"
 	"anvilcross/kernel/replica"
+	"anvilcross/kernel/retry"
 	"anvilcross/kernel/timer"
 	"anvilcross/kernel/value"
+	"anvilcross/kernel/warmup"
 )
 
 // RequestHandle identifies a caller's request within this instance. Request ids
@@ -54,6 +56,9 @@
 	// ListPrompts asks a model endpoint, given with its address, which prompt parts it
 	// holds. Its answer comes through HandlePrompts.
 	ListPrompts func(ident.Endpoint, string)
+	// QueryHealth asks the process of an endpoint, given with its address and the path of
+	// its health checks, whether it is cold. An answer comes through HandleNotice.
+	QueryHealth func(p ident.EndpointProcess, address, path string)
 }
 
 // DecodedRecord is the content of one record of the platform. All fields are
@@ -68,14 +73,7 @@
 }
 
 // RetryLimits sets the retry budget of the whole fleet.
-type RetryLimits struct {
-	// Within any Window a service may receive Ratio times its requests plus
-	// Slack as retries. A retry is any arrival of a request at an endpoint
-	// after its first one.
-	Ratio  float64
-	Slack  float64
-	Window time.Duration
-}
+type RetryLimits = retry.FleetLimits
 
 // Config sets up a Gateway.
 type Config struct {
@@ -115,17 +113,18 @@
 	directory   *endpoints.Directory
 	members     *membership.Table
 	batcher     *batching.Batcher
-	retryBudget *retryBudget
+	retryBudget *retry.FleetBudget
 	crashes     *crashTracker
 
-	// limits holds the rate limits of endpoints. lender leases this instance's share of
+	// limits holds the rate limits that endpoints name, warmup those of cold ones. lender leases this instance's share of
 	// them to an issuer, and issuer issues the permits of the shares leased to this one.
 	limits    *ratelimit.Table
+	warmup    *warmup.Table
 	lender    *ratelimit.Lender
 	issuer    *ratelimit.Issuer
 	permits   *permitClient
 	fleetSize fleetSize
-	throttle  *throttle
+	throttle  *ratelimit.Throttle
 
 	// origins holds which software versions began the streams that this instance keeps,
 	// and lookups those that it asks for. survey asks endpoints for the prompts they hold.
@@ -165,6 +164,8 @@
 	partitioned value.Set[ident.DataCentre]
 	// poolCache holds the division into pools; nil when it has to be computed.
 	poolCache *poolMap
+	// firstRecordsAt is when this instance first got the record of an endpoint.
+	firstRecordsAt time.Time
 	// recordsOfferedAt is when a member first reported that it has records, while
 	// this instance has none.
 	recordsOfferedAt time.Time
@@ -208,6 +209,9 @@
 	// PermitsIssued and PermitsDenied count this instance's decisions as the issuer,
 	// PermitsTimedOut the requests for permits without a reply.
 	PermitsIssued, PermitsDenied, PermitsTimedOut int
+	// ColdPermitsIssued and ColdPermitsDenied count its decisions for cold endpoints, and
+	// HealthQueries the questions to endpoints whether they are cold.
+	ColdPermitsIssued, ColdPermitsDenied, HealthQueries int
 	// AttemptsWithheld counts the attempts of which no byte was written because their
 	// endpoint had come to want no requests.
 	AttemptsWithheld int
@@ -245,14 +249,15 @@
 		forwardsTo:       map[ident.Instance]int{},
 	}
 	g.limits = ratelimit.NewTable()
+	g.warmup = warmup.NewTable(warmup.Config{Profile: g.coldProfile})
 	g.lender = ratelimit.NewLender(g.startedAt)
 	g.issuer = ratelimit.NewIssuer(ratelimit.IssuerConfig{Self: c.Self.Name, Incarnation: c.Self.Incarnation, StartedAt: g.startedAt})
-	g.permits = newPermitClient()
-	g.throttle = newThrottle()
+	g.permits = g.newPermitClient()
+	g.throttle = ratelimit.NewThrottle()
 	g.origins = origin.NewTable(origin.TableConfig{Retention: originRetention, MaxStreams: maxOrigins})
 	g.lookups = newOriginLookups()
 	g.survey = newPromptSurvey()
-	g.retryBudget = newRetryBudget(c.Retry)
+	g.retryBudget = retry.NewFleetBudget(c.Retry)
 	g.crashes = newCrashTracker()
 	g.batcher = batching.NewBatcher(batching.Config{
 		Timers:       c.Timers,
@@ -323,7 +328,7 @@
 func (g *Gateway) Reload(seeds []string, limits RetryLimits) {
 	g.members.SetSeeds(seeds)
 	g.config.Retry = limits
-	g.retryBudget.limits = limits
+	g.retryBudget.SetLimits(limits)
 }
 
 // Batcher returns the batcher, to which the owner reports the outcomes of stage
@@ -350,6 +355,7 @@
 	}
 	g.settleRemovals(now)
 	g.settleListings(now)
+	g.updateWarmup(now)
 	g.updateLimits(now)
 	g.directory.ExpireStatements(now)
 	g.origins.Expire(now)
--- a/kernel/gateway/limit_test.go
+++ b/kernel/gateway/limit_test.go
@@ -9,6 +9,7 @@
 
 	"anvilcross/kernel/endpoints"
 	"anvilcross/kernel/ident"
+	"anvilcross/kernel/permits"
 	"anvilcross/kernel/ratelimit"
 	"anvilcross/kernel/replica"
 )
@@ -403,7 +404,7 @@
 		if f.answers[h] == "relayed" {
 			relayed++
 		}
-		if f.answers[h] != "relayed" && f.refusedAfter[h] > 2*permitTimeout {
+		if f.answers[h] != "relayed" && f.refusedAfter[h] > 2*permits.Timeout {
 			t.Errorf("request %d was refused after %v", h, f.refusedAfter[h])
 		}
 	}
--- a/kernel/gateway/limits.go
+++ b/kernel/gateway/limits.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -32,7 +33,21 @@
 	g.out.LogEvent("endpointLimit", "endpoint", e.Name, "service", e.Service, "rate", float64(g.limitOf(e)), "source", source, "issuer", g.lender.Issuer(g.now()))
 }
 
-func (g *Gateway) limitOf(e *endpoints.Endpoint) ratelimit.Rate { return g.limits.Rate(e.Process()) }
+func (g *Gateway) limitOf(e *endpoints.Endpoint) ratelimit.Rate { return g.rateOf(e.Process()) }
+
+// rateOf returns the stricter of the rate limit that a process names and that while it is cold.
+func (g *Gateway) rateOf(p ident.EndpointProcess) ratelimit.Rate {
+	return g.limits.Rate(p).Stricter(g.warmup.Rate(g.now(), p))
+}
+
+// anyLimited reports whether any endpoint has a rate limit.
+func (g *Gateway) anyLimited(now time.Time) bool { return !g.limits.Empty() || !g.warmup.Empty(now) }
+
+// leasesShares reports whether this instance leases its share of the rate limits: always if
+// endpoints may become cold, so that the first one that is does not wait for the leases.
+func (g *Gateway) leasesShares() bool {
+	return !g.limits.Empty() || g.catalog != nil && g.catalog.HasColdEndpoints()
+}
 
 func (g *Gateway) isLimited(e *endpoints.Endpoint) bool {
 	return g.limitOf(e) != ratelimit.Unlimited
@@ -41,11 +56,8 @@
 // addLimits adds to a ping what this instance knows of rate limits, and to whom it
 // leases its share of them.
 func (g *Gateway) addLimits(now time.Time, p *message.Ping) {
-	if g.limits.Empty() {
-		return
-	}
-	p.Limits = g.limits.Reports(now)
-	if g.shuttingDown {
+	p.Limits, p.Cold = g.limits.Reports(now), g.warmup.Reports(now, coldNewsPings*g.members.PingPeriod())
+	if g.shuttingDown || !g.leasesShares() {
 		return
 	}
 	p.PermitClock = g.issuer.Clock(now)
@@ -72,6 +84,7 @@
 		g.lender.RecordClock(now, p.Member.Name, p.Member.Incarnation, p.PermitClock)
 	}
 	g.issuer.HandleLease(p.Member.Name, p.PermitLease)
+	g.warmup.MergeAll(now, p.Cold)
 	for _, name := range value.SortedKeys(p.Limits) {
 		if g.limits.Merge(now, name, p.Limits[name]) {
 			if e := g.directory.Lookup(name); e != nil {
@@ -85,21 +98,22 @@
 // issuer and frees the results whose endpoint may be called now.
 func (g *Gateway) updateLimits(now time.Time) {
 	g.limits.Purge(now)
-	g.permits.purge(now)
-	if g.limits.Empty() && len(g.permits.heldFrees) == 0 {
+	g.permits.Purge(now)
+	maps.DeleteFunc(g.permits.callPermits, func(_ ident.Endpoint, until time.Time) bool { return !now.Before(until) })
+	if !g.leasesShares() && len(g.permits.heldFrees) == 0 {
 		return
 	}
 	if !g.shuttingDown {
 		g.renewLease(now)
 	}
-	g.issuer.Refill(now, g.shareCount(now), g.limits.Rate)
+	g.issuer.Refill(now, g.shareCount(now), g.rateOf)
 	g.freeHeldResults(now)
 }
 
 // withoutBlocked returns the candidates without those to which no permit is to be had
 // now.
 func (g *Gateway) withoutBlocked(now time.Time, candidates []*endpoints.Endpoint) []*endpoints.Endpoint {
-	if g.limits.Empty() {
+	if !g.anyLimited(now) {
 		return candidates
 	}
 	return slices.DeleteFunc(slices.Clone(candidates), func(e *endpoints.Endpoint) bool {
@@ -107,3 +121,20 @@
 		return !ever || wait > 0
 	})
 }
+
+// limitsRefuse reports whether to refuse a request whose stages have not run yet, because
+// all endpoints of its service have rate limits that leave no room for it.
+func (g *Gateway) limitsRefuse(r *request) bool {
+	now := g.now()
+	if !g.anyLimited(now) {
+		return false
+	}
+	g.throttle.RecordArrival(now, r.service)
+	candidates := g.directory.Candidates(now, r.service, r.excluded)
+	for _, e := range candidates {
+		if !g.isLimited(e) {
+			return false
+		}
+	}
+	return len(candidates) > 0 && len(r.stageServices()) > 0 && g.random.Float64() >= g.throttle.AdmittedShare(now, r.service)
+}
--- a/kernel/gateway/notices.go
+++ b/kernel/gateway/notices.go
@@ -23,6 +23,9 @@
 // HandleNotice handles what the process of an endpoint says of itself in an answer. The
 // request was sent to it the given time ago.
 func (g *Gateway) HandleNotice(p ident.EndpointProcess, n endpoints.Notice, sentAgo time.Duration) {
+	if n.RateLimit != nil || n.ColdFor != nil {
+		g.warmup.HandleHealth(g.now(), p, n.ColdFor, sentAgo)
+	}
 	if n.RateLimit != nil {
 		g.recordLimit(p, *n.RateLimit, sentAgo)
 	}
--- a/kernel/gateway/paths.go
+++ b/kernel/gateway/paths.go
@@ -119,6 +119,9 @@
 
 // HandleEndpointChecked handles the result of connecting to an endpoint.
 func (g *Gateway) HandleEndpointChecked(name ident.Endpoint, r paths.Result) {
+	if e := g.directory.Lookup(name); e != nil && r == paths.Refused {
+		g.suspectCold(e)
+	}
 	service, change, ended := g.paths.Record(g.now(), name, r)
 	for _, name := range ended {
 		if e := g.directory.Lookup(name); e != nil {
--- a/kernel/gateway/permits.go
+++ b/kernel/gateway/permits.go
@@ -1,25 +1,18 @@
 package gateway
 
 import (
-	"maps"
 	"time"
 
 	"anvilcross/kernel/batching"
 	"anvilcross/kernel/endpoints"
 	"anvilcross/kernel/ident"
 	"anvilcross/kernel/message"
+	"anvilcross/kernel/permits"
 	"anvilcross/kernel/ratelimit"
-	"anvilcross/kernel/timer"
 	"anvilcross/kernel/value"
 )
 
 const (
-	// permitTimeout is how long an instance waits for the reply of the issuer: several
-	// round trips between data centres.
-	permitTimeout = 150 * time.Millisecond
-	// noIssuerPause is how long no permits are asked for while no issuer is known or
-	// the issuer does not reply.
-	noIssuerPause = 400 * time.Millisecond
 	// callPermitTTL is how long a permit for a call to a stage endpoint may be used:
 	// until the call is full.
 	callPermitTTL = 300 * time.Millisecond
@@ -40,14 +33,6 @@
 	permitDenied
 )
 
-// permitWait is a permit that the issuer has been asked for.
-type permitWait struct {
-	issuer  ident.Instance
-	process ident.EndpointProcess
-	then    func(issued bool)
-	timer   *timer.Timer
-}
-
 // heldFree holds the results to free at a limited endpoint.
 type heldFree struct {
 	handles []message.ResultHandle
@@ -57,12 +42,7 @@
 
 // permitClient keeps the permits that this instance asks for and has.
 type permitClient struct {
-	lastID message.PermitID
-	waits  map[message.PermitID]permitWait
-	// blockedUntil holds when a permit may be had for an endpoint again, and
-	// pausedUntil when one may be asked for at all.
-	blockedUntil map[ident.EndpointProcess]time.Time
-	pausedUntil  time.Time
+	*permits.Client
 	// callPermits holds until when a call to a stage endpoint may be sent, and
 	// callsAsked the endpoints for which a permit has been asked.
 	callPermits map[ident.Endpoint]time.Time
@@ -71,24 +51,17 @@
 	heldFrees map[string]*heldFree
 }
 
-func newPermitClient() *permitClient {
-	return &permitClient{waits: map[message.PermitID]permitWait{}, blockedUntil: map[ident.EndpointProcess]time.Time{}, callPermits: map[ident.Endpoint]time.Time{}, callsAsked: value.NewSet[ident.Endpoint](), heldFrees: map[string]*heldFree{}}
-}
-
-// blocked reports whether there is no permit for an endpoint at present.
-func (c *permitClient) blocked(now time.Time, p ident.EndpointProcess) bool {
-	return c.blockedFor(now, p) > 0
-}
-
-// blockedFor returns how long there is no permit for an endpoint.
-func (c *permitClient) blockedFor(now time.Time, p ident.EndpointProcess) time.Duration {
-	return max(c.pausedUntil.Sub(now), c.blockedUntil[p].Sub(now), 0)
-}
-
-// purge forgets what is over.
-func (c *permitClient) purge(now time.Time) {
-	maps.DeleteFunc(c.blockedUntil, func(_ ident.EndpointProcess, until time.Time) bool { return !now.Before(until) })
-	maps.DeleteFunc(c.callPermits, func(_ ident.Endpoint, until time.Time) bool { return !now.Before(until) })
+func (g *Gateway) newPermitClient() *permitClient {
+	return &permitClient{callPermits: map[ident.Endpoint]time.Time{}, callsAsked: value.NewSet[ident.Endpoint](), heldFrees: map[string]*heldFree{}, Client: permits.NewClient(permits.Config{
+		Timers: g.timers,
+		Send: func(issuer ident.Instance, m message.PermitRequest) {
+			g.sendToMember(issuer, message.Envelope{PermitRequest: &m})
+		},
+		OnTimeout: func(issuer ident.Instance, p ident.EndpointProcess) {
+			g.counters.PermitsTimedOut++
+			g.out.LogEvent("permitTimedOut", "endpoint", p.Endpoint, "issuer", issuer)
+		},
+	})}
 }
 
 // acquirePermit gets a permit to send one request to an endpoint. If the issuer has to
@@ -100,92 +73,90 @@
 	if limit == ratelimit.Unlimited {
 		return permitIssued
 	}
-	if g.permits.blocked(now, process) {
+	if g.permits.BlockedFor(now, process) > 0 {
 		return permitDenied
 	}
 	switch issuer := g.lender.Issuer(now); issuer {
 	case "":
-		g.permits.pausedUntil = now.Add(tickPeriod)
+		g.permits.Pause(now, tickPeriod)
 		return permitDenied
 	case g.config.Self.Name:
-		issued, wait := g.issuePermit(now, process)
-		if !issued {
-			g.permits.blockedUntil[process] = now.Add(wait)
+		reply := g.issuePermit(now, process)
+		if !reply.Issued {
+			g.permits.Block(now, process, reply.RetryAfter)
 			return permitDenied
 		}
 		return permitIssued
 	default:
-		g.askForPermit(issuer, process, then)
+		m := message.PermitRequest{Endpoint: process.Endpoint, Limit: g.limits.Report(now, process)}
+		if g.isCold(e) {
+			m.Cold = g.warmup.Report(now, process)
+		}
+		g.permits.Ask(issuer, process, m, then)
 		return permitPending
 	}
 }
 
 // issuePermit issues a permit as the issuer.
-func (g *Gateway) issuePermit(now time.Time, p ident.EndpointProcess) (bool, time.Duration) {
-	limit := g.limits.Rate(p)
+func (g *Gateway) issuePermit(now time.Time, p ident.EndpointProcess) message.PermitReply {
+	limit, cold := g.rateOf(p), g.warmup.Cold(now, p)
 	switch {
 	case g.shuttingDown:
-		return false, noIssuerPause
+		return message.PermitReply{RetryAfter: permits.NoIssuerPause}
 	case limit == ratelimit.Unlimited:
-		return true, 0
+		return message.PermitReply{Issued: true}
 	}
 	issued, wait := g.issuer.Issue(now, p, limit)
-	if issued {
+	switch {
+	case issued && cold:
+		g.counters.ColdPermitsIssued++
+	case issued:
 		g.counters.PermitsIssued++
-	} else {
+	case cold:
+		g.counters.ColdPermitsDenied++
+	default:
 		g.counters.PermitsDenied++
 	}
-	return issued, wait
-}
-
-// askForPermit asks the issuer for a permit.
-func (g *Gateway) askForPermit(issuer ident.Instance, p ident.EndpointProcess, then func(issued bool)) {
-	g.permits.lastID++
-	id := g.permits.lastID
-	wait := permitWait{issuer: issuer, process: p}
-	wait.then = func(issued bool) {
-		delete(g.permits.waits, id)
-		g.timers.Stop(wait.timer)
-		then(issued)
-	}
-	wait.timer = g.timers.After(permitTimeout, func() {
-		g.counters.PermitsTimedOut++
-		g.out.LogEvent("permitTimedOut", "endpoint", p.Endpoint, "issuer", issuer)
-		g.permits.pausedUntil = g.now().Add(noIssuerPause)
-		wait.then(false)
-	})
-	g.permits.waits[id] = wait
-	g.sendToMember(issuer, message.Envelope{PermitRequest: &message.PermitRequest{ID: id, Endpoint: p.Endpoint, Limit: g.limits.Report(g.now(), p)}})
+	return message.PermitReply{Issued: issued, RetryAfter: wait, Cold: cold}
 }
 
 // handlePermitRequest issues or denies a permit that another instance asks for.
 func (g *Gateway) handlePermitRequest(from ident.Instance, m message.PermitRequest) {
 	now := g.now()
+	p := ident.EndpointProcess{Endpoint: m.Endpoint, StartedUnixMillis: m.Limit.StartedUnixMillis}
 	g.limits.Merge(now, m.Endpoint, m.Limit)
-	issued, wait := g.issuePermit(now, ident.EndpointProcess{Endpoint: m.Endpoint, StartedUnixMillis: m.Limit.StartedUnixMillis})
-	g.sendToMember(from, message.Envelope{PermitReply: &message.PermitReply{ID: m.ID, Issued: issued, RetryAfter: wait}})
+	if m.Cold != nil {
+		g.warmup.Merge(now, m.Endpoint, *m.Cold)
+	}
+	reply := g.issuePermit(now, p)
+	if reply.ID = m.ID; m.Cold != nil && !reply.Cold {
+		reply.Warm = g.warmup.Report(now, p)
+	}
+	g.sendToMember(from, message.Envelope{PermitReply: &reply})
 }
 
 // handlePermitReply handles the issuer's reply. A late one is ignored.
 func (g *Gateway) handlePermitReply(m message.PermitReply) {
-	if wait, waiting := g.permits.waits[m.ID]; waiting {
-		if !m.Issued {
-			g.permits.blockedUntil[wait.process] = g.now().Add(m.RetryAfter)
-		}
-		wait.then(m.Issued)
+	p, awaited := g.permits.Awaited(m.ID)
+	if !awaited {
+		return
+	}
+	now := g.now()
+	if m.Warm != nil {
+		g.warmup.Merge(now, p.Endpoint, *m.Warm)
+	}
+	if m.Issued && !m.Cold && g.warmup.Cold(now, p) {
+		m.Issued, m.RetryAfter = false, permits.NoIssuerPause
 	}
+	g.permits.HandleReply(now, m)
 }
 
 // abandonPermits ends the waits for an issuer that cannot be reached.
 func (g *Gateway) abandonPermits(issuer ident.Instance) {
 	if g.lender.Issuer(g.now()) == issuer {
-		g.permits.pausedUntil = g.now().Add(noIssuerPause)
-	}
-	for _, id := range value.SortedKeys(g.permits.waits) {
-		if wait, waiting := g.permits.waits[id]; waiting && wait.issuer == issuer {
-			wait.then(false)
-		}
+		g.permits.Pause(g.now(), permits.NoIssuerPause)
 	}
+	g.permits.Abandon(issuer)
 }
 
 // resumeDispatch goes on with a request once the issuer has replied.
@@ -225,19 +196,27 @@
 	outcome := g.acquirePermit(e, func(issued bool) {
 		delete(g.permits.callsAsked, e.Name)
 		if issued {
-			g.permits.callPermits[e.Name] = g.now().Add(callPermitTTL)
+			g.permits.callPermits[e.Name] = g.now().Add(g.callPermitTime(e))
 			g.batcher.Dispatch(pool)
 		}
 	})
 	switch outcome {
 	case permitIssued:
-		g.permits.callPermits[e.Name] = now.Add(callPermitTTL)
+		g.permits.callPermits[e.Name] = now.Add(g.callPermitTime(e))
 	case permitPending:
 		g.permits.callsAsked.Add(e.Name)
 	}
 	return outcome == permitIssued
 }
 
+// callPermitTime returns how long a permit for a call to a stage endpoint may be used.
+func (g *Gateway) callPermitTime(e *endpoints.Endpoint) time.Duration {
+	if g.isCold(e) {
+		return permitUseTime
+	}
+	return callPermitTTL
+}
+
 // startCall sends a call to a stage endpoint and uses up its permit.
 func (g *Gateway) startCall(c batching.Call) {
 	delete(g.permits.callPermits, c.Endpoint)
--- a/kernel/gateway/request.go
+++ b/kernel/gateway/request.go
@@ -58,6 +58,8 @@
 	// version is that of the endpoint's software.
 	version   ident.SoftwareVersion
 	startedAt time.Time
+	// permitted is set if the endpoint had a rate limit and a permit was issued.
+	permitted bool
 	// firstEventAt is when the first event of its stream was relayed; zero before.
 	// lastEventAt is when a later one was last reported.
 	firstEventAt, lastEventAt time.Time
@@ -253,7 +255,7 @@
 		r.sends = f.Sends
 	}
 	if r.sends == 0 {
-		g.retryBudget.countRequest(now, r.service)
+		g.retryBudget.CountRequest(now, r.service)
 	}
 }
 
--- a/kernel/gateway/stagelimit_test.go
+++ b/kernel/gateway/stagelimit_test.go
@@ -113,7 +113,7 @@
 // Stages run for requests that find all model endpoints at their limits afterwards.
 func TestStagesOfRequestsBeyondAllLimits(t *testing.T) {
 	f := newStageFleet(t, 50*time.Millisecond, map[string]ratelimit.Rate{"models-0:80": 1, "models-1:80": 1, "models-2:80": 1})
-	f.advance(2 * throttleWindow)
+	f.advance(2 * ratelimit.ThrottleWindow)
 	f.pieces, f.sent = 0, 0
 	f.advance(20 * time.Second)
 	t.Logf("%d pieces for %d requests that were sent", f.pieces, f.sent)
--- a/kernel/gateway/testgateway_test.go
+++ b/kernel/gateway/testgateway_test.go
@@ -65,6 +65,7 @@
 				tg.timers.After(0, func() { tg.gateway.HandleEndpointChecked(e, paths.Accepted) })
 			},
 			ListPrompts: func(ident.Endpoint, string) {},
+			QueryHealth: func(ident.EndpointProcess, string, string) {},
 			FreeResults: func(_ string, h []message.ResultHandle) { tg.freed = append(tg.freed, h...) },
 		},
 	})
--- a/kernel/gateway/withheld.go
+++ b/kernel/gateway/withheld.go
@@ -18,7 +18,7 @@
 	case e.IsLeaving():
 		return 0, false
 	case g.isLimited(e):
-		return max(e.RestLeft(now), g.permits.blockedFor(now, e.Process())), true
+		return max(e.RestLeft(now), g.permits.BlockedFor(now, e.Process())), true
 	}
 	return e.RestLeft(now), true
 }
--- a/kernel/message/gateway.go
+++ b/kernel/message/gateway.go
@@ -8,6 +8,7 @@
 	"anvilcross/kernel/membership"
 	"anvilcross/kernel/ratelimit"
 	"anvilcross/kernel/replica"
+	"anvilcross/kernel/warmup"
 )
 
 // Ping tells other instances that the sender is alive, which members it knows,
@@ -70,6 +71,8 @@
 	Limits      map[ident.Endpoint]ratelimit.Report `json:"limits,omitempty"`
 	PermitClock time.Duration                       `json:"permitClock,omitempty"`
 	PermitLease *ratelimit.Lease                    `json:"permitLease,omitempty"`
+	// Cold holds what the sender has learned lately of cold endpoints, beside their records.
+	Cold map[ident.Endpoint]warmup.Report `json:"cold,omitempty"`
 	// SaidToLeave holds endpoints that have said in an answer that they leave, with the
 	// start time of the process in milliseconds since the Unix epoch.
 	SaidToLeave map[ident.Endpoint]int64 `json:"saidToLeave,omitempty"`
@@ -86,6 +89,8 @@
 	ID       PermitID         `json:"id"`
 	Endpoint ident.Endpoint   `json:"endpoint"`
 	Limit    ratelimit.Report `json:"limit"`
+	// Cold is what the sender knows of an endpoint that it takes for cold, else nil.
+	Cold *warmup.Report `json:"cold,omitempty"`
 }
 
 // PermitReply answers a PermitRequest. If no permit was issued, there may be one after
@@ -94,6 +99,11 @@
 	ID         PermitID      `json:"id"`
 	Issued     bool          `json:"issued,omitempty"`
 	RetryAfter time.Duration `json:"retryAfter,omitempty"`
+	// Cold is set if the permit was counted against the rate limit of cold endpoints, which
+	// earlier builds do not know. Warm is what the sender knows of an endpoint that the
+	// receiver takes for cold and the sender does not, else nil.
+	Cold bool           `json:"cold,omitempty"`
+	Warm *warmup.Report `json:"warm,omitempty"`
 }
 
 // PartCrash says which prompt parts an endpoint was about to answer when it crashed.
--- a/kernel/message/valid.go
+++ b/kernel/message/valid.go
@@ -39,6 +39,9 @@
 			}
 		}
 	case e.PermitRequest != nil:
+		if err := e.PermitRequest.Cold.Check(); err != nil {
+			return errors.Annotatef(err, "permit for endpoint %q", e.PermitRequest.Endpoint)
+		}
 		return errors.Annotatef(e.PermitRequest.Limit.Check(), "permit for endpoint %q", e.PermitRequest.Endpoint)
 	case e.StreamOrigins != nil:
 		for _, o := range e.StreamOrigins.Streams {
@@ -48,6 +51,8 @@
 		}
 	case e.PermitReply != nil && e.PermitReply.RetryAfter < 0:
 		return errors.New("negative wait for a permit")
+	case e.PermitReply != nil:
+		return errors.Annotate(e.PermitReply.Warm.Check(), "permit")
 	case e.StageInputsFetched != nil:
 		for _, id := range e.StageInputsFetched.Pieces {
 			if err := id.check(); err != nil {
@@ -113,6 +118,14 @@
 			return errors.Annotatef(err, "limit of endpoint %q", e)
 		}
 	}
+	if len(p.Cold) > maxListedPerPing {
+		return errors.Errorf("%d cold endpoints", len(p.Cold))
+	}
+	for e, r := range p.Cold {
+		if err := r.Check(); err != nil {
+			return errors.Annotatef(err, "cold endpoint %q", e)
+		}
+	}
 	if l := p.PermitLease; p.PermitClock < 0 || l != nil && (l.ClockAt < 0 || l.TTL < 0) {
 		return errors.New("negative time of a lease")
 	}
--- a/kernel/published/published.go
+++ b/kernel/published/published.go
@@ -131,6 +131,12 @@
 	Name ident.Service
 	// BatchProfile is set for services with stage endpoints; otherwise nil.
 	BatchProfile *BatchProfile
+	// ColdTime is how long an endpoint is cold after its start, and ColdPerSecond how many
+	// requests a second it then sustains; both are zero if the service has no cold endpoints.
+	ColdTime      time.Duration
+	ColdPerSecond float64
+	// HealthPath is the path of an endpoint's health checks; empty if there is none.
+	HealthPath string
 }
 
 // Limits bounds the size of a caller's request and the time that it may take to send
@@ -162,11 +168,17 @@
 
 	byHost map[string][]*Route
 	byKey  map[string]*Workspace
+	// hasColdEndpoints is set if any service has a ColdPerSecond.
+	hasColdEndpoints bool
 }
 
 // BuildIndex indexes the routes by host and the workspaces by key. It is called once,
 // after the exported fields are set.
 func (c *Catalog) BuildIndex() {
+	c.hasColdEndpoints = false
+	for _, s := range c.Services {
+		c.hasColdEndpoints = c.hasColdEndpoints || s.ColdPerSecond > 0
+	}
 	c.byHost = map[string][]*Route{}
 	for i := range c.Routes {
 		r := &c.Routes[i]
@@ -181,6 +193,9 @@
 	}
 }
 
+// HasColdEndpoints reports whether endpoints of any service may be cold.
+func (c *Catalog) HasColdEndpoints() bool { return c.hasColdEndpoints }
+
 // MatchRoute returns the route of the host with the longest prefix that matches the
 // path, or nil.
 func (c *Catalog) MatchRoute(host, path string) *Route {
--- a/kernel/ratelimit/ratelimit.go
+++ b/kernel/ratelimit/ratelimit.go
@@ -24,6 +24,14 @@
 // Unlimited is the rate of an endpoint that names no limit.
 const Unlimited Rate = -1
 
+// Stricter returns the one of two rates that allows less.
+func (r Rate) Stricter(o Rate) Rate {
+	if o.stricterThan(r) {
+		return o
+	}
+	return r
+}
+
 // stricterThan reports whether a rate allows less than another one.
 func (r Rate) stricterThan(o Rate) bool { return r != Unlimited && (o == Unlimited || r < o) }
 
--- a/kernel/retry/retry.go
+++ b/kernel/retry/retry.go
@@ -1,6 +1,6 @@
 // Package retry implements a retry budget. It limits retries to a share of the
-// successful requests, so that retries do not amplify an overload. Package gateway
-// has a budget of its own, whose limits apply to each service and the whole fleet.
+// successful requests, so that retries do not amplify an overload. A
+// FleetBudget has limits that apply to each service and the whole fleet.
 package retry
 
 // Config configures a Budget.
