--- a/anvilload/soak/check.go
+++ b/anvilload/soak/check.go
@@ -37,6 +37,12 @@
 	limitSlack       = 5
 	limitWindow      = 4 * time.Second
 	limitContactTime = 3 * time.Second
+	// A cold worker may get as much for workerColdRate in coldWindow, from coldContactTime on,
+	// when its entry has arrived. A new process is cold for coldStart.
+	workerColdRate  = 4.0
+	coldWindow      = time.Second
+	coldContactTime = time.Second
+	coldStart       = time.Second
 	// A worker that refuses with workerRestText in seconds, workerRest, may get maxInRest
 	// requests from a daemon between restGrace after that and its end.
 	workerRest     = 1500 * time.Millisecond
@@ -89,10 +95,13 @@
 	from, to time.Time
 }
 
-// limitSpan is a time in which a worker named a rate limit.
+// limitSpan is a time in which a worker named a rate limit or was cold. The limit holds in
+// each window from the contact time on.
 type limitSpan struct {
-	worker   string
-	from, to time.Time
+	worker          string
+	from, to        time.Time
+	rate            float64
+	contact, window time.Duration
 }
 
 // versionProbe is a request to a daemon for a route that a version of the
@@ -325,15 +334,15 @@
 	return nil
 }
 
-// checkRateLimits checks that workers got no more than the rate limits that they named from
-// undisturbed daemons.
+// checkRateLimits checks that workers got no more than the rate limits that they named, or
+// than cold ones may get, from undisturbed daemons.
 func checkRateLimits(h *history) []string {
 	var found []string
 	for _, l := range h.limits {
 		var arrivals []time.Time
 		for _, s := range h.exchanges {
 			for _, v := range h.workerRecords[s.request.ID].Arrivals {
-				if v.Worker == l.worker && v.Start.After(l.from.Add(limitContactTime)) && v.Start.Before(l.to) && h.daemonUndisturbed(s.daemon, v.Start) {
+				if v.Worker == l.worker && v.Start.After(l.from.Add(l.contact)) && v.Start.Before(l.to) && h.daemonUndisturbed(s.daemon, v.Start) {
 					arrivals = append(arrivals, v.Start)
 				}
 			}
@@ -341,11 +350,11 @@
 		slices.SortFunc(arrivals, time.Time.Compare)
 		begin := 0
 		for n, at := range arrivals {
-			for at.Sub(arrivals[begin]) >= limitWindow {
+			for at.Sub(arrivals[begin]) >= l.window {
 				begin++
 			}
-			if got, allowed := n-begin+1, limitFactor*workerRateLimit*limitWindow.Seconds()+limitSlack; float64(got) > allowed {
-				found = append(found, fmt.Sprintf("%s named a limit of %d and got %d requests in %v, %.0f allowed", l.worker, workerRateLimit, got, limitWindow, allowed))
+			if got, allowed := n-begin+1, limitFactor*l.rate*l.window.Seconds()+limitSlack; float64(got) > allowed {
+				found = append(found, fmt.Sprintf("%s has a limit of %v and got %d requests in %v, %.0f allowed", l.worker, l.rate, got, l.window, allowed))
 				break
 			}
 		}
--- a/anvilload/soak/plan.go
+++ b/anvilload/soak/plan.go
@@ -13,8 +13,8 @@
 // The events: a signal to a daemon (the first four), an outage, loss of history
 // or link fault of the metadata store, a link fault between daemons, faults of a
 // worker or its link, the draining of a worker, a new configuration, a restore of the store
-// from a copy, a rate limit that a worker names, refusals with a time of rest, and answers
-// that say that their worker leaves.
+// from a copy, a rate limit that a worker names, refusals with a time of rest, answers
+// that say that their worker leaves, and a worker that becomes cold.
 const (
 	eventKill          eventKind = "kill"
 	eventStop          eventKind = "stop"
@@ -34,6 +34,7 @@
 	eventWorkerLimited eventKind = "workerLimited"
 	eventWorkerRests   eventKind = "workerRests"
 	eventWorkerLeaves  eventKind = "workerLeaves"
+	eventWorkerCold    eventKind = "workerCold"
 )
 
 // eventWeights gives the relative frequency of each kind.
@@ -108,10 +109,11 @@
 func newLaterEvents(c Config, eventsEnd time.Duration) []event {
 	random := rand.New(rand.NewPCG(c.Seed, 1<<32))
 	var events []event
-	for _, k := range []eventKind{eventStoreRestored, eventWorkerLimited, eventWorkerRests, eventWorkerLeaves} {
+	for _, k := range []eventKind{eventStoreRestored, eventWorkerLimited, eventWorkerRests, eventWorkerLeaves, eventWorkerCold} {
 		for range 1 + random.IntN(2) {
 			offset := firstEventOffset + time.Duration(random.Int64N(int64(max(eventsEnd-firstEventOffset, 1))))
-			events = append(events, event{offset: offset, kind: k, duration: time.Duration(200+random.IntN(2500)) * time.Millisecond, target: random.IntN(1 << 16)})
+			duration := min(time.Duration(200+random.IntN(2500))*time.Millisecond, max(eventsEnd-offset, 0))
+			events = append(events, event{offset: offset, kind: k, duration: duration, target: random.IntN(1 << 16)})
 		}
 	}
 	return events
--- a/anvilload/soak/soak.go
+++ b/anvilload/soak/soak.go
@@ -272,6 +272,8 @@
 			routes = append(routes, route)
 		}
 		c["routes"] = routes
+		orders := c["services"].([]any)[0].(map[string]any)
+		orders["cold-start-s"], orders["cold-per-s"] = coldStart.Seconds(), workerColdRate
 	})
 }
 
@@ -323,6 +325,9 @@
 	case eventWorkerLimited:
 		r.limitWorker(fmt.Sprintf("%s-%d", []string{"orders", "models"}[e.target%2], e.target/2%site.WorkersPerService), e)
 		return
+	case eventWorkerCold:
+		r.chillWorker(fmt.Sprintf("orders-%d", e.target%site.WorkersPerService), e)
+		return
 	case eventWorkerLeaves:
 		r.leaveByWord(fmt.Sprintf("%s-%d", []string{"orders", "models"}[e.target%2], e.target/2%site.WorkersPerService), e.duration)
 		return
--- a/anvilload/soak/soak_test.go
+++ b/anvilload/soak/soak_test.go
@@ -89,7 +89,7 @@
 			r.Runs[0].End = s.sentAt.Add(5 * time.Second)
 		},
 		"limit": func(h *history, _ *exchange, r *worker.Record) {
-			h.limits = []limitSpan{{worker: "orders-0", from: at(-10 * time.Second), to: at(time.Minute)}}
+			h.limits = []limitSpan{{worker: "orders-0", from: at(-10 * time.Second), to: at(time.Minute), rate: workerRateLimit, contact: limitContactTime, window: limitWindow}}
 			for range 30 {
 				r.Arrivals = append(r.Arrivals, r.Arrivals[0])
 			}
--- a/anvilload/soak/workers.go
+++ b/anvilload/soak/workers.go
@@ -51,23 +51,38 @@
 	t.apply(name, sum)
 }
 
-// limitWorker lets a worker name a rate limit. Only one event at a time limits it.
+// limitWorker lets a worker name a rate limit.
 func (r *runner) limitWorker(name string, e event) {
+	r.holdToLimit(limitSpan{worker: name, rate: workerRateLimit, contact: limitContactTime, window: limitWindow}, e.duration, func(time.Duration) {
+		r.site.SetRateLimit(name, strconv.Itoa(workerRateLimit))
+	}, func() { r.site.SetRateLimit(name, "") })
+}
+
+// chillWorker makes a worker cold.
+func (r *runner) chillWorker(name string, e event) {
+	r.holdToLimit(limitSpan{worker: name, rate: workerColdRate, contact: coldContactTime, window: coldWindow}, e.duration, func(d time.Duration) {
+		r.site.Chill(name, d, workerColdRate)
+	}, func() { r.site.Chill(name, 0, workerColdRate) })
+}
+
+// holdToLimit limits a worker for a time and records that. Only one event at a time does.
+func (r *runner) holdToLimit(l limitSpan, duration time.Duration, begin func(time.Duration), end func()) {
 	r.mutex.Lock()
-	if r.limited[name] {
+	if r.limited[l.worker] {
 		r.mutex.Unlock()
 		return
 	}
-	r.limited[name] = true
+	r.limited[l.worker] = true
 	r.mutex.Unlock()
-	l := limitSpan{worker: name, from: time.Now()}
-	r.site.SetRateLimit(name, strconv.Itoa(workerRateLimit))
-	time.Sleep(limitContactTime + limitWindow + e.duration)
+	l.from = time.Now()
+	d := l.contact + l.window + duration
+	begin(d)
+	time.Sleep(d)
 	l.to = time.Now()
-	r.site.SetRateLimit(name, "")
+	end()
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.limited[name] = false
+	r.limited[l.worker] = false
 	r.history.limits = append(r.history.limits, l)
 }
 
--- a/anvilstandin/site/site.go
+++ b/anvilstandin/site/site.go
@@ -91,6 +91,8 @@
 	State           string `json:"state"`
 	Sequence        int    `json:"sequence"`
 	StartedAtMillis int64  `json:"born"`
+	// ColdMillis is how much longer the worker is cold; nil if its entry does not tell.
+	ColdMillis *int64 `json:"cold-remaining-ms,omitempty"`
 }
 
 // Start starts the metadata store and the workers on free ports of the loopback
@@ -295,6 +297,15 @@
 	}
 }
 
+// Chill makes a plain worker cold for a time, or warm again, and writes that to its entry.
+func (s *Site) Chill(name string, d time.Duration, perSecond float64) {
+	s.PlainWorkers[name].Chill(d, perSecond)
+	e, millis := s.entry(name), d.Milliseconds()
+	e.ColdMillis = &millis
+	e.Sequence++
+	s.PublishEntry(name, e)
+}
+
 // RewriteEntries writes the entries of all workers again, as they do once the metadata
 // store was restored from a copy.
 func (s *Site) RewriteEntries() {
--- a/anvilstandin/worker/model.go
+++ b/anvilstandin/worker/model.go
@@ -62,6 +62,9 @@
 		m.listPrompts(out)
 		return
 	}
+	if m.worker.serveHealth(out, r) {
+		return
+	}
 	id := r.Header.Get("Request-Id")
 	if _, err := io.Copy(io.Discard, r.Body); err != nil || !m.worker.admit(out, r) {
 		return
--- a/anvilstandin/worker/stage.go
+++ b/anvilstandin/worker/stage.go
@@ -125,10 +125,14 @@
 
 // ServeHTTP serves calls that run pieces, free results or report the load.
 func (s *Stage) ServeHTTP(out http.ResponseWriter, r *http.Request) {
+	if s.worker.serveHealth(out, r) {
+		return
+	}
 	s.worker.describeItself(out)
 	s.config.Recorder.RecordArrival(r.URL.Path, s.config.Name)
 	switch r.Method + " " + r.URL.Path {
 	case "POST /api/stage-run":
+		s.worker.takeCold()
 		s.serveRun(out, r)
 	case "POST /api/stage-free":
 		var call struct {
--- a/anvilstandin/worker/worker.go
+++ b/anvilstandin/worker/worker.go
@@ -211,6 +211,7 @@
 	// rateLimit is the number of requests per second that the worker says it takes from
 	// all callers together; empty if it says nothing.
 	rateLimit string
+	cold      coldState
 	// refusals holds the last refusal on each connection, by the caller's address.
 	refusals map[string]string
 }
@@ -264,6 +265,7 @@
 		return false
 	}
 	w.config.Recorder.RecordArrival(id, w.config.Name)
+	w.takeCold()
 	if f := w.currentFaults(); f.Full {
 		if f.OmitsID {
 			out.Header().Del("Request-Id")
@@ -352,6 +354,9 @@
 
 // ServeHTTP serves a plain request.
 func (w *Worker) ServeHTTP(out http.ResponseWriter, r *http.Request) {
+	if w.serveHealth(out, r) {
+		return
+	}
 	id := r.Header.Get("Request-Id")
 	body, err := io.ReadAll(r.Body)
 	if err != nil || !w.admit(out, r) || w.repeatRefusal(out, r, id, body) {
--- a/kernel/gateway/cold_test.go
+++ b/kernel/gateway/cold_test.go
@@ -747,3 +747,101 @@
 		t.Error("a report with a field of a later build was not taken in")
 	}
 }
+
+// Calls to a cold stage endpoint, and those that free results there, are sent as to a warm one.
+func TestCallsToAColdStageEndpoint(t *testing.T) {
+	f := newStageFleet(t, 40*time.Millisecond, nil)
+	c := coldCatalog()
+	c.Version = 2
+	for _, s := range c.Services {
+		s.ColdPerSecond = 1
+	}
+	const cold = 10 * time.Second
+	l := testListing("registry", 0)
+	l.ColdFor = new(time.Duration)
+	*l.ColdFor = cold
+	for _, name := range f.names {
+		f.gateways[name].HandleChanges([]replica.Record{testRecord(t, "catalog", 2, c), testRecord(t, string(l.Name), 2, l)}, 2)
+	}
+	since := f.timers.Now()
+	f.advance(cold)
+	got := countAfter(f.arrivals[l.Address], since)
+	t.Logf("%d calls in %v, most in a second: %d", got, cold, mostWithin(f.arrivals[l.Address]))
+	if allowed := coldFactor*cold.Seconds() + coldSlack; float64(got) > allowed || got < 3 {
+		t.Errorf("a cold stage endpoint got %d calls in %v, allowed %.0f", got, cold, allowed)
+	}
+}
+
+// An operator cannot see which endpoints are cold, for how long and why.
+func TestColdEndpointsAreLogged(t *testing.T) {
+	tg := newColdGateway(t, func(int) bool { return false })
+	cold := 400 * time.Millisecond
+	tg.events = nil
+	tg.gateway.HandleNotice(ident.EndpointProcess{Endpoint: "orders-0"}, endpoints.Notice{ColdFor: &cold}, 0)
+	tg.advance(200 * time.Millisecond)
+	if n, suspected := tg.gateway.ColdCounts(); n != 1 || suspected != 0 || !slices.Equal(tg.events, []string{"endpointCold"}) {
+		t.Errorf("%d cold, %d suspected; logged %v", n, suspected, tg.events)
+	}
+	tg.advance(time.Second)
+	if n, _ := tg.gateway.ColdCounts(); n != 0 || !slices.Equal(tg.events, []string{"endpointCold", "endpointWarm"}) {
+		t.Errorf("%d cold; logged %v", n, tg.events)
+	}
+}
+
+// The end of an evacuation lets all of its load go to endpoints that have become cold meanwhile.
+func TestEndOfAnEvacuation(t *testing.T) {
+	tg := newColdGateway(t, func(int) bool { return false })
+	tg.gateway.HandleEvacuationEnded("east")
+	for _, e := range tg.gateway.directory.ByService("orders") {
+		if tg.gateway.isLimited(e) != (e.DataCentre == "east") {
+			t.Errorf("%s in %s is limited: %v", e.Name, e.DataCentre, tg.gateway.isLimited(e))
+		}
+	}
+}
+
+// An instance that has lost its path to a service, or to a data centre, takes the endpoints there
+// for cold and has others do so.
+func TestLostPathIsNoSuspicion(t *testing.T) {
+	tg := newColdGateway(t, func(int) bool { return false })
+	e := tg.gateway.directory.Lookup("orders-1")
+	tg.gateway.directory.SetPartitioned(map[ident.DataCentre]struct{}{e.DataCentre: {}})
+	tg.gateway.suspectCold(e)
+	if tg.gateway.isLimited(e) {
+		t.Error("an endpoint in a lost data centre is limited")
+	}
+	tg.gateway.directory.SetPartitioned(nil)
+	tg.gateway.suspectCold(e)
+	if !tg.gateway.isLimited(e) {
+		t.Error("an endpoint that cannot be reached is not limited")
+	}
+}
+
+// An instance that starts takes all endpoints for cold, or a process that starts later for warm.
+func TestStartOfAnInstanceIsNoStartOfEndpoints(t *testing.T) {
+	tg := newTestGateway(t)
+	records := []replica.Record{testRecord(t, "catalog", 1, coldCatalog())}
+	for n := range 3 {
+		l := testListing("orders", n)
+		records = append(records, testRecord(t, string(l.Name), replica.Revision(n+2), l))
+	}
+	// Another instance sends its records in several messages.
+	for n, r := range records {
+		tg.gateway.HandleMessage(message.Envelope{From: "two", Records: &message.Records{Delta: replica.Delta{Records: []replica.Record{r}, Base: replica.Revision(n), AsOf: replica.Revision(n + 1)}}})
+		tg.advance(10 * time.Millisecond)
+	}
+	if n, _ := tg.gateway.ColdCounts(); n != 0 {
+		t.Errorf("%d endpoints are cold", n)
+	}
+	tg.advance(2 * firstListTime)
+	l := testListing("orders", 3)
+	tg.gateway.HandleChanges([]replica.Record{testRecord(t, string(l.Name), 9, l)}, 9)
+	if n, _ := tg.gateway.ColdCounts(); n != 1 {
+		t.Errorf("%d endpoints are cold, want the one that has started", n)
+	}
+	// The choice leaves out the cold endpoint without a permit, and prefers the others.
+	for range 10 {
+		if s := tg.wantSend(tg.sendRequest("/lookup/x", nil)); s.Endpoint == l.Name {
+			t.Error("a request was sent to the cold endpoint without a permit")
+		}
+	}
+}
