--- a/kernel/gateway/attempts.go
+++ b/kernel/gateway/attempts.go
@@ -98,7 +98,7 @@
 		g.throttle.RecordAdmission(now, r.service)
 	}
 	r.attemptCount++
-	r.attempt = &attempt{id: r.attemptCount, endpoint: e.Name, dataCentre: e.DataCentre, address: e.Address, version: e.Version, startedAt: now}
+	r.attempt = &attempt{id: r.attemptCount, endpoint: e.Name, dataCentre: e.DataCentre, address: e.Address, version: e.Version, startedAt: now, permitted: g.isLimited(e)}
 	r.sends++
 	e.OwnRequests++
 	g.startAttemptTimeout(r, e)
@@ -182,7 +182,7 @@
 	if r == nil {
 		return false
 	}
-	if e := g.directory.Lookup(r.attempt.endpoint); e != nil && e.Withheld(g.now()) || g.evacuations.InForce(r.attempt.dataCentre) {
+	if e := g.directory.Lookup(r.attempt.endpoint); e != nil && (e.Withheld(g.now()) || g.lacksPermit(r.attempt, e)) || g.evacuations.InForce(r.attempt.dataCentre) {
 		r.attempt.withheld = true
 		g.counters.AttemptsWithheld++
 		return false
@@ -335,7 +335,9 @@
 		g.checkEndpointLater(a)
 	case e != nil && f == NotSent:
 		g.suspectPath(e)
+		g.suspectCold(e)
 	case e != nil && f == Replaced:
+		g.suspectCold(e)
 		g.recordEndpointGone(e)
 	}
 	r.mayHaveRun = r.mayHaveRun || !provedNotRun
--- a/kernel/gateway/evacuations.go
+++ b/kernel/gateway/evacuations.go
@@ -27,6 +27,7 @@
 func (g *Gateway) logEvacuationEnded(dataCentre ident.DataCentre, source string) {
 	g.evacuationsChanged = true
 	g.out.LogEvent("evacuationEnded", "evacuated", dataCentre, "source", source, "running", g.runningIn(dataCentre))
+	g.HandleEvacuationEnded(dataCentre)
 }
 
 // applyEvacuations applies a change of the evacuated data centres: requests that wait are sent
--- a/kernel/gateway/gateway.go
+++ b/kernel/gateway/gateway.go
@@ -26,6 +26,7 @@
 	"anvilcross/kernel/retrybudget"
 	"anvilcross/kernel/timer"
 	"anvilcross/kernel/value"
+	"anvilcross/kernel/warmup"
 )
 
 // RequestHandle identifies a caller's request within this instance. Request ids
@@ -56,6 +57,9 @@
 	// ListPrompts asks a model endpoint, given with its address, which prompt parts it
 	// holds. Its answer comes through HandlePrompts.
 	ListPrompts func(ident.Endpoint, string)
+	// QueryHealth asks the process of an endpoint, given with its address and the path of
+	// its health checks, whether it is cold. An answer comes through HandleNotice.
+	QueryHealth func(p ident.EndpointProcess, address, path string)
 }
 
 // DecodedRecord is the content of one record of the platform. All fields are
@@ -117,9 +121,10 @@
 	retryBudget *retrybudget.Budget
 	crashes     *crashTracker
 
-	// limits holds the rate limits of endpoints. lender leases this instance's share of
+	// limits holds the rate limits that endpoints name, warmup those of cold ones. lender leases this instance's share of
 	// them to an issuer, and issuer issues the permits of the shares leased to this one.
 	limits    *ratelimit.Table
+	warmup    *warmup.Table
 	lender    *ratelimit.Lender
 	issuer    *ratelimit.Issuer
 	permits   *permitClient
@@ -168,6 +173,8 @@
 	// of them has not been applied.
 	evacuations        *evacuation.Table
 	evacuationsChanged bool
+	// firstRecordsAt is when this instance first got the record of an endpoint.
+	firstRecordsAt time.Time
 	// recordsOfferedAt is when a member first reported that it has records, while
 	// this instance has none.
 	recordsOfferedAt time.Time
@@ -211,6 +218,9 @@
 	// PermitsIssued and PermitsDenied count this instance's decisions as the issuer,
 	// PermitsTimedOut the requests for permits without a reply.
 	PermitsIssued, PermitsDenied, PermitsTimedOut int
+	// ColdPermitsIssued and ColdPermitsDenied count its decisions for cold endpoints, and
+	// HealthQueries the questions to endpoints whether they are cold.
+	ColdPermitsIssued, ColdPermitsDenied, HealthQueries int
 	// AttemptsWithheld counts the attempts of which no byte was written because their
 	// endpoint had come to want no requests.
 	AttemptsWithheld int
@@ -249,9 +259,10 @@
 		forwardsTo:       map[ident.Instance]int{},
 	}
 	g.limits = ratelimit.NewTable()
+	g.warmup = warmup.NewTable(warmup.Config{Profile: g.coldProfile})
 	g.lender = ratelimit.NewLender(g.startedAt)
 	g.issuer = ratelimit.NewIssuer(ratelimit.IssuerConfig{Self: c.Self.Name, Incarnation: c.Self.Incarnation, StartedAt: g.startedAt})
-	g.permits = newPermitClient()
+	g.permits = g.newPermitClient()
 	g.throttle = ratelimit.NewThrottle()
 	g.origins = origin.NewTable(origin.TableConfig{Retention: originRetention, MaxStreams: maxOrigins})
 	g.lookups = newOriginLookups()
@@ -357,6 +368,7 @@
 	}
 	g.settleRemovals(now)
 	g.settleListings(now)
+	g.updateWarmup(now)
 	g.updateLimits(now)
 	g.directory.ExpireStatements(now)
 	g.origins.Expire(now)
--- a/kernel/gateway/request.go
+++ b/kernel/gateway/request.go
@@ -61,6 +61,8 @@
 	// version is that of the endpoint's software.
 	version   ident.SoftwareVersion
 	startedAt time.Time
+	// permitted is set if the endpoint had a rate limit and a permit was issued.
+	permitted bool
 	// firstEventAt is when the first event of its stream was relayed; zero before.
 	// lastEventAt is when a later one was last reported.
 	firstEventAt, lastEventAt time.Time
--- a/kernel/ratelimit/throttle.go
+++ b/kernel/ratelimit/throttle.go
@@ -22,9 +22,8 @@
 	admitted int
 }
 
-// Throttle refuses requests before their stages run if the rate limits of all endpoints of
-// their service leave no room for them afterwards. It admits as large a share of them as
-// was sent to an endpoint in the window before.
+// Throttle tells how large a share of the requests to a service its rate limits admit: that
+// which was sent to an endpoint in the window before.
 type Throttle struct {
 	current, before map[ident.Service]throttleCount
 }
