Admit whole requests at their first stage when later stages are short

Cause: the batcher of the first stage learned the queue of the last stage with the delay of a ping, let any request that arrived start, and refused those that had become late. In a burst, urgent requests were refused or late as often as the least urgent ones, and work of refused requests was thrown away.

Change: kernel/admission keeps an account of the pieces that were started for each later pool, and decides which requests start, wait or are refused, by urgency, cost and shares of workspaces. The batcher uses it if PipelineAdmission says so ([admission] policy = pipeline; auto is off until the gateway can tell). StageWork says how many pieces the later stages have, how many first stages the request submits together, and which workspace it is of.

Ruled out: the start rate of a pool that was idle before as a measure of its wait. It refused urgent requests in the first second of a load.

--- a/anvilcrossd/gatewayd/gatewayd.go
+++ b/anvilcrossd/gatewayd/gatewayd.go
@@ -197,6 +197,7 @@
 		},
 		Seeds:        s.Seeds,
 		Retry:        gateway.RetryLimits{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow},
+		Admission:    gateway.AdmissionPolicy(s.AdmissionPolicy),
 		Random:       rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		Timers:       timers,
 		DecodeRecord: platform.DecodeRecord,
--- a/anvilcrossd/gatewayd/metrics.go
+++ b/anvilcrossd/gatewayd/metrics.go
@@ -11,7 +11,9 @@
 
 	"anvilcross/anvilcrossd/eventlog"
 	"anvilcross/anvilcrossd/metrics"
+	"anvilcross/kernel/admission"
 	"anvilcross/kernel/gateway"
+	"anvilcross/kernel/ident"
 )
 
 // metricsConfig sets up gatewayMetrics.
@@ -56,6 +58,7 @@
 // adapters.
 func (d *daemon) collectGauges(scope tally.Scope) {
 	gauges := map[string]float64{}
+	var admissions map[ident.Service]admission.Counts
 	d.withGateway(func(g *gateway.Gateway) {
 		c, b := g.Counters(), g.BatchStats()
 		gauges["in_flight"] = float64(g.InFlight())
@@ -96,7 +99,15 @@
 		gauges["stage_pieces_late"] = float64(b.Expired)
 		gauges["stage_pieces_refused"] = float64(b.Refused)
 		gauges["stage_duplicates"] = float64(b.Duplicates)
+		admissions = g.Batcher().AdmissionCounts()
 	})
+	for service, n := range admissions {
+		s := scope.Tagged(map[string]string{"service": string(service)})
+		s.Gauge("admission_asked").Update(float64(n.Asked))
+		s.Gauge("admission_started").Update(float64(n.Started))
+		s.Gauge("admission_held").Update(float64(n.Held))
+		s.Gauge("admission_refused").Update(float64(n.Refused))
+	}
 	gauges["log_lines_dropped"] = float64(d.log.DroppedLines())
 	gauges["endpoint_connections_opened"] = float64(d.httpClient.OpenedConnections())
 	gauges["endpoint_connections_idle"] = float64(d.httpClient.IdleCount())
--- a/anvilcrossd/settings/gateway.go
+++ b/anvilcrossd/settings/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -45,6 +46,9 @@
 	RetryRatio  float64
 	RetrySlack  float64
 	RetryWindow time.Duration
+	// AdmissionPolicy sets where requests with stages are admitted: auto, pipeline or
+	// stage.
+	AdmissionPolicy string
 }
 
 func knownGatewaySettings() []setting[Gateway] {
@@ -65,6 +69,7 @@
 		numberSetting("retries", "ratio", func(s *Gateway) *float64 { return &s.RetryRatio }),
 		numberSetting("retries", "slack", func(s *Gateway) *float64 { return &s.RetrySlack }),
 		durationSetting("retries", "window", func(s *Gateway) *time.Duration { return &s.RetryWindow }),
+		{section: "admission", key: "policy", apply: applyAdmissionPolicy},
 	}
 }
 
@@ -98,6 +103,18 @@
 	return nil
 }
 
+// applyAdmissionPolicy parses the admission policy.
+func applyAdmissionPolicy(s *Gateway, text string) error {
+	if !slices.Contains(admissionPolicies, text) {
+		return fmt.Errorf("%q is none of %s", text, strings.Join(admissionPolicies, ", "))
+	}
+	s.AdmissionPolicy = text
+	return nil
+}
+
+// admissionPolicies are the values of the admission policy, the default first.
+var admissionPolicies = []string{"auto", "pipeline", "stage"}
+
 // One unit of capacity: the share of a processor core and the bandwidth that
 // batching for one stage service of a large fleet needs. The smallest instances
 // of the users' grown deployments have one unit of each.
@@ -132,6 +149,7 @@
 		RetryRatio:      defaultRetryRatio,
 		RetrySlack:      defaultRetrySlack,
 		RetryWindow:     defaultRetryWindow,
+		AdmissionPolicy: admissionPolicies[0],
 	}
 	if err := parse(text, overrides, s, knownGatewaySettings()); err != nil {
 		return nil, errors.Trace(err)
--- a/kernel/batching/batching.go
+++ b/kernel/batching/batching.go
@@ -11,6 +11,7 @@
 	"slices"
 	"time"
 
+	"anvilcross/kernel/admission"
 	"anvilcross/kernel/endpoints"
 	"anvilcross/kernel/ident"
 	"anvilcross/kernel/message"
@@ -119,7 +120,11 @@
 	// rate limit. If not, it has the pool dispatched again once a call may be sent.
 	// The result holds until the next event.
 	MayCall func(*endpoints.Endpoint, ident.Pool) bool
-	Output  Output
+	// PipelineAdmission reports whether whole requests are admitted at their first stage, by
+	// the account of later stages (kernel/admission). If it is nil or false, each stage
+	// decides for itself.
+	PipelineAdmission func() bool
+	Output            Output
 }
 
 const (
@@ -308,6 +313,12 @@
 	// the number of the latest one since the Unix epoch.
 	startedPerBucket [rateBuckets]int
 	bucket           int64
+	// candidates holds the requests that no piece has been started of, from the last
+	// ordering. heldTimer is set while one of them waits to be decided on again.
+	candidates map[ident.RequestID]*admission.Request
+	heldTimer  *timer.Timer
+	// emptiedAt is when a dispatch last left no piece that may start.
+	emptiedAt time.Time
 }
 
 // Batcher queues the pieces of the pools that this instance batches for and
@@ -322,6 +333,7 @@
 	reservations   map[message.ResultHandle]*reservation
 	lastCallID     CallID
 	stats          Stats
+	admission      *admission.Controller
 }
 
 // Stats are counts since the batcher was created. Calls, Declined, Broken and
@@ -333,7 +345,7 @@
 
 // NewBatcher returns a batcher with empty queues.
 func NewBatcher(c Config) *Batcher {
-	return &Batcher{
+	b := &Batcher{
 		config:         c,
 		queues:         map[ident.Pool]*queue{},
 		pieces:         map[message.PieceID]*piece{},
@@ -342,6 +354,8 @@
 		endpointStates: map[ident.Endpoint]*endpointState{},
 		reservations:   map[message.ResultHandle]*reservation{},
 	}
+	b.admission = admission.NewController(admission.Config{Capacity: b.capacityOf, ReportedWait: b.reportedWait})
+	return b
 }
 
 // Stats returns the current counts.
@@ -427,6 +441,7 @@
 	others := slices.DeleteFunc(b.requests[p.id.Request], func(o *piece) bool { return o == p })
 	if len(others) == 0 {
 		delete(b.requests, p.id.Request)
+		b.admission.Forget(p.id.Request)
 		return
 	}
 	b.requests[p.id.Request] = others
--- a/kernel/batching/dispatch.go
+++ b/kernel/batching/dispatch.go
@@ -42,11 +42,16 @@
 // schedules the next dispatch then. Waiting pays when few endpoints are idle: a
 // small call would occupy one of them for the whole call overhead.
 func (b *Batcher) shouldLinger(pool ident.Pool, q *queue, profile *published.BatchProfile, idleCount, candidateCount int) bool {
-	if 2*len(q.waiting) >= profile.MaxPiecesPerCall || 2*idleCount > candidateCount {
+	waiting := q.waiting
+	if b.pipelineAdmission() {
+		// Held pieces fill no call.
+		waiting = slices.DeleteFunc(slices.Clone(waiting), func(p *piece) bool { return p.rank >= heldRank })
+	}
+	if len(waiting) == 0 || 2*len(waiting) >= profile.MaxPiecesPerCall || 2*idleCount > candidateCount {
 		return false
 	}
-	oldest := q.waiting[0].submittedAt
-	for _, p := range q.waiting {
+	oldest := waiting[0].submittedAt
+	for _, p := range waiting {
 		if p.submittedAt.Before(oldest) {
 			oldest = p.submittedAt
 		}
@@ -208,6 +213,7 @@
 	profile := b.config.BatchProfile(pool.Service)
 	c.expectedTime = profile.CallOverhead + time.Duration(len(pieces))*profile.TimePerPiece
 	items := make([]Item, len(pieces))
+	b.noteStarted(pool, pieces)
 	for i, p := range pieces {
 		p.state = pieceRunning
 		p.attempts++
--- a/kernel/batching/order.go
+++ b/kernel/batching/order.go
@@ -87,7 +87,7 @@
 	}
 	t := b.estimateCompletion(pool, profile)
 	queueWait := t.timeToFinish(eligible+1) - profile.CallOverhead
-	if rate := b.startRate(q); rate > 0 {
+	if rate := b.startRate(q); rate > 0 && !b.startsAllArriving(q) {
 		queueWait = max(queueWait, time.Duration(float64(eligible)/rate*float64(time.Second)))
 	}
 	return max(queueWait, 0)
@@ -128,6 +128,10 @@
 	now := b.now()
 	b.dropExpired(q, now)
 	b.refuseWithheld(pool, q, profile)
+	if b.pipelineAdmission() {
+		b.orderPipelines(pool, q, profile)
+		return
+	}
 	estimate := b.estimateCompletion(pool, profile)
 	queueWaits := map[ident.Pool]time.Duration{}
 	// withTarget holds the pieces that have a target and are not held back: those
--- a/kernel/batching/pools.go
+++ b/kernel/batching/pools.go
@@ -18,6 +18,7 @@
 
 // DispatchAll starts calls for all pools that have waiting pieces.
 func (b *Batcher) DispatchAll() {
+	b.logContention()
 	for _, pool := range b.waitingPools() {
 		b.Dispatch(pool)
 	}
@@ -43,6 +44,7 @@
 		return
 	}
 	b.orderWaiting(pool, q, profile)
+	defer b.noteEmptied(q)
 	for len(q.waiting) > 0 {
 		idle, candidateCount := b.idleEndpoints(pool, profile)
 		if len(idle) == 0 {
--- /dev/null
+++ b/kernel/gateway/admission.go
@@ -0,0 +1,52 @@
+package gateway
+
+// AdmissionPolicy sets where requests with stages are admitted.
+type AdmissionPolicy string
+
+// The admission policies.
+const (
+	// AdmissionAuto admits whole requests where a deployment needs it, and is the default.
+	AdmissionAuto AdmissionPolicy = "auto"
+	// AdmissionPipeline admits whole requests at their first stage (kernel/admission).
+	AdmissionPipeline AdmissionPolicy = "pipeline"
+	// AdmissionStage lets each stage decide for itself.
+	AdmissionStage AdmissionPolicy = "stage"
+)
+
+// pipelineAdmission reports whether whole requests are admitted at their first stage.
+func (g *Gateway) pipelineAdmission() bool {
+	return g.config.Admission == AdmissionPipeline
+}
+
+// startsPipeline reports whether a stage's pieces need no results: it depends on no stage that
+// has pieces.
+func (r *request) startsPipeline(s *stageState) bool {
+	for _, dependency := range s.stage.DependsOn {
+		if r.stages[dependency].pieceCount > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// firstStageCount returns the number of stages of a service that start the request's pipeline.
+func (r *request) firstStageCount(like *stageState) int {
+	count := 0
+	for i := range r.stages {
+		s := &r.stages[i]
+		if s.pieceCount > 0 && s.stage.Service == like.stage.Service && r.startsPipeline(s) {
+			count++
+		}
+	}
+	return count
+}
+
+// hasResults reports whether a piece of the request has been computed.
+func (r *request) hasResults() bool {
+	for i := range r.stages {
+		if r.stages[i].missingCount < r.stages[i].pieceCount {
+			return true
+		}
+	}
+	return false
+}
--- a/kernel/gateway/gateway.go
+++ b/kernel/gateway/gateway.go
@@ -79,11 +79,13 @@
 
 // Config sets up a Gateway.
 type Config struct {
-	Self   membership.Member
-	Seeds  []string
-	Retry  RetryLimits
-	Random *rand.Rand
-	Timers *timer.Scheduler
+	Self  membership.Member
+	Seeds []string
+	Retry RetryLimits
+	// Admission sets where requests with stages are admitted.
+	Admission AdmissionPolicy
+	Random    *rand.Rand
+	Timers    *timer.Scheduler
 	// DecodeRecord decodes a record of the platform. A record that it rejects
 	// with an error is logged and ignored, except that the endpoint it names is
 	// dropped.
@@ -260,6 +262,8 @@
 		BatchProfile: g.batchProfile,
 		QueueWait:    g.queueWait,
 		MayCall:      g.mayCall,
+
+		PipelineAdmission: g.pipelineAdmission,
 		Output: batching.Output{
 			StartCall:       g.startCall,
 			FreeResults:     g.freeResults,
--- a/kernel/gateway/stages.go
+++ b/kernel/gateway/stages.go
@@ -144,19 +144,31 @@
 	return longest
 }
 
-// downstreamServices returns the services of the stages with pieces that depend
-// on a stage, directly or indirectly. A stage that is reached on several paths is
-// included once for each.
-func (r *request) downstreamServices(index int) []ident.Service {
-	var services []ident.Service
-	for i := range r.stages {
-		s := &r.stages[i]
-		if s.pieceCount > 0 && i > index && slices.Contains(s.stage.DependsOn, index) {
+// downstreamStages returns the services of the stages with pieces that depend on
+// a stage, directly or indirectly, and their numbers of pieces. A stage that is
+// reached on several paths is included once for each, its pieces only the first
+// time.
+func (r *request) downstreamStages(index int) (services []ident.Service, pieces []int) {
+	counted := value.NewSet[int]()
+	var visit func(int)
+	visit = func(index int) {
+		for i := range r.stages {
+			s := &r.stages[i]
+			if s.pieceCount == 0 || i <= index || !slices.Contains(s.stage.DependsOn, index) {
+				continue
+			}
 			services = append(services, s.stage.Service)
-			services = append(services, r.downstreamServices(i)...)
+			count := s.pieceCount
+			if counted.Has(i) {
+				count = 0
+			}
+			counted.Add(i)
+			pieces = append(pieces, count)
+			visit(i)
 		}
 	}
-	return services
+	visit(index)
+	return services, pieces
 }
 
 // consumerCount returns how often each result of a stage is fetched: once by
@@ -205,12 +217,16 @@
 		PreferredDataCentre: r.preferredDataCentre,
 		Weight:              r.weight(),
 		Recompute:           s.recompute,
-		Recovering:          r.recomputes > 0 || r.takesUp(),
+		Recovering:          r.recomputes > 0 || r.takesUp() || g.pipelineAdmission() && r.hasResults(),
+		Workspace:           r.workspaceName(),
 	}
 	s.recompute = false
+	if len(s.stage.DependsOn) == 0 || g.pipelineAdmission() && r.startsPipeline(s) {
+		w.DownstreamServices, w.DownstreamPieces = r.downstreamStages(index)
+		w.FirstStages = r.firstStageCount(s)
+	}
 	if len(s.stage.DependsOn) == 0 {
 		w.PieceKey = r.incoming.PieceKey
-		w.DownstreamServices = r.downstreamServices(index)
 	} else {
 		w.Inputs = r.stageInputs(s)
 		for _, dependency := range s.stage.DependsOn {
--- a/kernel/message/gateway.go
+++ b/kernel/message/gateway.go
@@ -202,6 +202,15 @@
 	// The batcher holds the pieces while one of these services is congested, and
 	// takes the length as the number of calls still to come after this stage.
 	DownstreamServices []ident.Service `json:"chain,omitempty"`
+	// DownstreamPieces holds the number of pieces of each stage in DownstreamServices, in
+	// the same order. Earlier versions do not set it.
+	DownstreamPieces []int `json:"downstreamPieces,omitempty"`
+	// FirstStages is the number of stages without inputs for which the request submits
+	// pieces to this pool at the same time. The batcher decides on them together. Earlier
+	// versions do not set it.
+	FirstStages int `json:"firstStages,omitempty"`
+	// Workspace is the workspace of the request, empty if its route has none.
+	Workspace ident.Workspace `json:"workspace,omitempty"`
 	// TimeToDue is the time from sending until the pieces have to be done for the
 	// request to be on time, TimeToDeadline that until they are of no use.
 	TimeToDue      time.Duration `json:"due"`
--- a/kernel/message/valid.go
+++ b/kernel/message/valid.go
@@ -129,6 +129,8 @@
 		return errors.Errorf("request %q: negative piece", w.Request)
 	case w.ResultBytes < 0 || w.InputBytes < 0 || w.Consumers < 0:
 		return errors.Errorf("request %q: negative size", w.Request)
+	case len(w.DownstreamPieces) > 0 && slices.Min(w.DownstreamPieces) < 0 || w.FirstStages < 0:
+		return errors.Errorf("request %q: negative pieces of later stages", w.Request)
 	}
 	return nil
 }
