Learn slow calls, share by workspace and place returning callers in admission

Cause: an account that drains at the profile's capacity starts too much while calls take longer; a workspace with half of the requests lost no larger part of them than the others; callers that were told to return in a burst were refused again.

Change: batchers report how long their calls take relative to the expected time (BatcherStatus.CallTimeRatio, sent with pipeline admission only), from the last replies and from calls that still run. Requests of workspaces that had 1.5 times the mean go behind others of the same urgency. The calendar reckons with what new requests leave of the capacity.

Ruled out: the moving average of call times as the ratio (it stood at 1.6 two seconds after the calls were fast again); a fixed half of the capacity for returning callers (in a burst they were refused again). With calls of twice their time some urgent requests are still late: three such calls take as long as the objective allows.

--- a/kernel/admission/account.go
+++ b/kernel/admission/account.go
@@ -23,6 +23,8 @@
 	reportTolerance = 60 * time.Millisecond
 	// noCapacityWait is the wait for a pool without endpoints that can be called.
 	noCapacityWait = 10 * time.Second
+	// minSpare bounds the share of the capacity that is left for callers that come back.
+	minSpare = 0.1
 	// rateTime is the time constant of the rates of started pieces.
 	rateTime = time.Second
 )
@@ -45,6 +47,8 @@
 	samples []waitSample
 	// rates holds the rates of added pieces by the weight of their requests.
 	rates map[float64]*decayingRate
+	// asked is the rate of pieces of new requests, whether they start or not.
+	asked decayingRate
 }
 
 type waitSample struct {
@@ -99,12 +103,38 @@
 	r.add(now, float64(pieces))
 }
 
-// Wait returns how long pieces that start now will wait at the pool.
-func (a *Account) Wait() time.Duration {
+// Ask records that a request that needs pieces here has arrived.
+func (a *Account) Ask(now time.Time, pieces int) { a.asked.add(now, float64(pieces)) }
+
+// SpareShare returns the share of the pool's capacity that new requests leave. It is at least
+// minSpare, since a burst ends.
+func (a *Account) SpareShare(now time.Time) float64 {
+	if a.capacity <= 0 {
+		return minSpare
+	}
+	return max(1-a.asked.perSecond(now)/a.capacity, minSpare)
+}
+
+// Wait returns how long pieces of a request with the given weight that starts now will wait at
+// the pool. The pool lets them go before pieces of less weight where not all can be in time, so
+// of a wait that came as a surprise, only the part counts that is not due to those.
+func (a *Account) Wait(now time.Time, weight float64) time.Duration {
 	if a.capacity <= 0 {
 		return noCapacityWait
 	}
-	return a.ownWait() + a.unexplained
+	total, less := 0.0, 0.0
+	for _, w := range value.SortedKeys(a.rates) {
+		rate := a.rates[w].perSecond(now)
+		total += rate
+		if w < weight {
+			less += rate
+		}
+	}
+	unexplained := a.unexplained
+	if total > 0 {
+		unexplained = time.Duration((1 - less/total) * float64(unexplained))
+	}
+	return a.ownWait() + unexplained
 }
 
 func (a *Account) ownWait() time.Duration {
@@ -122,6 +152,12 @@
 	return seconds(float64(pieces) / a.capacity)
 }
 
+// spareTimeFor returns the time in which the pool computes a number of pieces with the capacity
+// that new requests leave.
+func (a *Account) spareTimeFor(now time.Time, pieces int) time.Duration {
+	return time.Duration(float64(a.timeFor(pieces)) / a.SpareShare(now))
+}
+
 // ShareAbove returns the share of the pool's capacity that requests of more than the given
 // weight have taken lately.
 func (a *Account) ShareAbove(now time.Time, weight float64) float64 {
@@ -139,7 +175,7 @@
 
 // Idle reports whether the account has nothing left that matters.
 func (a *Account) Idle(now time.Time) bool {
-	if a.pieces > 0 || a.unexplained > 0 {
+	if a.pieces > 0 || a.unexplained > 0 || a.asked.perSecond(now) > 1 {
 		return false
 	}
 	for _, r := range a.rates {
--- a/kernel/admission/admission.go
+++ b/kernel/admission/admission.go
@@ -29,6 +29,9 @@
 	// shortDue is the share of the usual time to due below which a request counts as refused
 	// before.
 	shortDue = 0.85
+	// overShareFactor is the use of capacity, relative to the mean of the workspaces, above
+	// which a workspace's requests go behind others of the same urgency, whatever they cost.
+	overShareFactor = 1.5
 	// minDrain bounds the estimated share of a pool's capacity that more urgent requests
 	// leave.
 	minDrain = 0.1
@@ -108,6 +111,8 @@
 	// ReportedWait returns the wait of a piece for an endpoint of a pool, as last reported
 	// by the pool's batcher.
 	ReportedWait func(ident.Pool) time.Duration
+	// ExtraCallTime returns how much longer than usual a full call of a pool takes.
+	ExtraCallTime func(ident.Pool) time.Duration
 }
 
 // Counts are the requests of a pool by what was decided on them, since the start. A request is
@@ -145,7 +150,7 @@
 type Controller struct {
 	config    Config
 	accounts  map[ident.Pool]*Account
-	shares    *shares
+	shares    map[float64]*shares
 	calendars map[float64]*calendar
 	classes   map[ident.Pool]map[class]*classState
 	held      map[ident.RequestID]time.Time
@@ -161,7 +166,7 @@
 	return &Controller{
 		config:    c,
 		accounts:  map[ident.Pool]*Account{},
-		shares:    newShares(),
+		shares:    map[float64]*shares{},
 		calendars: map[float64]*calendar{},
 		classes:   map[ident.Pool]map[class]*classState{},
 		held:      map[ident.RequestID]time.Time{},
@@ -194,7 +199,7 @@
 	for _, d := range r.Downstream {
 		c.account(now, d.Pool).Add(now, d.Pieces, r.Weight)
 	}
-	c.shares.add(now, r.Workspace, cost)
+	c.sharesOf(r.Weight).add(now, r.Workspace, cost)
 	c.countOf(pool).Started++
 	delete(c.held, r.ID)
 	delete(c.asked, r.ID)
@@ -209,6 +214,15 @@
 	return cost.Seconds()
 }
 
+func (c *Controller) sharesOf(weight float64) *shares {
+	s := c.shares[weight]
+	if s == nil {
+		s = newShares()
+		c.shares[weight] = s
+	}
+	return s
+}
+
 func (c *Controller) countOf(pool ident.Pool) *Counts {
 	n := c.counts[pool.Service]
 	if n == nil {
@@ -238,8 +252,10 @@
 	// costStep is the cost on a logarithmic scale, cost that in seconds.
 	costStep int
 	cost     float64
-	// turn is what the workspace will have had once this request has started.
-	turn float64
+	// turn is what the workspace will have had once this request has started, and overShare
+	// is set if that is more than its share.
+	turn      float64
+	overShare bool
 }
 
 // Decide decides on all waiting requests of a pool of which no piece has started, and returns
@@ -257,6 +273,10 @@
 		if _, known := c.asked[r.ID]; !known {
 			c.asked[r.ID] = now
 			c.countOf(q.Pool).Asked++
+			c.account(now, q.Pool).Ask(now, r.Pieces)
+			for _, n := range r.Downstream {
+				c.account(now, n.Pool).Ask(now, n.Pieces)
+			}
 		}
 		switch d.Action {
 		case Hold:
@@ -278,8 +298,9 @@
 	return decisions
 }
 
-// order returns the requests in the order of start: by urgency, then by cost, in steps of a
-// factor of two, then by what their workspaces have had lately.
+// order returns the requests in the order of start: by urgency, then those of workspaces that
+// have not had more than their share, then by cost, in steps of a factor of two, then by what
+// their workspaces have had lately.
 func (c *Controller) order(now time.Time, q Queue, requests []*Request) []*candidate {
 	candidates := make([]*candidate, 0, len(requests))
 	for _, r := range requests {
@@ -307,20 +328,39 @@
 		}
 		return x.DueAt.Compare(y.DueAt)
 	})
-	used := map[ident.Workspace]float64{}
+	type sharer struct {
+		weight    float64
+		workspace ident.Workspace
+	}
+	used := map[sharer]float64{}
+	mean := map[float64]float64{}
 	for _, k := range candidates {
-		u, known := used[k.Workspace]
+		by := sharer{weight: k.Weight, workspace: k.Workspace}
+		if _, known := mean[k.Weight]; !known {
+			mean[k.Weight] = c.sharesOf(k.Weight).mean(now)
+		}
+		u, known := used[by]
 		if !known {
-			u = c.shares.usedBy(now, k.Workspace)
+			u = c.sharesOf(k.Weight).usedBy(now, k.Workspace)
 		}
-		used[k.Workspace] = u + k.cost
+		used[by] = u + k.cost
 		k.turn = u + k.cost
 		if k.short {
 			k.turn = u
 		}
+		k.overShare = u > overShareFactor*mean[k.Weight]
 	}
 	slices.SortStableFunc(candidates, func(x, y *candidate) int {
-		if n := compareKind(x, y); n != 0 {
+		if n := cmp.Compare(y.urgency, x.urgency); n != 0 {
+			return n
+		}
+		if x.overShare != y.overShare {
+			if y.overShare {
+				return -1
+			}
+			return 1
+		}
+		if n := cmp.Compare(x.costStep, y.costStep); n != 0 {
 			return n
 		}
 		return cmp.Compare(x.turn, y.turn)
@@ -354,12 +394,12 @@
 		due = r.ReceivedAt.Add(maxLateCompletion)
 	}
 	slack := due.Sub(now) - startIn - q.FullCallTime
-	allowed := c.allowed(q, r, slack)
 	wait, longest, drain, measurable := time.Duration(0), time.Duration(0), 1.0, true
 	for _, n := range r.Downstream {
 		a := c.account(now, n.Pool)
+		slack -= c.config.ExtraCallTime(n.Pool)
 		left := max(1-a.ShareAbove(now, r.Weight), minDrain)
-		poolWait := max(a.Wait()+a.timeFor(w.added[n.Pool])-time.Duration(left*float64(startIn)), 0)
+		poolWait := max(a.Wait(now, r.Weight)+a.timeFor(w.added[n.Pool])-time.Duration(left*float64(startIn)), 0)
 		if a.capacity <= 0 {
 			measurable = false
 		}
@@ -372,6 +412,7 @@
 		}
 		wait += poolWait
 	}
+	allowed := c.allowed(q, r, slack)
 	d.Wait, d.Slack = wait, allowed
 	if slack < -estimateTolerance {
 		d.Action, d.Short, d.Wait = Refuse, q.Pool, startIn
@@ -460,9 +501,9 @@
 		c.calendars[r.Weight] = k
 	}
 	// The scarcest pool bounds the rate at which callers can come back.
-	cost := c.account(now, pool).timeFor(r.Pieces)
+	cost := c.account(now, pool).spareTimeFor(now, r.Pieces)
 	for _, d := range r.Downstream {
-		cost = max(cost, c.account(now, d.Pool).timeFor(d.Pieces))
+		cost = max(cost, c.account(now, d.Pool).spareTimeFor(now, d.Pieces))
 	}
 	return k.place(now, cost, drained, r.Deadline.Sub(now))
 }
@@ -484,7 +525,7 @@
 }
 
 func (c *Controller) contention(now time.Time, pool ident.Pool, contended bool, wait time.Duration) Contention {
-	return Contention{Pool: pool, Contended: contended, Wait: wait, PiecesPerSecond: c.account(now, pool).capacity, Largest: c.shares.largest(now, namedWorkspaces)}
+	return Contention{Pool: pool, Contended: contended, Wait: wait, PiecesPerSecond: c.account(now, pool).capacity, Largest: largestShares(now, c.shares, namedWorkspaces)}
 }
 
 // TakeChanges returns the pools that have become contended or are no longer, since the last
@@ -509,7 +550,11 @@
 		return
 	}
 	c.expiredAt = now
-	c.shares.expire(now)
+	for weight, s := range c.shares {
+		if s.expire(now); len(s.used) == 0 {
+			delete(c.shares, weight)
+		}
+	}
 	for _, byClass := range c.classes {
 		for k, s := range byClass {
 			if now.Sub(s.seenAt) > classTTL {
--- a/kernel/admission/calendar.go
+++ b/kernel/admission/calendar.go
@@ -9,9 +9,6 @@
 	// MinRetryAfter is the shortest Retry-After of a refused request: about the time of one
 	// call.
 	MinRetryAfter = 300 * time.Millisecond
-	// returnShare is the share of the capacity that is reckoned with for callers that come
-	// back. The rest is for new requests.
-	returnShare = 0.5
 	// goldenRatio is the step between the places of callers that cannot wait for a free one.
 	// Its multiples modulo 1 are evenly distributed for any number of callers.
 	goldenRatio = 0.618034
@@ -25,8 +22,8 @@
 	unplaced int
 }
 
-// place returns the Retry-After of a request that takes the given time of the scarcest pool.
-// drained is the time until the present backlog is gone, and left the time until the caller
+// place returns the Retry-After of a request that takes the given time of the capacity that is
+// spare for callers that come back. drained is the time until the present backlog is gone, and left the time until the caller
 // gives up, of which at most a third is used, so that a second try can still be served.
 func (c *calendar) place(now time.Time, cost, drained, left time.Duration) time.Duration {
 	latest := max(left/3, MinRetryAfter)
@@ -35,7 +32,7 @@
 		at = c.nextFree
 	}
 	if wait := at.Sub(now); wait <= latest {
-		c.nextFree = at.Add(time.Duration(float64(cost) / returnShare))
+		c.nextFree = at.Add(cost)
 		return wait
 	}
 	c.unplaced++
--- a/kernel/admission/shares.go
+++ b/kernel/admission/shares.go
@@ -19,13 +19,23 @@
 	minShare = 0.0001
 )
 
-// shares holds the capacity that each workspace has had lately, in seconds of whole pools.
+// shares holds the capacity that each workspace has had lately for requests of one weight, in
+// seconds of whole pools.
 type shares struct {
 	used map[ident.Workspace]*decayingRate
 }
 
 func newShares() *shares { return &shares{used: map[ident.Workspace]*decayingRate{}} }
 
+// mean returns the mean of what the workspaces have had.
+func (s *shares) mean(now time.Time) float64 {
+	total := 0.0
+	for _, w := range value.SortedKeys(s.used) {
+		total += s.usedBy(now, w)
+	}
+	return total / float64(max(len(s.used), 1))
+}
+
 func (s *shares) add(now time.Time, w ident.Workspace, cost float64) {
 	u := s.used[w]
 	if u == nil {
@@ -58,14 +68,21 @@
 	Part      float64
 }
 
-// largest returns the workspaces that have had most, at most count.
-func (s *shares) largest(now time.Time, count int) []Share {
+// largestShares returns the workspaces that have had most, at most count.
+func largestShares(now time.Time, byWeight map[float64]*shares, count int) []Share {
 	total := 0.0
+	parts := map[ident.Workspace]float64{}
+	for _, weight := range value.SortedKeys(byWeight) {
+		s := byWeight[weight]
+		for _, w := range value.SortedKeys(s.used) {
+			u := s.usedBy(now, w)
+			total += u
+			parts[w] += u
+		}
+	}
 	var all []Share
-	for _, w := range value.SortedKeys(s.used) {
-		u := s.usedBy(now, w)
-		total += u
-		all = append(all, Share{Workspace: w, Part: u})
+	for _, w := range value.SortedKeys(parts) {
+		all = append(all, Share{Workspace: w, Part: parts[w]})
 	}
 	if total == 0 {
 		return nil
--- a/kernel/batching/batching.go
+++ b/kernel/batching/batching.go
@@ -124,7 +124,10 @@
 	// the account of later stages (kernel/admission). If it is nil or false, each stage
 	// decides for itself.
 	PipelineAdmission func() bool
-	Output            Output
+	// CallTimeRatio returns how long the calls of a pool take at present, relative to their
+	// expected time; zero if that is unknown.
+	CallTimeRatio func(ident.Pool) float64
+	Output        Output
 }
 
 const (
@@ -279,8 +282,11 @@
 	runningCalls  int
 	reservedBytes int
 	latencyRatio  float64
-	pausedUntil   time.Time
-	lastCallAt    time.Time
+	// lastRatio is the ratio of the actual to the expected time of the last call with a
+	// reply; zero if there was none.
+	lastRatio   float64
+	pausedUntil time.Time
+	lastCallAt  time.Time
 	// unaccountedBytes is capacity taken by results without a reservation here,
 	// such as those of calls from another batcher. It counts until
 	// unaccountedUntil.
@@ -354,7 +360,7 @@
 		endpointStates: map[ident.Endpoint]*endpointState{},
 		reservations:   map[message.ResultHandle]*reservation{},
 	}
-	b.admission = admission.NewController(admission.Config{Capacity: b.capacityOf, ReportedWait: b.reportedWait})
+	b.admission = admission.NewController(admission.Config{Capacity: b.capacityOf, ReportedWait: b.reportedWait, ExtraCallTime: b.extraCallTime})
 	return b
 }
 
--- a/kernel/batching/dispatch.go
+++ b/kernel/batching/dispatch.go
@@ -328,7 +328,8 @@
 	now := b.now()
 	es := b.endpointState(c.endpoint)
 	if len(c.pieces) > 0 {
-		es.latencyRatio += latencyRatioWeight * (float64(now.Sub(c.startedAt))/float64(c.expectedTime) - es.latencyRatio)
+		es.lastRatio = float64(now.Sub(c.startedAt)) / float64(c.expectedTime)
+		es.latencyRatio += latencyRatioWeight * (es.lastRatio - es.latencyRatio)
 	}
 	results := map[ident.Instance]*message.StageResults{}
 	for i, p := range c.pieces {
--- a/kernel/batching/order.go
+++ b/kernel/batching/order.go
@@ -319,8 +319,13 @@
 	now := b.now()
 	t := completionEstimate{piecesPerCall: max(profile.MaxPiecesPerCall, 1), fullCallTime: profile.CallOverhead + time.Duration(profile.MaxPiecesPerCall)*profile.TimePerPiece}
 	busyFor := map[ident.Endpoint]time.Duration{}
+	ratio := 1.0
+	if b.pipelineAdmission() {
+		ratio = b.ownCallTimeRatio(pool)
+		t.fullCallTime = time.Duration(ratio * float64(t.fullCallTime))
+	}
 	for _, c := range b.calls {
-		busyFor[c.endpoint] = max(busyFor[c.endpoint], c.startedAt.Add(c.expectedTime).Sub(now), 0)
+		busyFor[c.endpoint] = max(busyFor[c.endpoint], c.startedAt.Add(time.Duration(ratio*float64(c.expectedTime))).Sub(now), 0)
 	}
 	for _, e := range b.candidates(pool) {
 		if b.endpointState(e.Name).latencyRatio <= slowLatencyRatio {
--- a/kernel/batching/pipeline.go
+++ b/kernel/batching/pipeline.go
@@ -19,6 +19,12 @@
 	firstStagesWait = 30 * time.Millisecond
 	// heldInterval is the time after which held requests are decided on again.
 	heldInterval = 20 * time.Millisecond
+	// minCallTimeRatio is the ratio of call times below which they count as the expected
+	// ones. Network delays make them a few per cent longer.
+	minCallTimeRatio = 1.1
+	// callTimeWindow is how long after its last call an endpoint's call times count: about
+	// four calls.
+	callTimeWindow = 2 * time.Second
 	// displacedRank is the first rank of the pieces of started requests that miss their
 	// target, and candidateRank that of requests that may start. Both are behind usual times
 	// until a target and before missedTargetRank.
@@ -37,6 +43,54 @@
 // stage.
 func (b *Batcher) AdmissionCounts() map[ident.Service]admission.Counts { return b.admission.Counts() }
 
+// CallTimeRatio returns how long the calls of a pool that this instance batches for take at
+// present, relative to their expected time: the mean of the endpoints that had calls lately,
+// without those that only get probe calls. A call that still runs counts once it takes longer
+// than those before, since the reply to a slow one comes too late to stop new requests.
+func (b *Batcher) CallTimeRatio(pool ident.Pool) float64 {
+	now := b.now()
+	running := map[ident.Endpoint]float64{}
+	for _, c := range b.calls {
+		if c.pool == pool {
+			running[c.endpoint] = max(running[c.endpoint], float64(now.Sub(c.startedAt))/float64(c.expectedTime))
+		}
+	}
+	count, speed := 0, 0.0
+	for _, e := range b.candidates(pool) {
+		es := b.endpointStates[e.Name]
+		if es == nil || es.latencyRatio > slowLatencyRatio || now.Sub(es.lastCallAt) > callTimeWindow {
+			continue
+		}
+		count++
+		speed += 1 / max(es.lastRatio, running[e.Name], 1)
+	}
+	if count == 0 {
+		return 1
+	}
+	return float64(count) / speed
+}
+
+// callTimeRatio returns the ratio of call times that counts in admission, for a pool that may
+// have its batcher on another instance.
+func (b *Batcher) callTimeRatio(pool ident.Pool) float64 {
+	if b.config.CallTimeRatio == nil {
+		return 1
+	}
+	return boundedRatio(b.config.CallTimeRatio(pool))
+}
+
+// ownCallTimeRatio is callTimeRatio for a pool that this instance batches for.
+func (b *Batcher) ownCallTimeRatio(pool ident.Pool) float64 {
+	return boundedRatio(b.CallTimeRatio(pool))
+}
+
+func boundedRatio(ratio float64) float64 {
+	if ratio <= minCallTimeRatio {
+		return 1
+	}
+	return min(ratio, slowLatencyRatio)
+}
+
 // capacityOf returns the pieces per second that a pool computes in full calls.
 func (b *Batcher) capacityOf(pool ident.Pool) float64 {
 	profile := b.config.BatchProfile(pool.Service)
@@ -49,7 +103,17 @@
 			count++
 		}
 	}
-	return float64(count*max(profile.Slots, 1)*max(profile.MaxPiecesPerCall, 1)) / fullCallTime(profile).Seconds()
+	return float64(count*max(profile.Slots, 1)*max(profile.MaxPiecesPerCall, 1)) / fullCallTime(profile).Seconds() / b.callTimeRatio(pool)
+}
+
+// extraCallTime returns how much longer than expected a call of a pool takes at present. The
+// call is taken as half full, as calls are while the pool keeps up.
+func (b *Batcher) extraCallTime(pool ident.Pool) time.Duration {
+	profile := b.config.BatchProfile(pool.Service)
+	if profile == nil {
+		return 0
+	}
+	return time.Duration((b.callTimeRatio(pool) - 1) * float64(profile.CallOverhead+fullCallTime(profile)) / 2)
 }
 
 func fullCallTime(profile *published.BatchProfile) time.Duration {
--- a/kernel/gateway/admission.go
+++ b/kernel/gateway/admission.go
@@ -1,5 +1,7 @@
 package gateway
 
+import "anvilcross/kernel/ident"
+
 // AdmissionPolicy sets where requests with stages are admitted.
 type AdmissionPolicy string
 
@@ -18,6 +20,16 @@
 	return g.config.Admission == AdmissionPipeline
 }
 
+// callTimeRatio returns how long the calls of a pool take at present, relative to their expected
+// time, or zero if its batcher has not reported it.
+func (g *Gateway) callTimeRatio(pool ident.Pool) float64 {
+	batcher := g.batcherOf(pool)
+	if batcher == g.config.Self.Name {
+		return g.batcher.CallTimeRatio(pool)
+	}
+	return g.batcherStatuses[batcher][pool].CallTimeRatio
+}
+
 // startsPipeline reports whether a stage's pieces need no results: it depends on no stage that
 // has pieces.
 func (r *request) startsPipeline(s *stageState) bool {
--- a/kernel/gateway/batchers.go
+++ b/kernel/gateway/batchers.go
@@ -234,7 +234,11 @@
 	}
 	statuses := map[ident.Pool]message.BatcherStatus{}
 	for pool, since := range g.batchingSince {
-		statuses[pool] = message.BatcherStatus{QueueWait: g.batcher.EstimateQueueWait(pool), Tenure: now.Sub(since)}
+		status := message.BatcherStatus{QueueWait: g.batcher.EstimateQueueWait(pool), Tenure: now.Sub(since)}
+		if g.pipelineAdmission() {
+			status.CallTimeRatio = g.batcher.CallTimeRatio(pool)
+		}
+		statuses[pool] = status
 	}
 	return statuses
 }
--- a/kernel/gateway/gateway.go
+++ b/kernel/gateway/gateway.go
@@ -264,6 +264,8 @@
 		MayCall:      g.mayCall,
 
 		PipelineAdmission: g.pipelineAdmission,
+		CallTimeRatio:     g.callTimeRatio,
+
 		Output: batching.Output{
 			StartCall:       g.startCall,
 			FreeResults:     g.freeResults,
--- a/kernel/message/gateway.go
+++ b/kernel/message/gateway.go
@@ -132,6 +132,9 @@
 	QueueWait time.Duration `json:"wait"`
 	// Tenure is how long the sender has batched for the pool.
 	Tenure time.Duration `json:"tenure"`
+	// CallTimeRatio is how long the calls of the pool take at present, relative to their
+	// expected time. Earlier versions do not set it.
+	CallTimeRatio float64 `json:"callTimeRatio,omitempty"`
 }
 
 // Records passes on the platform's published records. Instances of an earlier version
