Let callers without a free place return as late as they can

Those for which the calendar has no place in a third of their time were spread over the last third of it, and came back in the burst.

--- a/kernel/admission/calendar.go
+++ b/kernel/admission/calendar.go
@@ -9,6 +9,9 @@
 	// MinRetryAfter is the shortest Retry-After of a refused request: about the time of one
 	// call.
 	MinRetryAfter = 300 * time.Millisecond
+	// unplacedSpread is the part of their time over which callers are spread that cannot wait
+	// for a free place. It is small: the later they come, the likelier the burst is over.
+	unplacedSpread = 0.1
 	// goldenRatio is the step between the places of callers that cannot wait for a free one.
 	// Its multiples modulo 1 are evenly distributed for any number of callers.
 	goldenRatio = 0.618034
@@ -37,5 +40,5 @@
 	}
 	c.unplaced++
 	_, fraction := math.Modf(goldenRatio * float64(c.unplaced))
-	return max(time.Duration((1-fraction/3)*float64(latest)), MinRetryAfter)
+	return max(time.Duration((1-unplacedSpread*fraction)*float64(latest)), MinRetryAfter)
 }
