--- a/anvilcrossd/settings/gateway.go
+++ b/anvilcrossd/settings/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -54,6 +55,9 @@
 	RetryWindow time.Duration
 	// Regions holds the region of each data centre.
 	Regions evacuation.Regions
+	// AdmissionPolicy sets where requests with stages are admitted: auto, pipeline or
+	// stage.
+	AdmissionPolicy string
 }
 
 func knownGatewaySettings() []setting[Gateway] {
@@ -79,6 +83,7 @@
 		{section: "regions", applyKey: func(s *Gateway, dataCentre, region string) {
 			s.Regions[ident.DataCentre(dataCentre)] = ident.Region(region)
 		}},
+		{section: "admission", key: "policy", apply: applyAdmissionPolicy},
 	}
 }
 
@@ -123,6 +128,18 @@
 	return nil
 }
 
+// applyAdmissionPolicy parses the admission policy.
+func applyAdmissionPolicy(s *Gateway, text string) error {
+	if !slices.Contains(admissionPolicies, text) {
+		return fmt.Errorf("%q is none of %s", text, strings.Join(admissionPolicies, ", "))
+	}
+	s.AdmissionPolicy = text
+	return nil
+}
+
+// admissionPolicies are the values of the admission policy, the default first.
+var admissionPolicies = []string{"auto", "pipeline", "stage"}
+
 // One unit of capacity: the share of a processor core and the bandwidth that
 // batching for one stage service of a large fleet needs. The smallest instances
 // of the users' grown deployments have one unit of each.
@@ -163,6 +180,7 @@
 		RetrySlack:        defaultRetrySlack,
 		RetryWindow:       defaultRetryWindow,
 		Regions:           evacuation.Regions{},
+		AdmissionPolicy:   admissionPolicies[0],
 	}
 	if err := parse(text, overrides, s, knownGatewaySettings()); err != nil {
 		return nil, errors.Trace(err)
--- a/kernel/batching/order.go
+++ b/kernel/batching/order.go
@@ -87,7 +87,7 @@
 	}
 	t := b.estimateCompletion(pool, profile)
 	queueWait := t.timeToFinish(eligible+1) - profile.CallOverhead
-	if rate := b.startRate(q); rate > 0 {
+	if rate := b.startRate(q); rate > 0 && !b.startsAllArriving(q) {
 		queueWait = max(queueWait, time.Duration(float64(eligible)/rate*float64(time.Second)))
 	}
 	return max(queueWait, 0)
@@ -128,6 +128,10 @@
 	now := b.now()
 	b.dropExpired(q, now)
 	b.refuseWithheld(pool, q, profile)
+	if b.pipelineAdmission() {
+		b.orderPipelines(pool, q, profile)
+		return
+	}
 	estimate := b.estimateCompletion(pool, profile)
 	queueWaits := map[ident.Pool]time.Duration{}
 	// withTarget holds the pieces that have a target and are not held back: those
@@ -315,8 +319,13 @@
 	now := b.now()
 	t := completionEstimate{piecesPerCall: max(profile.MaxPiecesPerCall, 1), fullCallTime: profile.CallOverhead + time.Duration(profile.MaxPiecesPerCall)*profile.TimePerPiece}
 	busyFor := map[ident.Endpoint]time.Duration{}
+	ratio := 1.0
+	if b.pipelineAdmission() {
+		ratio = b.ownCallTimeRatio(pool)
+		t.fullCallTime = time.Duration(ratio * float64(t.fullCallTime))
+	}
 	for _, c := range b.calls {
-		busyFor[c.endpoint] = max(busyFor[c.endpoint], c.startedAt.Add(c.expectedTime).Sub(now), 0)
+		busyFor[c.endpoint] = max(busyFor[c.endpoint], c.startedAt.Add(time.Duration(ratio*float64(c.expectedTime))).Sub(now), 0)
 	}
 	for _, e := range b.candidates(pool) {
 		if b.endpointState(e.Name).latencyRatio <= slowLatencyRatio {
--- a/kernel/gateway/gateway.go
+++ b/kernel/gateway/gateway.go
@@ -85,8 +85,10 @@
 	Retry RetryLimits
 	// Regions holds the region of each data centre.
 	Regions evacuation.Regions
-	Random  *rand.Rand
-	Timers  *timer.Scheduler
+	// Admission sets where requests with stages are admitted.
+	Admission AdmissionPolicy
+	Random    *rand.Rand
+	Timers    *timer.Scheduler
 	// DecodeRecord decodes a record of the platform. A record that it rejects
 	// with an error is logged and ignored, except that the endpoint it names is
 	// dropped.
@@ -275,6 +277,10 @@
 		BatchProfile: g.batchProfile,
 		QueueWait:    g.queueWait,
 		MayCall:      g.mayCall,
+
+		PipelineAdmission: g.pipelineAdmission,
+		CallTimeRatio:     g.callTimeRatio,
+
 		Output: batching.Output{
 			StartCall:       g.startCall,
 			FreeResults:     g.freeResults,
