Read load reports with any number of figures

Cause: a Server-Load header with a fourth figure was discarded as a whole, so that the endpoint's running and waiting requests were not known either. TestParseLoad failed on the parser as it was for each text with four figures or with one that is not valid.

Change: three or more figures are read, each by itself. A figure that is missing, malformed, negative or absurd counts as not reported. The fourth is how long work takes at the endpoint, in percent of the usual time. Endpoints keep it for half a second, since it changes many times a second, and keep an average response time without its effect.

Ruled out: reading fractions in the fourth figure; the others are whole.

--- a/kernel/endpoints/endpoints.go
+++ b/kernel/endpoints/endpoints.go
@@ -65,6 +65,9 @@
 	Running int
 	Waiting int
 	Slots   int
+	// WorkPercent is how long work takes there at present, 100 being the usual time; zero
+	// if the endpoint does not report it.
+	WorkPercent int
 }
 
 // Endpoint is what an instance knows about one endpoint.
@@ -81,6 +84,11 @@
 	// LatencyMillis is the moving average of the time to the response; zero
 	// before the first response.
 	LatencyMillis float64
+	// UsualLatencyMillis is the moving average of the time to the response, each divided by
+	// the work factor that came with it.
+	UsualLatencyMillis float64
+	// ReportsWork is set once a load report of the process has had a work figure.
+	ReportsWork bool
 
 	load                Load
 	loadReportedAt      time.Time
@@ -371,9 +379,34 @@
 		e.LatencyMillis = millis
 	}
 	e.LatencyMillis += sampleWeight * (millis - e.LatencyMillis)
-	if load.Slots > 0 {
+	if load != (Load{}) {
 		e.load, e.loadReportedAt = load, now
 	}
+	if load.WorkPercent > 0 {
+		e.ReportsWork = true
+		millis = millis * usualWorkPercent / float64(load.WorkPercent)
+	}
+	if e.UsualLatencyMillis == 0 {
+		e.UsualLatencyMillis = millis
+	}
+	e.UsualLatencyMillis += sampleWeight * (millis - e.UsualLatencyMillis)
+}
+
+const (
+	// usualWorkPercent is the work figure of an endpoint where work takes the usual time.
+	usualWorkPercent = 100
+	// workTTL is the age from which on a work figure is ignored: it changes many times a
+	// second.
+	workTTL = 500 * time.Millisecond
+)
+
+// WorkFactor returns how much longer than usual work takes at the endpoint, by its latest load
+// report. It returns false if the report has no such figure or is too old.
+func (e *Endpoint) WorkFactor(now time.Time) (float64, bool) {
+	if e.load.WorkPercent <= 0 || now.Sub(e.loadReportedAt) >= workTTL {
+		return 1, false
+	}
+	return float64(e.load.WorkPercent) / usualWorkPercent, true
 }
 
 // loadReportTTL is the age from which on an endpoint's load report is ignored.
