Choose model endpoints by an estimate of time and harm

Cause: a prompt went to the affinity endpoint of its prefix almost regardless of what ran there. Two long prompts then met on one endpoint, and an event of the streams beside them lasted longer than the gap objective, while other endpoints were nearly empty.

Change: package placement estimates for each candidate when the first event would arrive (wait for a slot and memory, prompts in prefill, own prefill, network), what the prefill adds to the risk that running streams miss their gap objective, and whether the request would be late. It learns the pace of each endpoint from the times to the first event, and how often endpoints have slow spells from their work figures. The choice is drawn at random, with a chance that falls with the cost. A cached prefix counts as the tokens that it saves.

The estimate applies to services whose endpoints report a work figure, to prompts in a deployment with cold starts, or by the setting [routing] placement = estimate; off turns it off. Elsewhere the choice is as before; its code moved to the package. The line "sent" names the estimate.

Ruled out: equal chances within a fixed difference. With differences above a few milliseconds, prompts miss their cached prefix and more of them are late; drawing by cost keeps both. Harm that counts the risk which a stream has anyway: it kept short prompts away from a cached prefix.

--- a/anvilcrossd/gatewayd/gatewayd.go
+++ b/anvilcrossd/gatewayd/gatewayd.go
@@ -197,6 +197,7 @@
 		},
 		Seeds:        s.Seeds,
 		Retry:        gateway.RetryLimits{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow},
+		Placement:    s.Placement,
 		Random:       rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		Timers:       timers,
 		DecodeRecord: platform.DecodeRecord,
@@ -430,7 +431,7 @@
 		return
 	}
 	d.withGateway(func(g *gateway.Gateway) {
-		g.Reload(s.Seeds, gateway.RetryLimits{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow})
+		g.Reload(s.Seeds, gateway.RetryLimits{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow}, s.Placement)
 	})
 	d.log.WriteEvent("reloaded", "cause", cause, "seeds", len(s.Seeds))
 }
--- a/anvilcrossd/settings/gateway.go
+++ b/anvilcrossd/settings/gateway.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 
 	"anvilcross/kernel/ident"
+	"anvilcross/kernel/placement"
 )
 
 // Gateway holds the validated settings of the subcommand gateway, which serves on
@@ -45,6 +46,8 @@
 	RetryRatio  float64
 	RetrySlack  float64
 	RetryWindow time.Duration
+	// Placement says where endpoints are chosen by estimate: auto, estimate or off.
+	Placement placement.Mode
 }
 
 func knownGatewaySettings() []setting[Gateway] {
@@ -65,6 +68,7 @@
 		numberSetting("retries", "ratio", func(s *Gateway) *float64 { return &s.RetryRatio }),
 		numberSetting("retries", "slack", func(s *Gateway) *float64 { return &s.RetrySlack }),
 		durationSetting("retries", "window", func(s *Gateway) *time.Duration { return &s.RetryWindow }),
+		{section: "routing", key: "placement", apply: applyPlacement},
 	}
 }
 
@@ -87,6 +91,16 @@
 	}}
 }
 
+// applyPlacement parses the setting of where endpoints are chosen by estimate.
+func applyPlacement(s *Gateway, text string) error {
+	switch mode := placement.Mode(text); mode {
+	case placement.Auto, placement.Always, placement.Off:
+		s.Placement = mode
+		return nil
+	}
+	return fmt.Errorf("%q is not %s, %s or %s", text, placement.Auto, placement.Always, placement.Off)
+}
+
 // applySeeds parses a comma-separated list of addresses.
 func applySeeds(s *Gateway, text string) error {
 	s.Seeds = nil
@@ -132,6 +146,7 @@
 		RetryRatio:      defaultRetryRatio,
 		RetrySlack:      defaultRetrySlack,
 		RetryWindow:     defaultRetryWindow,
+		Placement:       placement.Auto,
 	}
 	if err := parse(text, overrides, s, knownGatewaySettings()); err != nil {
 		return nil, errors.Trace(err)
--- a/kernel/gateway/attempts.go
+++ b/kernel/gateway/attempts.go
@@ -99,10 +99,14 @@
 	}
 	r.attemptCount++
 	r.attempt = &attempt{id: r.attemptCount, endpoint: e.Name, address: e.Address, version: e.Version, startedAt: now}
+	if r.choice.Endpoint == e {
+		r.attempt.choice = r.choice
+		g.placement.RecordSent(now, r.choice)
+	}
 	r.sends++
 	e.OwnRequests++
 	g.startAttemptTimeout(r, e)
-	g.out.LogEvent("sent", "request", r.incoming.ID, "endpoint", e.Name, "endpointCentre", e.DataCentre, "endpointVersion", e.Version, "busy", e.EstimatedInFlight(now), "after", now.Sub(r.arrivedAt), "send", r.sends, "resume", r.lastEventID)
+	g.out.LogEvent("sent", "request", r.incoming.ID, "endpoint", e.Name, "endpointCentre", e.DataCentre, "endpointVersion", e.Version, "busy", e.EstimatedInFlight(now), "after", now.Sub(r.arrivedAt), "send", r.sends, "resume", r.lastEventID, "estimate", r.attempt.choice.Estimate)
 	g.out.NextStep(r.handle, Step{Send: &Send{
 		Attempt:                   r.attemptCount,
 		Endpoint:                  e.Name,
@@ -151,6 +155,7 @@
 	}
 	r.attempt = nil
 	g.timers.Stop(a.timeoutTimer)
+	g.recordRun(g.now(), a)
 	if a.member != "" {
 		if g.forwardsTo[a.member]--; g.forwardsTo[a.member] <= 0 {
 			delete(g.forwardsTo, a.member)
@@ -207,7 +212,7 @@
 		e.RecordResponse(now, errorResponse && e.RestLeft(now) == 0, now.Sub(r.attempt.startedAt), load)
 		g.recordWhole(g.crashes.recordResponse(now, e.Name, r.attempt.startedAt))
 	}
-	r.attempt.responseStarted = true
+	r.attempt.responseStarted, r.attempt.workPercent = true, load.WorkPercent
 }
 
 // HandleFirstEvent is called when an attempt's first event has been relayed to
@@ -222,6 +227,7 @@
 		}
 		r.firstEventSent = true
 		r.attempt.firstEventAt, r.attempt.lastEventAt = g.now(), g.now()
+		g.recordFirstEvent(r)
 		g.releaseAll(r)
 	}
 }
--- a/kernel/gateway/choose.go
+++ b/kernel/gateway/choose.go
@@ -1,38 +1,12 @@
 package gateway
 
 import (
-	"math"
 	"time"
 
 	"anvilcross/kernel/batching"
 	"anvilcross/kernel/endpoints"
 	"anvilcross/kernel/ident"
-)
-
-// Costs by which endpoints are compared, each expressed as a delay in
-// milliseconds. The endpoint with the lowest sum is chosen.
-const (
-	// uncachedTokenCostMillis is the cost of a prompt token that the endpoint has
-	// not cached. Endpoints process about 100 tokens per millisecond.
-	uncachedTokenCostMillis = 0.01
-	// crossByteCostMillis is the cost of a result byte that crosses data
-	// centres: 4 ms for a large result of 0.8 MB. Its ratio to
-	// uncachedTokenCostMillis is that of the deployments' prices for result
-	// bytes that cross and for prompt tokens that are processed again.
-	crossByteCostMillis = 4.0 / 800_000
-	// runningRequestCostMillis is the cost of each request that runs at a model
-	// endpoint: every one slows down the tokens of the others.
-	runningRequestCostMillis = 1.0
-	// crossTripCostMillis is the cost of an endpoint in another data centre: a
-	// round trip takes about 7 ms.
-	crossTripCostMillis = 7.0
-	// centreAffinityUncachedShare is the share of a shared prompt prefix that is
-	// expected to be missing in the cache of the prefix's affinity endpoint
-	// within a data centre, if that is not its affinity endpoint overall.
-	centreAffinityUncachedShare = 0.9
-	// failingCostMillis is the cost of an endpoint that fails every request.
-	// The cost grows with the square of the share of failed requests.
-	failingCostMillis = 2000.0
+	"anvilcross/kernel/placement"
 )
 
 // sharedPrefix returns the id of the last prompt part that other requests may
@@ -51,34 +25,15 @@
 	return id, tokens
 }
 
-// affinityEndpoints returns the affinity endpoint of a prompt prefix, where the
-// prefix is most likely cached, among all candidates and within each data
-// centre. It uses rendezvous hashing with weights by data centre.
-func affinityEndpoints(prefix string, candidates []*endpoints.Endpoint, weights map[ident.DataCentre]float64) (*endpoints.Endpoint, map[ident.DataCentre]*endpoints.Endpoint) {
-	var best *endpoints.Endpoint
-	var bestScore float64
-	scoreByCentre := map[ident.DataCentre]float64{}
-	bestByCentre := map[ident.DataCentre]*endpoints.Endpoint{}
-	for _, e := range candidates {
-		// If each candidate's score is a uniform random number raised to the
-		// power of 1/weight, each has the highest score with a probability
-		// proportional to its weight. The logarithm keeps the order.
-		uniform := (float64(ident.HashPair(prefix, string(e.Name))>>11) + 0.5) / (1 << 53)
-		score := math.Log(uniform) / max(weights[e.DataCentre], minAffinityWeight)
-		if best == nil || score > bestScore {
-			best, bestScore = e, score
-		}
-		if bestByCentre[e.DataCentre] == nil || score > scoreByCentre[e.DataCentre] {
-			bestByCentre[e.DataCentre], scoreByCentre[e.DataCentre] = e, score
-		}
+// promptTokens returns the length of the request's prompt.
+func (r *request) promptTokens() int {
+	total := 0
+	for _, p := range r.incoming.Prompt {
+		total += p.Tokens
 	}
-	return best, bestByCentre
+	return max(total, r.incoming.PromptTokens)
 }
 
-// minAffinityWeight is the least weight of a model endpoint, so that those in
-// data centres without stage endpoints also receive requests.
-const minAffinityWeight = 0.1
-
 // dataCentreWeights returns the number of stage endpoints per model endpoint in
 // each data centre. As affinity weights, they place prompts where the results
 // that they need are computed.
@@ -98,69 +53,59 @@
 	return weights
 }
 
-// chooseEndpoint returns the candidate endpoint with the lowest cost for a
-// request, or nil if there is none.
-func (g *Gateway) chooseEndpoint(r *request) *endpoints.Endpoint {
-	now := g.now()
-	candidates := g.withoutBlocked(now, g.directory.Candidates(now, r.service, g.excludedFor(r)))
-	if r.route.CarriesPrompts {
-		return g.chooseModelEndpoint(now, r, candidates)
-	}
-	var best *endpoints.Endpoint
-	bestCost := math.Inf(1)
-	for _, e := range candidates {
-		cost := failingCostMillis*e.FailureShare*e.FailureShare + e.LatencyMillis*float64(e.EstimatedInFlight(now))/float64(max(e.Slots, 1)) + e.LatencyMillis/2
-		if e.DataCentre != g.config.Self.DataCentre {
-			cost += crossTripCostMillis
-		}
-		if cost < bestCost {
-			best, bestCost = e, cost
-		}
-	}
-	return best
-}
-
-// chooseModelEndpoint chooses among the endpoints of a route that carries
-// prompts. Their cost also counts uncached prompt tokens and result bytes that
-// cross data centres, and the latency objective if all slots are taken.
-func (g *Gateway) chooseModelEndpoint(now time.Time, r *request, candidates []*endpoints.Endpoint) *endpoints.Endpoint {
+// promptOf returns what the placement of a request depends on.
+func (g *Gateway) promptOf(r *request, candidates []*endpoints.Endpoint) placement.Prompt {
 	prefix, tokens := r.sharedPrefix()
-	affinity, affinityByCentre := affinityEndpoints(prefix, candidates, g.dataCentreWeights(r, candidates))
-	bytesByCentre := map[ident.DataCentre]int{}
-	totalBytes := 0
+	p := placement.Prompt{Service: r.service, Prefix: prefix, PrefixTokens: tokens, Tokens: r.promptTokens(), OutputTokens: r.incoming.OutputTokens, From: g.config.Self.DataCentre, InputBytes: map[ident.DataCentre]int{}, Weights: g.dataCentreWeights(r, candidates), Objective: r.route.LatencyObjective, GapObjective: r.route.GapObjective}
+	if !r.firstEventSent && !r.takesUp() {
+		p.Left = r.dueAt.Sub(g.now())
+	}
 	for i := range r.stages {
 		s := &r.stages[i]
 		if s.hasDependents {
 			continue
 		}
 		for _, h := range s.handles {
+			centre := ident.DataCentre("")
 			if e := g.directory.ByAddress(batching.EndpointAddress(h)); e != nil {
-				bytesByCentre[e.DataCentre] += s.stage.ResultBytes
+				centre = e.DataCentre
 			}
-			totalBytes += s.stage.ResultBytes
+			p.InputBytes[centre] += s.stage.ResultBytes
 		}
 	}
-	var best *endpoints.Endpoint
-	bestCost := math.Inf(1)
-	for _, e := range candidates {
-		uncachedShare := 1.0
-		switch e {
-		case affinity:
-			uncachedShare = 0
-		case affinityByCentre[e.DataCentre]:
-			uncachedShare = centreAffinityUncachedShare
-		}
-		cost := uncachedShare*float64(tokens)*uncachedTokenCostMillis + float64(totalBytes-bytesByCentre[e.DataCentre])*crossByteCostMillis
-		cost += runningRequestCostMillis*float64(e.EstimatedInFlight(now)) + failingCostMillis*e.FailureShare*e.FailureShare
-		if e.EstimatedInFlight(now) >= max(e.Slots, 1) {
-			cost += float64(r.route.LatencyObjective / time.Millisecond)
-		}
-		if e.DataCentre != g.config.Self.DataCentre {
-			cost += crossTripCostMillis
-		}
-		if cost < bestCost {
-			best, bestCost = e, cost
-		}
+	return p
+}
+
+// chooseEndpoint returns the candidate endpoint with the lowest cost for a
+// request, or nil if there is none.
+func (g *Gateway) chooseEndpoint(r *request) *endpoints.Endpoint {
+	now := g.now()
+	candidates := g.withoutBlocked(now, g.directory.Candidates(now, r.service, g.excludedFor(r)))
+	estimates := g.placement.Applies(g.catalog, r.route.CarriesPrompts, g.directory.ByService(r.service))
+	r.choice = placement.Choice{}
+	switch {
+	case r.route.CarriesPrompts && estimates:
+		r.choice = g.placement.ChooseModel(now, g.catalog, g.promptOf(r, candidates), candidates)
+		return r.choice.Endpoint
+	case r.route.CarriesPrompts:
+		return placement.UsualModelChoice(now, g.promptOf(r, candidates), candidates)
+	case estimates:
+		return g.placement.ChoosePlain(now, g.config.Self.DataCentre, r.dueAt.Sub(now), candidates)
+	}
+	return placement.UsualPlainChoice(now, g.config.Self.DataCentre, candidates)
+}
+
+// recordFirstEvent records what the time to the first event of an attempt tells about the speed
+// of its endpoint.
+func (g *Gateway) recordFirstEvent(r *request) {
+	if a := r.attempt; a.choice.Endpoint != nil {
+		g.placement.RecordFirstEvent(a.firstEventAt, a.choice, a.firstEventAt.Sub(a.startedAt), a.workPercent)
+	}
+}
+
+// recordRun records how long an attempt ran at its endpoint.
+func (g *Gateway) recordRun(now time.Time, a *attempt) {
+	if a.choice.Endpoint != nil && !a.firstEventAt.IsZero() {
+		g.placement.RecordEnd(a.choice, now.Sub(a.startedAt))
 	}
-	return best
 }
--- a/kernel/gateway/gateway.go
+++ b/kernel/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"anvilcross/kernel/message"
 	"anvilcross/kernel/origin"
 	"anvilcross/kernel/paths"
+	"anvilcross/kernel/placement"
 	"anvilcross/kernel/published"
 	"anvilcross/kernel/ratelimit"
 	"anvilcross/kernel/replica"
@@ -88,6 +89,8 @@
 	// with an error is logged and ignored, except that the endpoint it names is
 	// dropped.
 	DecodeRecord func(replica.Record) (DecodedRecord, error)
+	// Placement says where endpoints are chosen by estimate; empty for placement.Auto.
+	Placement placement.Mode
 	// StopLimit is the time from BeginShutdown until EndUnfinished; zero for no limit.
 	StopLimit time.Duration
 	Output    Output
@@ -115,6 +118,7 @@
 	directory   *endpoints.Directory
 	members     *membership.Table
 	batcher     *batching.Batcher
+	placement   *placement.Table
 	retryBudget *retryBudget
 	crashes     *crashTracker
 
@@ -244,6 +248,7 @@
 		pathReports:      map[ident.Instance]pathReport{},
 		forwardsTo:       map[ident.Instance]int{},
 	}
+	g.placement = placement.NewTable(placement.Config{Mode: c.Placement, Random: c.Random})
 	g.limits = ratelimit.NewTable()
 	g.lender = ratelimit.NewLender(g.startedAt)
 	g.issuer = ratelimit.NewIssuer(ratelimit.IssuerConfig{Self: c.Self.Name, Incarnation: c.Self.Incarnation, StartedAt: g.startedAt})
@@ -320,7 +325,8 @@
 func (g *Gateway) RecordCount() int { return g.records.Count() }
 
 // Reload applies settings that may change while the process runs.
-func (g *Gateway) Reload(seeds []string, limits RetryLimits) {
+func (g *Gateway) Reload(seeds []string, limits RetryLimits, mode placement.Mode) {
+	g.placement.SetMode(mode)
 	g.members.SetSeeds(seeds)
 	g.config.Retry = limits
 	g.retryBudget.limits = limits
@@ -352,6 +358,7 @@
 	g.settleListings(now)
 	g.updateLimits(now)
 	g.directory.ExpireStatements(now)
+	g.placement.Expire(now)
 	g.origins.Expire(now)
 	g.survey.holdings.Expire(now)
 	if g.catalog == nil {
--- a/kernel/gateway/request.go
+++ b/kernel/gateway/request.go
@@ -6,6 +6,7 @@
 	"anvilcross/kernel/ident"
 	"anvilcross/kernel/message"
 	"anvilcross/kernel/origin"
+	"anvilcross/kernel/placement"
 	"anvilcross/kernel/published"
 	"anvilcross/kernel/timer"
 	"anvilcross/kernel/value"
@@ -33,6 +34,9 @@
 	// PieceKey is the input of the stages that depend on no other stage.
 	PieceKey string
 	Prompt   []PromptPart
+	// PromptTokens and OutputTokens are the length of the prompt and the expected one of the
+	// answer; zero if the caller did not say.
+	PromptTokens, OutputTokens int
 	// LastEventID is set if the request takes up a stream that broke off after that event,
 	// and Resumes is the id of the request that brought its first event.
 	LastEventID string
@@ -65,8 +69,12 @@
 	// was written because the endpoint had come to want no requests.
 	written  bool
 	withheld bool
-	// responseStarted is set once the head of a usable response has arrived.
+	// responseStarted is set once the head of a usable response has arrived, and workPercent
+	// is the work figure in it.
 	responseStarted bool
+	workPercent     int
+	// choice is the choice of the endpoint; empty if that was not by estimate.
+	choice placement.Choice
 	// timeoutTimer ends the attempt if no response starts in time; nil if the
 	// request may not be sent to another endpoint.
 	timeoutTimer *timer.Timer
@@ -148,8 +156,10 @@
 	suspects []ident.PromptPart
 	// probes is the quarantined suspect in spite of which the request may run once; empty if
 	// none is.
-	probes              ident.PromptPart
-	excluded            value.Set[ident.Endpoint]
+	probes   ident.PromptPart
+	excluded value.Set[ident.Endpoint]
+	// choice is the latest choice of an endpoint by estimate.
+	choice              placement.Choice
 	preferredDataCentre ident.DataCentre
 	finished            bool
 	// origin is the service and the software version that began the stream; its version
--- /dev/null
+++ b/kernel/placement/table.go
@@ -0,0 +1,261 @@
+package placement
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"anvilcross/kernel/endpoints"
+	"anvilcross/kernel/ident"
+	"anvilcross/kernel/published"
+)
+
+const (
+	// nearMillis is the difference in cost within which candidates count as about equal, so
+	// that instances that know the same do not all send to the same endpoint. A candidate that
+	// costs so much more is drawn 2.7 times less often.
+	nearMillis = 2.0
+	// spellFactor is the work factor from which on an endpoint counts as slower for a while.
+	spellFactor = 1.5
+	// maxSpellFactor bounds the effect of a single figure.
+	maxSpellFactor = 10.0
+
+	// spellWeight is the weight of a new sample in the share of slow spells.
+	spellWeight = 0.02
+	// averageWeight is the weight of a new sample in the averages of a service.
+	averageWeight = 0.05
+	// usualRunMillis is the running time of a request that is assumed before one has ended.
+	usualRunMillis = 2000.0
+)
+
+// Mode says where the estimate is used.
+type Mode string
+
+// The modes.
+const (
+	// Auto uses the estimate for services whose endpoints report work figures, and for those
+	// with prompts if the configuration has cold starts.
+	Auto Mode = "auto"
+	// Always uses it for all services, Off for none.
+	Always Mode = "estimate"
+	Off    Mode = "off"
+)
+
+// Config sets up a Table.
+type Config struct {
+	Mode   Mode
+	Random *rand.Rand
+}
+
+// Table is what an instance knows for placing requests. It is not safe for concurrent use.
+type Table struct {
+	config   Config
+	services map[ident.Service]*service
+}
+
+// service is what an instance knows about a service with prompts.
+type service struct {
+	speeds *speeds
+	// busyUntil is the time until which the prefill lasts of the prompts that were placed at
+	// an endpoint by this instance.
+	busyUntil map[ident.EndpointProcess]time.Time
+	// meanTokens and meanRun are averages over the requests of this instance: the memory in
+	// tokens, and the running time in milliseconds.
+	meanTokens, meanRun float64
+	// spellShare is the share of reported work factors that are those of slow spells, and
+	// spellMean the average of these.
+	spellShare, spellMean float64
+}
+
+// NewTable returns a table that has learned nothing.
+func NewTable(c Config) *Table {
+	if c.Mode == "" {
+		c.Mode = Auto
+	}
+	return &Table{config: c, services: map[ident.Service]*service{}}
+}
+
+// SetMode changes where the estimate is used.
+func (t *Table) SetMode(m Mode) { t.config.Mode = m }
+
+// Applies reports whether the estimate is used for a service.
+func (t *Table) Applies(c *published.Catalog, prompts bool, all []*endpoints.Endpoint) bool {
+	switch t.config.Mode {
+	case Always:
+		return true
+	case Off:
+		return false
+	}
+	return prompts && c.HasColdStarts() || slices.ContainsFunc(all, func(e *endpoints.Endpoint) bool { return e.ReportsWork })
+}
+
+func (t *Table) service(s ident.Service) *service {
+	known := t.services[s]
+	if known == nil {
+		known = &service{speeds: newSpeeds(), busyUntil: map[ident.EndpointProcess]time.Time{}, meanRun: usualRunMillis}
+		t.services[s] = known
+	}
+	return known
+}
+
+// Choice is the endpoint that was chosen for a request.
+type Choice struct {
+	Endpoint *endpoints.Endpoint
+	Estimate Estimate
+	sample   sample
+	tokens   float64
+}
+
+// ChooseModel returns the candidate where a request with a prompt costs least, or one of those
+// where it costs hardly more. Its endpoint is nil if there are no candidates.
+func (t *Table) ChooseModel(now time.Time, c *published.Catalog, p Prompt, candidates []*endpoints.Endpoint) Choice {
+	s := t.service(p.Service)
+	d := s.demand(c, p)
+	uncached := uncachedPrefix(p, candidates)
+	choices := make([]Choice, len(candidates))
+	for i, e := range candidates {
+		work, known := e.WorkFactor(now)
+		if !known {
+			work = 0
+		}
+		state := candidate{
+			uncached: max(float64(p.Tokens-p.PrefixTokens), 0) + uncached(e),
+			backlog:  s.backlog(now, e.Process()),
+			running:  e.EstimatedInFlight(now),
+			slots:    e.Slots,
+			pace:     s.speeds.pace(now, e.Process(), work),
+			extra:    tripMillis(p.From, e) + transferMillis(p, e.DataCentre),
+		}
+		if !known {
+			state.spellShare, state.spellFactor = s.spellShare, s.spellMean
+		}
+		estimate := estimate(d, state)
+		estimate.OtherMillis += failingMillis(e)
+		usual := prefillMillis(state.uncached, 1) + eventMillis(d.engine, 1) + state.backlog/state.pace
+		choices[i] = Choice{Endpoint: e, Estimate: estimate, tokens: d.tokens, sample: sample{tokens: state.uncached, usual: usual, workBefore: work}}
+	}
+	return t.drawNear(choices)
+}
+
+// demand returns what a request needs.
+func (s *service) demand(c *published.Catalog, p Prompt) demand {
+	d := demand{late: millis(p.Objective), left: millis(p.Left), gap: millis(p.GapObjective), othersGap: millis(c.TightestGap(p.Service)), tokens: float64(p.Tokens + p.OutputTokens), meanTokens: s.meanTokens, meanRun: s.meanRun}
+	if d.late <= 0 {
+		d.late = defaultLateMillis
+	}
+	if d.left <= 0 {
+		d.left = math.Inf(1)
+	}
+	if known := c.Services[p.Service]; known != nil {
+		d.engine = known.Engine
+	}
+	return d
+}
+
+func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// backlog returns how long the prefill of the prompts placed at an endpoint still lasts, in
+// milliseconds.
+func (s *service) backlog(now time.Time, p ident.EndpointProcess) float64 {
+	return max(millis(s.busyUntil[p].Sub(now)), 0)
+}
+
+// drawNear returns one of the choices. The chance of each falls with its cost.
+func (t *Table) drawNear(choices []Choice) Choice {
+	if len(choices) == 0 {
+		return Choice{}
+	}
+	lowest := math.Inf(1)
+	for _, c := range choices {
+		lowest = min(lowest, c.Estimate.Total())
+	}
+	weights, total := make([]float64, len(choices)), 0.0
+	for i, c := range choices {
+		weights[i] = math.Exp((lowest - c.Estimate.Total()) / nearMillis)
+		total += weights[i]
+	}
+	draw := t.config.Random.Float64() * total
+	for i, w := range weights {
+		if draw -= w; draw < 0 {
+			return choices[i]
+		}
+	}
+	return choices[len(choices)-1]
+}
+
+// ChoosePlain returns the candidate where a request without a prompt is probably done first.
+func (t *Table) ChoosePlain(now time.Time, from ident.DataCentre, left time.Duration, candidates []*endpoints.Endpoint) *endpoints.Endpoint {
+	choices := make([]Choice, len(candidates))
+	for i, e := range candidates {
+		work, known := e.WorkFactor(now)
+		own := e.LatencyMillis
+		if known {
+			own = e.UsualLatencyMillis * work
+		}
+		first := own*(0.5+float64(e.EstimatedInFlight(now))/float64(max(e.Slots, 1))) + tripMillis(from, e)
+		estimate := Estimate{FirstEventMillis: first, OtherMillis: failingMillis(e)}
+		if over := own/2 + first - millis(left); left > 0 && over > 0 {
+			estimate.LateMillis = over
+		}
+		choices[i] = Choice{Endpoint: e, Estimate: estimate}
+	}
+	return t.drawNear(choices).Endpoint
+}
+
+// RecordSent records that a request is sent as chosen.
+func (t *Table) RecordSent(now time.Time, c Choice) {
+	known := t.service(c.Endpoint.Service)
+	p := c.Endpoint.Process()
+	until := known.busyUntil[p]
+	if until.Before(now) {
+		until = now
+	}
+	known.busyUntil[p] = until.Add(time.Duration(c.Estimate.prefillMillis * float64(time.Millisecond)))
+	if known.meanTokens == 0 {
+		known.meanTokens = c.tokens
+	}
+	known.meanTokens += averageWeight * (c.tokens - known.meanTokens)
+}
+
+// RecordFirstEvent records when the first event of a request arrived. workPercent is the work factor
+// in percent that came with the response, or zero.
+func (t *Table) RecordFirstEvent(now time.Time, c Choice, took time.Duration, workPercent int) {
+	c.sample.observed, c.sample.workAfter = millis(took)-c.Estimate.extraMillis, float64(workPercent)/100
+	s := t.service(c.Endpoint.Service)
+	s.speeds.record(now, c.Endpoint.Process(), c.sample)
+	s.recordWork(c.sample.workAfter)
+}
+
+// recordWork records a reported work factor, or zero, for the share of slow spells.
+func (s *service) recordWork(work float64) {
+	if work <= 0 {
+		return
+	}
+	if work < spellFactor {
+		s.spellShare -= spellWeight * s.spellShare
+		return
+	}
+	s.spellShare += spellWeight * (1 - s.spellShare)
+	if s.spellMean == 0 {
+		s.spellMean = work
+	}
+	s.spellMean += averageWeight * (min(work, maxSpellFactor) - s.spellMean)
+}
+
+// RecordEnd records how long a request ran at its endpoint.
+func (t *Table) RecordEnd(c Choice, took time.Duration) {
+	known := t.service(c.Endpoint.Service)
+	known.meanRun += averageWeight * (millis(took) - known.meanRun)
+}
+
+// Expire forgets what no longer counts.
+func (t *Table) Expire(now time.Time) {
+	for _, s := range t.services {
+		for p, until := range s.busyUntil {
+			if !now.Before(until) {
+				delete(s.busyUntil, p)
+			}
+		}
+	}
+}
--- a/kernel/published/published.go
+++ b/kernel/published/published.go
@@ -6,6 +6,7 @@
 
 import (
 	"math"
+	"slices"
 	"strings"
 	"time"
 
@@ -131,6 +132,22 @@
 	Name ident.Service
 	// BatchProfile is set for services with stage endpoints; otherwise nil.
 	BatchProfile *BatchProfile
+	// Engine describes how model endpoints run prompts; its fields are zero if the
+	// configuration does not tell.
+	Engine Engine
+	// ColdPerSecond is the number of requests a second that a cold endpoint can sustain; zero
+	// if the service has no cold endpoints.
+	ColdPerSecond float64
+}
+
+// Engine describes how the model endpoints of a service run prompts.
+type Engine struct {
+	// Slots is the number of requests that an endpoint runs at once.
+	Slots int
+	// KVCapacityTokens is the memory of an endpoint, in tokens.
+	KVCapacityTokens int
+	// Stride is the number of tokens in one event of a stream.
+	Stride int
 }
 
 // Limits bounds the size of a caller's request and the time that it may take to send
@@ -196,6 +213,29 @@
 // WorkspaceByKey returns the workspace that a key belongs to, or nil.
 func (c *Catalog) WorkspaceByKey(key string) *Workspace { return c.byKey[key] }
 
+// HasColdStarts reports whether a service of the configuration has cold endpoints.
+func (c *Catalog) HasColdStarts() bool {
+	for _, s := range c.Services {
+		if s.ColdPerSecond > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// TightestGap returns the shortest gap objective of the streams of a service, or zero if none has
+// one.
+func (c *Catalog) TightestGap(s ident.Service) time.Duration {
+	tightest := time.Duration(0)
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		if r.Kind == Stream && r.GapObjective > 0 && (tightest == 0 || r.GapObjective < tightest) && slices.Contains(r.Services(), s) {
+			tightest = r.GapObjective
+		}
+	}
+	return tightest
+}
+
 // RequiresKey reports whether callers need a key for routes that are not public: they
 // do as soon as there is a workspace.
 func (c *Catalog) RequiresKey() bool { return len(c.Workspaces) > 0 }
