Share learned speeds and place long prompts at one instance

Cause: an instance of a large fleet sees an endpoint once in many seconds, so it cannot learn by itself which are slow, and it knows nothing of the prompts that others send at the same moment.

Change: pings carry what the sender has just observed of endpoints' speeds, as sums that replace its earlier ones, and core members of a large fleet tell the members of their data centre which endpoints differ from the median. Requests to the placer carry the work figures that the sender has seen last.

An instance that chooses by itself compares a random sample of candidates and the affinity endpoint. Differences in speed below about a seventh are ignored, each running request costs more, prefill also costs the time of those that arrive while it lasts, and a new endpoint counts as busy as the average at first.

Ruled out: drawing among all candidates with chances that differ less; prompts then miss their cached prefix and more are late.

--- a/kernel/endpoints/endpoints.go
+++ b/kernel/endpoints/endpoints.go
@@ -90,8 +90,11 @@
 	// ReportsWork is set once a load report of the process has had a work figure.
 	ReportsWork bool
 
-	load                Load
-	loadReportedAt      time.Time
+	load           Load
+	loadReportedAt time.Time
+	// workTold is the newest work figure that another instance has seen, at workToldAt.
+	workTold            int
+	workToldAt          time.Time
 	ejectedUntil        time.Time
 	consecutiveFailures int
 	// unconfirmedUntil is when the endpoint counts as gone if its listing has
@@ -400,13 +403,24 @@
 	workTTL = 500 * time.Millisecond
 )
 
+// MergeWork merges a work figure that another instance has seen. The newest figure counts.
+func (e *Endpoint) MergeWork(at time.Time, percent int) {
+	if percent > 0 && at.After(e.loadReportedAt) && at.After(e.workToldAt) {
+		e.workTold, e.workToldAt = percent, at
+	}
+}
+
 // WorkFactor returns how much longer than usual work takes at the endpoint, by its latest load
-// report. It returns false if the report has no such figure or is too old.
+// report here or at another instance. It returns false if that has no such figure or is too old.
 func (e *Endpoint) WorkFactor(now time.Time) (float64, bool) {
-	if e.load.WorkPercent <= 0 || now.Sub(e.loadReportedAt) >= workTTL {
+	percent, at := e.load.WorkPercent, e.loadReportedAt
+	if e.workToldAt.After(at) {
+		percent, at = e.workTold, e.workToldAt
+	}
+	if percent <= 0 || now.Sub(at) >= workTTL {
 		return 1, false
 	}
-	return float64(e.load.WorkPercent) / usualWorkPercent, true
+	return float64(percent) / usualWorkPercent, true
 }
 
 // loadReportTTL is the age from which on an endpoint's load report is ignored.
--- a/kernel/gateway/attempts.go
+++ b/kernel/gateway/attempts.go
@@ -69,6 +69,9 @@
 	if g.paths.Lost(r.service) && g.forward(r) {
 		return
 	}
+	if g.askPlacer(r) {
+		return
+	}
 	e := g.grantedEndpoint(r)
 	for e == nil {
 		if e = g.chooseEndpoint(r); e == nil {
@@ -103,6 +106,7 @@
 		r.attempt.choice = r.choice
 		g.placement.RecordSent(now, r.choice)
 	}
+	r.askedPlacer = false
 	r.sends++
 	e.OwnRequests++
 	g.startAttemptTimeout(r, e)
@@ -155,7 +159,7 @@
 	}
 	r.attempt = nil
 	g.timers.Stop(a.timeoutTimer)
-	g.recordRun(g.now(), a)
+	g.placement.RecordEnd(a.choice, a.startedAt, a.firstEventAt, g.now())
 	if a.member != "" {
 		if g.forwardsTo[a.member]--; g.forwardsTo[a.member] <= 0 {
 			delete(g.forwardsTo, a.member)
@@ -227,7 +231,7 @@
 		}
 		r.firstEventSent = true
 		r.attempt.firstEventAt, r.attempt.lastEventAt = g.now(), g.now()
-		g.recordFirstEvent(r)
+		g.placement.RecordFirstEvent(g.now(), r.attempt.choice, g.now().Sub(r.attempt.startedAt), r.attempt.workPercent)
 		g.releaseAll(r)
 	}
 }
--- a/kernel/gateway/gateway.go
+++ b/kernel/gateway/gateway.go
@@ -119,6 +119,7 @@
 	members     *membership.Table
 	batcher     *batching.Batcher
 	placement   *placement.Table
+	placer      *placement.Client
 	retryBudget *retryBudget
 	crashes     *crashTracker
 
@@ -248,7 +249,10 @@
 		pathReports:      map[ident.Instance]pathReport{},
 		forwardsTo:       map[ident.Instance]int{},
 	}
-	g.placement = placement.NewTable(placement.Config{Mode: c.Placement, Random: c.Random})
+	g.placement = placement.NewTable(placement.Config{Mode: c.Placement, Random: c.Random, Directory: g.directory})
+	g.placer = placement.NewClient(placement.ClientConfig{Timers: c.Timers, LogEvent: c.Output.LogEvent, Send: func(to ident.Instance, r placement.Request) {
+		g.sendToMember(to, message.Envelope{PlacementRequest: &r})
+	}})
 	g.limits = ratelimit.NewTable()
 	g.lender = ratelimit.NewLender(g.startedAt)
 	g.issuer = ratelimit.NewIssuer(ratelimit.IssuerConfig{Self: c.Self.Name, Incarnation: c.Self.Incarnation, StartedAt: g.startedAt})
@@ -358,7 +362,7 @@
 	g.settleListings(now)
 	g.updateLimits(now)
 	g.directory.ExpireStatements(now)
-	g.placement.Expire(now)
+	g.placement.Expire(now, g.members.PingPeriod())
 	g.origins.Expire(now)
 	g.survey.holdings.Expire(now)
 	if g.catalog == nil {
--- a/kernel/gateway/peers.go
+++ b/kernel/gateway/peers.go
@@ -67,6 +67,7 @@
 	pong.Members = g.members.GossipEntries(now, ping.KnownCount, ping.CoreDigest)
 	if pong.AliveCount > 0 && g.reportsFleetTo(now, ping.Member) {
 		pong.FleetRequests = busiest(g.countFleetRequests(now, pong.OwnRequests))
+		pong.SpeedRatios = g.placement.DrawRatios(now)
 	}
 	return message.Envelope{From: g.config.Self.Name, Incarnation: g.config.Self.Incarnation, Ping: &pong}
 }
@@ -110,6 +111,7 @@
 		LostServices:        g.paths.LostServices(),
 		PathMembers:         g.pathMembers(now),
 		LostDataCentres:     g.members.NoticedPartitions(),
+		Speeds:              g.placement.Reports(now),
 	}
 	g.addPartNews(now, &p)
 	g.addLimits(now, &p)
@@ -169,6 +171,10 @@
 		g.handlePermitRequest(m.From, *m.PermitRequest)
 	case m.PermitReply != nil:
 		g.handlePermitReply(*m.PermitReply)
+	case m.PlacementRequest != nil:
+		g.handlePlacementRequest(m.From, *m.PlacementRequest)
+	case m.PlacementReply != nil:
+		g.placer.HandleReply(*m.PlacementReply)
 	case m.StreamOrigins != nil:
 		g.recordOrigins(m.StreamOrigins.Streams)
 	case m.OriginRequest != nil:
@@ -200,6 +206,7 @@
 	g.mergePartNews(now, p)
 	g.mergeLimits(now, p)
 	g.mergeNotices(now, p)
+	g.placement.Merge(now, p.Member.Name, p.Speeds, p.SpeedRatios)
 	g.recordPathReport(now, p.Member.Name, p.LostServices)
 	if len(p.PathMembers) > 0 {
 		g.reportedPathMembers, g.pathMembersAt = value.NewSet(p.PathMembers...), now
@@ -222,6 +229,7 @@
 	g.members.MarkUnreachable(g.now(), name)
 	delete(g.peerRequests, name)
 	g.abandonPermits(name)
+	g.placer.Abandon(name)
 	g.updatePartitions(g.now())
 	clear(g.batcherCache)
 	g.resubmitLostPieces(g.now())
--- a/kernel/gateway/pools.go
+++ b/kernel/gateway/pools.go
@@ -157,7 +157,7 @@
 	if r.route.CarriesPrompts {
 		prefix, _ := r.sharedPrefix()
 		candidates := g.directory.Candidates(g.now(), r.service, nil)
-		if affinity, _ := placement.AffinityEndpoints(prefix, candidates, g.dataCentreWeights(r, candidates)); affinity != nil {
+		if affinity, _ := placement.AffinityEndpoints(prefix, candidates, placement.AffinityWeights(g.directory, r.route, candidates)); affinity != nil {
 			return affinity.DataCentre
 		}
 	}
--- a/kernel/gateway/request.go
+++ b/kernel/gateway/request.go
@@ -159,9 +159,13 @@
 	probes   ident.PromptPart
 	excluded value.Set[ident.Endpoint]
 	// choice is the latest choice of an endpoint by estimate.
-	choice              placement.Choice
-	preferredDataCentre ident.DataCentre
-	finished            bool
+	choice placement.Choice
+	// askedPlacer is set once the placer has been asked about the present attempt,
+	// awaitsPlacement while the request waits for it, and placed is the endpoint that it named.
+	askedPlacer, awaitsPlacement bool
+	placed                       ident.EndpointProcess
+	preferredDataCentre          ident.DataCentre
+	finished                     bool
 	// origin is the service and the software version that began the stream; its version
 	// is empty if no event has been sent, or if the endpoint named none. awaitsOrigin is
 	// set while the origin of a stream that is taken up is looked up.
--- a/kernel/gateway/stages.go
+++ b/kernel/gateway/stages.go
@@ -68,7 +68,7 @@
 			g.submitStage(r, i)
 		}
 	}
-	if allDone && r.attempt == nil && !r.awaitsPermit && !r.awaitsOrigin && !r.awaitsPath {
+	if allDone && r.attempt == nil && !r.awaitsPermit && !r.awaitsPlacement && !r.awaitsOrigin && !r.awaitsPath {
 		g.dispatch(r)
 	}
 }
--- a/kernel/message/gateway.go
+++ b/kernel/message/gateway.go
@@ -6,6 +6,7 @@
 	"anvilcross/kernel/endpoints"
 	"anvilcross/kernel/ident"
 	"anvilcross/kernel/membership"
+	"anvilcross/kernel/placement"
 	"anvilcross/kernel/ratelimit"
 	"anvilcross/kernel/replica"
 )
@@ -70,6 +71,11 @@
 	Limits      map[ident.Endpoint]ratelimit.Report `json:"limits,omitempty"`
 	PermitClock time.Duration                       `json:"permitClock,omitempty"`
 	PermitLease *ratelimit.Lease                    `json:"permitLease,omitempty"`
+	// Speeds holds what the sender has just observed of the speed of endpoints, and
+	// SpeedRatios, from a core member of a large fleet, how much longer than the median of
+	// their service work takes at endpoints where that differs.
+	Speeds      map[ident.Endpoint]placement.SpeedReport `json:"speeds,omitempty"`
+	SpeedRatios map[ident.Endpoint]float64               `json:"speedRatios,omitempty"`
 	// SaidToLeave holds endpoints that have said in an answer that they leave, with the
 	// start time of the process in milliseconds since the Unix epoch.
 	SaidToLeave map[ident.Endpoint]int64 `json:"saidToLeave,omitempty"`
--- a/kernel/message/message.go
+++ b/kernel/message/message.go
@@ -11,6 +11,7 @@
 	"anvilcross/kernel/configuration"
 	"anvilcross/kernel/ident"
 	"anvilcross/kernel/outcome"
+	"anvilcross/kernel/placement"
 	"anvilcross/kernel/sharedanswer"
 )
 
@@ -53,6 +54,8 @@
 	StageRelease       *StageRelease       `json:"stageRelease,omitempty"`
 	PermitRequest      *PermitRequest      `json:"permitRequest,omitempty"`
 	PermitReply        *PermitReply        `json:"permitReply,omitempty"`
+	PlacementRequest   *placement.Request  `json:"placementRequest,omitempty"`
+	PlacementReply     *placement.Reply    `json:"placementReply,omitempty"`
 	StreamOrigins      *StreamOrigins      `json:"origins,omitempty"`
 	OriginRequest      *OriginRequest      `json:"originRequest,omitempty"`
 	OriginReply        *OriginReply        `json:"originReply,omitempty"`
--- a/kernel/message/valid.go
+++ b/kernel/message/valid.go
@@ -4,6 +4,8 @@
 	"slices"
 
 	"github.com/juju/errors"
+
+	"anvilcross/kernel/placement"
 )
 
 // maxPiecesPerMessage limits the pieces that one message names.
@@ -40,6 +42,8 @@
 		}
 	case e.PermitRequest != nil:
 		return errors.Annotatef(e.PermitRequest.Limit.Check(), "permit for endpoint %q", e.PermitRequest.Endpoint)
+	case e.PlacementRequest != nil:
+		return e.PlacementRequest.Check()
 	case e.StreamOrigins != nil:
 		for _, o := range e.StreamOrigins.Streams {
 			if o.Age < 0 {
@@ -104,6 +108,9 @@
 	if len(p.LostServices) > maxListedPerPing || len(p.PathMembers) > maxListedPerPing {
 		return errors.Errorf("%d lost services, %d members with paths", len(p.LostServices), len(p.PathMembers))
 	}
+	if err := placement.CheckReports(p.Speeds, p.SpeedRatios); err != nil {
+		return err
+	}
 	return p.checkLimits()
 }
 
--- a/kernel/placement/estimate.go
+++ b/kernel/placement/estimate.go
@@ -31,9 +31,12 @@
 	lateSpread = 0.1
 	// defaultLateMillis is the cost of a late answer on a route without a latency objective.
 	defaultLateMillis = 1000.0
-	// runningMillis is the cost of each request that runs at an endpoint: every one slows
-	// down the tokens of the others.
-	runningMillis = 1.0
+	// runningMillis is the cost of each request that runs at an endpoint: every one slows down
+	// the tokens of the others, and those that arrive in the next second are not known yet.
+	runningMillis = 12.0
+	// occupancyShare is the cost of a prefill, as a share of its time, for the requests that
+	// arrive at the endpoint while it lasts. They are longest at slow endpoints.
+	occupancyShare = 1.0
 )
 
 // demand is what a request needs, independently of the endpoint. Times are in milliseconds.
@@ -110,7 +113,7 @@
 	if !math.IsInf(d.left, 1) {
 		e.LateMillis = d.late*chance(e.FirstEventMillis-d.left, lateSpread*d.late) + max(e.FirstEventMillis-d.left, 0)
 	}
-	e.OtherMillis = runningMillis * float64(c.running) * c.pace
+	e.OtherMillis = runningMillis*float64(c.running)*c.pace + occupancyShare*prefill
 	return e
 }
 
--- a/kernel/placement/speed.go
+++ b/kernel/placement/speed.go
@@ -6,16 +6,21 @@
 	"time"
 
 	"anvilcross/kernel/ident"
+	"anvilcross/kernel/value"
 )
 
 const (
 	// speedHalfLife is the time after which an observed speed counts half.
-	speedHalfLife = 30 * time.Second
+	speedHalfLife = time.Minute
 	// priorWeight is the weight of the assumption that an endpoint is as fast as the median
 	// of its service, and medianPriorWeight that of the assumed usual speed. A prompt of
 	// several thousand uncached tokens has a weight of about one.
 	priorWeight       = 3.0
 	medianPriorWeight = 10.0
+	// ignoredLogRatio is the logarithm of the ratio to the median up to which an endpoint counts
+	// as fast as the median. With all differences, instances that share what they have learned
+	// send most short prompts to the few endpoints that look fastest by chance.
+	ignoredLogRatio = 0.15
 	// fullWeightTokens is the prompt length at which a sample has half of the highest weight:
 	// the time to the first event of a short prompt tells little about the prefill.
 	fullWeightTokens = 2000.0
@@ -74,6 +79,10 @@
 // speeds learns the paces of the endpoints of one service.
 type speeds struct {
 	own map[ident.EndpointProcess]datedSums
+	// others holds the sums of other instances, and told the paces relative to the median that
+	// core members of a large fleet have reported.
+	others map[ident.Instance]map[ident.EndpointProcess]datedSums
+	told   map[ident.EndpointProcess]toldRatio
 	// workError and plainError are the average errors of the predictions from work figures
 	// and without them, from workSamples samples.
 	workError, plainError float64
@@ -84,7 +93,15 @@
 	pacesAt time.Time
 }
 
-func newSpeeds() *speeds { return &speeds{own: map[ident.EndpointProcess]datedSums{}} }
+// toldRatio is the logarithm of a reported ratio.
+type toldRatio struct {
+	log float64
+	at  time.Time
+}
+
+func newSpeeds() *speeds {
+	return &speeds{own: map[ident.EndpointProcess]datedSums{}, others: map[ident.Instance]map[ident.EndpointProcess]datedSums{}, told: map[ident.EndpointProcess]toldRatio{}}
+}
 
 // sample is one observed time to the first event.
 type sample struct {
@@ -137,27 +154,30 @@
 }
 
 func (s *speeds) logPaceOf(now time.Time, p ident.EndpointProcess) logPace {
-	if s.paces == nil || now.Sub(s.pacesAt) >= pacesTTL {
-		s.update(now)
-	}
-	if l, known := s.paces[p]; known {
+	if l, known := s.pacesAsOf(now)[p]; known {
 		return l
 	}
 	return s.median
 }
 
+// pacesAsOf returns the paces of the endpoints that were observed.
+func (s *speeds) pacesAsOf(now time.Time) map[ident.EndpointProcess]logPace {
+	if s.paces == nil || now.Sub(s.pacesAt) >= pacesTTL {
+		s.update(now)
+	}
+	return s.paces
+}
+
 // update computes the paces. With few samples, the pace of an endpoint is near the median, and
 // the median is near the usual speed.
 func (s *speeds) update(now time.Time) {
 	s.paces, s.pacesAt = map[ident.EndpointProcess]logPace{}, now
 	total := map[ident.EndpointProcess]Sums{}
-	for p, own := range s.own {
-		sums := own.asOf(now)
-		if sums.Weight < minForgottenWeight {
-			delete(s.own, p)
-			continue
+	addSums(now, total, s.own)
+	for _, from := range value.SortedKeys(s.others) {
+		if addSums(now, total, s.others[from]); len(s.others[from]) == 0 {
+			delete(s.others, from)
 		}
-		total[p] = total[p].plus(sums)
 	}
 	var raw, perWork, weights []float64
 	for _, t := range total {
@@ -175,20 +195,44 @@
 	mid := logPace{raw: medianOf(raw), perWork: medianOf(perWork)}
 	shrink := weight / (weight + medianPriorWeight)
 	s.median = logPace{raw: boundPace(mid.raw * shrink), perWork: boundPace(mid.perWork * shrink)}
-	if len(raw) < 2 {
-		return
-	}
 	for p, t := range total {
+		if len(raw) < 2 {
+			break
+		}
 		share := t.Weight / (t.Weight + priorWeight)
 		s.paces[p] = logPace{
-			raw:     s.median.raw + share*(t.Log/t.Weight-mid.raw),
-			perWork: s.median.perWork + share*(t.PerWork/t.Weight-mid.perWork),
+			raw:     s.median.raw + beyondIgnored(share*(t.Log/t.Weight-mid.raw)),
+			perWork: s.median.perWork + beyondIgnored(share*(t.PerWork/t.Weight-mid.perWork)),
 		}
 	}
+	for p, told := range s.told {
+		if now.Sub(told.at) >= ratiosTTL {
+			delete(s.told, p)
+			continue
+		}
+		s.paces[p] = logPace{raw: s.median.raw + told.log, perWork: s.median.perWork + told.log}
+	}
+}
+
+// beyondIgnored returns by how much the logarithm of a ratio exceeds what is ignored.
+func beyondIgnored(l float64) float64 {
+	return l - clamp(l, ignoredLogRatio)
 }
 
 func boundPace(l float64) float64 { return min(max(l, minLogPace), maxLogPace) }
 
+// addSums adds sums to the totals and deletes those that no longer count.
+func addSums(now time.Time, total map[ident.EndpointProcess]Sums, dated map[ident.EndpointProcess]datedSums) {
+	for p, d := range dated {
+		sums := d.asOf(now)
+		if sums.Weight < minForgottenWeight {
+			delete(dated, p)
+			continue
+		}
+		total[p] = total[p].plus(sums)
+	}
+}
+
 // medianOf returns the median of some values, or 0 if there are none. It sorts them.
 func medianOf(values []float64) float64 {
 	if len(values) == 0 {
--- a/kernel/placement/table.go
+++ b/kernel/placement/table.go
@@ -16,6 +16,15 @@
 	// that instances that know the same do not all send to the same endpoint. A candidate that
 	// costs so much more is drawn 2.7 times less often.
 	nearMillis = 2.0
+	// nearSample and farSample are the numbers of candidates, drawn at random, that an instance
+	// compares for itself: among those that are nearest to it and to the request's inputs, and
+	// among the others. What it knows of other instances' requests is old, so comparing all
+	// would send the requests of many instances to the few that were least busy.
+	nearSample = 6
+	farSample  = 3
+	// joinTime is the time after which a new endpoint counts as busy only by what is known of
+	// it: several ping periods.
+	joinTime = 3 * time.Second
 	// spellFactor is the work factor from which on an endpoint counts as slower for a while.
 	spellFactor = 1.5
 	// maxSpellFactor bounds the effect of a single figure.
@@ -44,14 +53,27 @@
 
 // Config sets up a Table.
 type Config struct {
-	Mode   Mode
-	Random *rand.Rand
+	Mode      Mode
+	Random    *rand.Rand
+	Directory *endpoints.Directory
+}
+
+// Counters holds totals since the process started.
+type Counters struct {
+	// Made counts the endpoints that this instance chose for others as the placer, Named the
+	// requests that were sent where a placer had said, and Local the other choices by estimate.
+	Made, Named, Local int
 }
 
 // Table is what an instance knows for placing requests. It is not safe for concurrent use.
 type Table struct {
 	config   Config
 	services map[ident.Service]*service
+	// works holds the work figures that this instance has seen last.
+	works []workSeen
+	// pingPeriod is the time until the pings of other instances count a request.
+	pingPeriod time.Duration
+	counters   Counters
 }
 
 // service is what an instance knows about a service with prompts.
@@ -60,6 +82,11 @@
 	// busyUntil is the time until which the prefill lasts of the prompts that were placed at
 	// an endpoint by this instance.
 	busyUntil map[ident.EndpointProcess]time.Time
+	// placed holds when this instance, as the placer, last chose endpoints for others.
+	placed map[ident.EndpointProcess][]time.Time
+	// seenAt holds when each process was first a candidate; it is zero for those of the first
+	// choice.
+	seenAt map[ident.EndpointProcess]time.Time
 	// meanTokens and meanRun are averages over the requests of this instance: the memory in
 	// tokens, and the running time in milliseconds.
 	meanTokens, meanRun float64
@@ -93,7 +120,7 @@
 func (t *Table) service(s ident.Service) *service {
 	known := t.services[s]
 	if known == nil {
-		known = &service{speeds: newSpeeds(), busyUntil: map[ident.EndpointProcess]time.Time{}, meanRun: usualRunMillis}
+		known = &service{speeds: newSpeeds(), busyUntil: map[ident.EndpointProcess]time.Time{}, placed: map[ident.EndpointProcess][]time.Time{}, seenAt: map[ident.EndpointProcess]time.Time{}, meanRun: usualRunMillis}
 		t.services[s] = known
 	}
 	return known
@@ -103,16 +130,37 @@
 type Choice struct {
 	Endpoint *endpoints.Endpoint
 	Estimate Estimate
-	sample   sample
-	tokens   float64
+	// Named is set if the placer has named the endpoint.
+	Named  bool
+	sample sample
+	tokens float64
+}
+
+// ChooseModel returns the candidate, of some, where a request with a prompt costs least, or one of
+// those where it costs hardly more. It is the endpoint that the placer has named, if that is one of
+// them. Its endpoint is nil if there are no candidates.
+func (t *Table) ChooseModel(now time.Time, c *published.Catalog, p Prompt, candidates []*endpoints.Endpoint, named ident.EndpointProcess) Choice {
+	choices := t.modelChoices(now, c, p, candidates)
+	for _, choice := range choices {
+		if choice.Endpoint.Process() == named {
+			choice.Named = true
+			return choice
+		}
+	}
+	return t.drawNear(t.sample(p, choices, candidates))
 }
 
-// ChooseModel returns the candidate where a request with a prompt costs least, or one of those
-// where it costs hardly more. Its endpoint is nil if there are no candidates.
-func (t *Table) ChooseModel(now time.Time, c *published.Catalog, p Prompt, candidates []*endpoints.Endpoint) Choice {
+// modelChoices returns the choices for a request with a prompt.
+func (t *Table) modelChoices(now time.Time, c *published.Catalog, p Prompt, candidates []*endpoints.Endpoint) []Choice {
 	s := t.service(p.Service)
 	d := s.demand(c, p)
 	uncached := uncachedPrefix(p, candidates)
+	s.see(now, candidates)
+	average := 0
+	for _, e := range candidates {
+		average += e.EstimatedInFlight(now)
+	}
+	average /= max(len(candidates), 1)
 	choices := make([]Choice, len(candidates))
 	for i, e := range candidates {
 		work, known := e.WorkFactor(now)
@@ -122,7 +170,7 @@
 		state := candidate{
 			uncached: max(float64(p.Tokens-p.PrefixTokens), 0) + uncached(e),
 			backlog:  s.backlog(now, e.Process()),
-			running:  e.EstimatedInFlight(now),
+			running:  max(e.EstimatedInFlight(now)+s.unreported(now.Add(-t.pingPeriod), e.Process()), s.assumed(now, e.Process(), average)),
 			slots:    e.Slots,
 			pace:     s.speeds.pace(now, e.Process(), work),
 			extra:    tripMillis(p.From, e) + transferMillis(p, e.DataCentre),
@@ -135,7 +183,61 @@
 		usual := prefillMillis(state.uncached, 1) + eventMillis(d.engine, 1) + state.backlog/state.pace
 		choices[i] = Choice{Endpoint: e, Estimate: estimate, tokens: d.tokens, sample: sample{tokens: state.uncached, usual: usual, workBefore: work}}
 	}
-	return t.drawNear(choices)
+	return choices
+}
+
+// see records which candidates are new.
+func (s *service) see(now time.Time, candidates []*endpoints.Endpoint) {
+	at := now
+	if len(s.seenAt) == 0 {
+		at = time.Time{}
+	}
+	for _, e := range candidates {
+		if _, known := s.seenAt[e.Process()]; !known {
+			s.seenAt[e.Process()] = at
+		}
+	}
+}
+
+// assumed returns how many requests an endpoint is assumed to run while it is new, given the average
+// of the service: other instances begin to send to it at the same time.
+func (s *service) assumed(now time.Time, p ident.EndpointProcess, average int) int {
+	left := 1 - float64(now.Sub(s.seenAt[p]))/float64(joinTime)
+	return int(float64(average) * max(left, 0))
+}
+
+// sample returns some of the choices, drawn at random, and the one for the affinity endpoint.
+func (t *Table) sample(p Prompt, choices []Choice, candidates []*endpoints.Endpoint) []Choice {
+	affinity, _ := AffinityEndpoints(p.Prefix, candidates, p.Weights)
+	nearest := math.Inf(1)
+	for _, c := range choices {
+		nearest = min(nearest, c.Estimate.extraMillis)
+	}
+	near, far := nearSample, farSample
+	var drawn []Choice
+	for _, i := range t.config.Random.Perm(len(choices)) {
+		left := &far
+		if choices[i].Estimate.extraMillis <= nearest {
+			left = &near
+		}
+		if *left > 0 || choices[i].Endpoint == affinity {
+			*left--
+			drawn = append(drawn, choices[i])
+		}
+	}
+	return drawn
+}
+
+// unreported returns how many requests this instance has placed at an endpoint for others since a
+// time.
+func (s *service) unreported(since time.Time, p ident.EndpointProcess) int {
+	n := 0
+	for _, at := range s.placed[p] {
+		if at.After(since) {
+			n++
+		}
+	}
+	return n
 }
 
 // demand returns what a request needs.
@@ -205,26 +307,45 @@
 
 // RecordSent records that a request is sent as chosen.
 func (t *Table) RecordSent(now time.Time, c Choice) {
+	t.addBacklog(now, c)
+	if c.Named {
+		t.counters.Named++
+	} else {
+		t.counters.Local++
+	}
 	known := t.service(c.Endpoint.Service)
-	p := c.Endpoint.Process()
+	if known.meanTokens == 0 {
+		known.meanTokens = c.tokens
+	}
+	known.meanTokens += averageWeight * (c.tokens - known.meanTokens)
+}
+
+// Counters returns the totals.
+func (t *Table) Counters() Counters { return t.counters }
+
+// addBacklog adds the prefill of a prompt to the backlog of its endpoint.
+func (t *Table) addBacklog(now time.Time, c Choice) {
+	known, p := t.service(c.Endpoint.Service), c.Endpoint.Process()
 	until := known.busyUntil[p]
 	if until.Before(now) {
 		until = now
 	}
 	known.busyUntil[p] = until.Add(time.Duration(c.Estimate.prefillMillis * float64(time.Millisecond)))
-	if known.meanTokens == 0 {
-		known.meanTokens = c.tokens
-	}
-	known.meanTokens += averageWeight * (c.tokens - known.meanTokens)
 }
 
 // RecordFirstEvent records when the first event of a request arrived. workPercent is the work factor
 // in percent that came with the response, or zero.
 func (t *Table) RecordFirstEvent(now time.Time, c Choice, took time.Duration, workPercent int) {
+	if c.Endpoint == nil {
+		return
+	}
 	c.sample.observed, c.sample.workAfter = millis(took)-c.Estimate.extraMillis, float64(workPercent)/100
 	s := t.service(c.Endpoint.Service)
 	s.speeds.record(now, c.Endpoint.Process(), c.sample)
 	s.recordWork(c.sample.workAfter)
+	if workPercent > 0 {
+		t.works = append(t.works[max(len(t.works)-maxWorks+1, 0):], workSeen{process: c.Endpoint.Process(), percent: workPercent, at: now})
+	}
 }
 
 // recordWork records a reported work factor, or zero, for the share of slow spells.
@@ -243,15 +364,30 @@
 	s.spellMean += averageWeight * (min(work, maxSpellFactor) - s.spellMean)
 }
 
-// RecordEnd records how long a request ran at its endpoint.
-func (t *Table) RecordEnd(c Choice, took time.Duration) {
-	known := t.service(c.Endpoint.Service)
-	known.meanRun += averageWeight * (millis(took) - known.meanRun)
+// RecordEnd records how long a request ran at its endpoint, if that began to answer it.
+func (t *Table) RecordEnd(c Choice, sentAt, firstEventAt, now time.Time) {
+	if c.Endpoint == nil || firstEventAt.IsZero() {
+		return
+	}
+	s := t.service(c.Endpoint.Service)
+	s.meanRun += averageWeight * (millis(now.Sub(sentAt)) - s.meanRun)
 }
 
-// Expire forgets what no longer counts.
-func (t *Table) Expire(now time.Time) {
+// Expire forgets what no longer counts. pingPeriod is the time between two pings of an instance.
+func (t *Table) Expire(now time.Time, pingPeriod time.Duration) {
+	t.pingPeriod = pingPeriod
 	for _, s := range t.services {
+		for p, times := range s.placed {
+			times = slices.DeleteFunc(times, func(at time.Time) bool { return now.Sub(at) > pingPeriod })
+			if s.placed[p] = times; len(times) == 0 {
+				delete(s.placed, p)
+			}
+		}
+		for p := range s.seenAt {
+			if e := t.config.Directory.Lookup(p.Endpoint); e == nil || e.Process() != p {
+				delete(s.seenAt, p)
+			}
+		}
 		for p, until := range s.busyUntil {
 			if !now.Before(until) {
 				delete(s.busyUntil, p)
--- a/kernel/placement/usual.go
+++ b/kernel/placement/usual.go
@@ -6,6 +6,7 @@
 
 	"anvilcross/kernel/endpoints"
 	"anvilcross/kernel/ident"
+	"anvilcross/kernel/published"
 )
 
 // Costs by which endpoints are compared where the estimate does not apply, each expressed as a
@@ -85,6 +86,25 @@
 	return best, bestByCentre
 }
 
+// AffinityWeights returns the number of stage endpoints per model endpoint in
+// each data centre. As affinity weights, they place prompts where the results
+// that they need are computed.
+func AffinityWeights(d *endpoints.Directory, r *published.Route, candidates []*endpoints.Endpoint) map[ident.DataCentre]float64 {
+	weights := map[ident.DataCentre]float64{}
+	modelCounts := map[ident.DataCentre]float64{}
+	for _, e := range candidates {
+		modelCounts[e.DataCentre]++
+	}
+	for _, s := range r.Stages {
+		for _, e := range d.ByService(s.Service) {
+			if modelCounts[e.DataCentre] > 0 {
+				weights[e.DataCentre] += 1 / modelCounts[e.DataCentre]
+			}
+		}
+	}
+	return weights
+}
+
 // uncachedPrefix returns a function for the number of tokens of a prompt's prefix that an
 // endpoint has probably not cached.
 func uncachedPrefix(p Prompt, candidates []*endpoints.Endpoint) func(*endpoints.Endpoint) float64 {
