--- a/anvilcrossd/gatewayd/gatewayd.go
+++ b/anvilcrossd/gatewayd/gatewayd.go
@@ -220,6 +220,7 @@
 		Retry:        gateway.RetryLimits{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow},
 		Regions:      s.Regions,
 		Admission:    gateway.AdmissionPolicy(s.AdmissionPolicy),
+		Placement:    s.Placement,
 		Random:       rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		Timers:       timers,
 		DecodeRecord: platform.DecodeRecord,
@@ -454,7 +455,7 @@
 		return
 	}
 	d.withGateway(func(g *gateway.Gateway) {
-		g.Reload(s.Seeds, gateway.RetryLimits{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow})
+		g.Reload(s.Seeds, gateway.RetryLimits{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow}, s.Placement)
 		g.SetRegions(s.Regions)
 	})
 	d.log.WriteEvent("reloaded", "cause", cause, "seeds", len(s.Seeds))
--- a/anvilcrossd/settings/gateway.go
+++ b/anvilcrossd/settings/gateway.go
@@ -11,6 +11,7 @@
 
 	"anvilcross/kernel/evacuation"
 	"anvilcross/kernel/ident"
+	"anvilcross/kernel/placement"
 )
 
 // Gateway holds the validated settings of the subcommand gateway, which serves on
@@ -58,6 +59,8 @@
 	// AdmissionPolicy sets where requests with stages are admitted: auto, pipeline or
 	// stage.
 	AdmissionPolicy string
+	// Placement says where endpoints are chosen by estimate: auto, estimate or off.
+	Placement placement.Mode
 }
 
 func knownGatewaySettings() []setting[Gateway] {
@@ -84,6 +87,7 @@
 			s.Regions[ident.DataCentre(dataCentre)] = ident.Region(region)
 		}},
 		{section: "admission", key: "policy", apply: applyAdmissionPolicy},
+		{section: "routing", key: "placement", apply: applyPlacement},
 	}
 }
 
@@ -117,6 +121,16 @@
 	return nil
 }
 
+// applyPlacement parses the setting of where endpoints are chosen by estimate.
+func applyPlacement(s *Gateway, text string) error {
+	switch mode := placement.Mode(text); mode {
+	case placement.Auto, placement.Always, placement.Off:
+		s.Placement = mode
+		return nil
+	}
+	return fmt.Errorf("%q is not %s, %s or %s", text, placement.Auto, placement.Always, placement.Off)
+}
+
 // applySeeds parses a comma-separated list of addresses.
 func applySeeds(s *Gateway, text string) error {
 	s.Seeds = nil
@@ -181,6 +195,7 @@
 		RetryWindow:       defaultRetryWindow,
 		Regions:           evacuation.Regions{},
 		AdmissionPolicy:   admissionPolicies[0],
+		Placement:         placement.Auto,
 	}
 	if err := parse(text, overrides, s, knownGatewaySettings()); err != nil {
 		return nil, errors.Trace(err)
--- a/kernel/endpoints/endpoints.go
+++ b/kernel/endpoints/endpoints.go
@@ -67,6 +67,9 @@
 	Running int
 	Waiting int
 	Slots   int
+	// WorkPercent is how long work takes there at present, 100 being the usual time; zero
+	// if the endpoint does not report it.
+	WorkPercent int
 }
 
 // Endpoint is what an instance knows about one endpoint.
@@ -83,9 +86,17 @@
 	// LatencyMillis is the moving average of the time to the response; zero
 	// before the first response.
 	LatencyMillis float64
-
-	load                Load
-	loadReportedAt      time.Time
+	// UsualLatencyMillis is the moving average of the time to the response, each divided by
+	// the work factor that came with it.
+	UsualLatencyMillis float64
+	// ReportsWork is set once a load report of the process has had a work figure.
+	ReportsWork bool
+
+	load           Load
+	loadReportedAt time.Time
+	// workTold is the newest work figure that another instance has seen, at workToldAt.
+	workTold            int
+	workToldAt          time.Time
 	ejectedUntil        time.Time
 	consecutiveFailures int
 	// unconfirmedUntil is when the endpoint counts as gone if its listing has
@@ -392,9 +403,45 @@
 		e.LatencyMillis = millis
 	}
 	e.LatencyMillis += sampleWeight * (millis - e.LatencyMillis)
-	if load.Slots > 0 {
+	if load != (Load{}) {
 		e.load, e.loadReportedAt = load, now
 	}
+	if load.WorkPercent > 0 {
+		e.ReportsWork = true
+		millis = millis * usualWorkPercent / float64(load.WorkPercent)
+	}
+	if e.UsualLatencyMillis == 0 {
+		e.UsualLatencyMillis = millis
+	}
+	e.UsualLatencyMillis += sampleWeight * (millis - e.UsualLatencyMillis)
+}
+
+const (
+	// usualWorkPercent is the work figure of an endpoint where work takes the usual time.
+	usualWorkPercent = 100
+	// workTTL is the age from which on a work figure is ignored: it changes many times a
+	// second.
+	workTTL = 500 * time.Millisecond
+)
+
+// MergeWork merges a work figure that another instance has seen. The newest figure counts.
+func (e *Endpoint) MergeWork(at time.Time, percent int) {
+	if percent > 0 && at.After(e.loadReportedAt) && at.After(e.workToldAt) {
+		e.workTold, e.workToldAt = percent, at
+	}
+}
+
+// WorkFactor returns how much longer than usual work takes at the endpoint, by its latest load
+// report here or at another instance. It returns false if that has no such figure or is too old.
+func (e *Endpoint) WorkFactor(now time.Time) (float64, bool) {
+	percent, at := e.load.WorkPercent, e.loadReportedAt
+	if e.workToldAt.After(at) {
+		percent, at = e.workTold, e.workToldAt
+	}
+	if percent <= 0 || now.Sub(at) >= workTTL {
+		return 1, false
+	}
+	return float64(percent) / usualWorkPercent, true
 }
 
 // loadReportTTL is the age from which on an endpoint's load report is ignored.
--- a/kernel/gateway/admission.go
+++ b/kernel/gateway/admission.go
@@ -1,6 +1,11 @@
 package gateway
 
-import "anvilcross/kernel/ident"
+import (
+	"slices"
+
+	"anvilcross/kernel/ident"
+	"anvilcross/kernel/published"
+)
 
 // AdmissionPolicy sets where requests with stages are admitted.
 type AdmissionPolicy string
@@ -17,7 +22,17 @@
 
 // pipelineAdmission reports whether whole requests are admitted at their first stage.
 func (g *Gateway) pipelineAdmission() bool {
-	return g.config.Admission == AdmissionPipeline
+	return g.config.Admission == AdmissionPipeline || g.config.Admission != AdmissionStage && g.placesPrompts
+}
+
+// updatePlacesPrompts updates whether the endpoints of any route with prompts are chosen by
+// estimate.
+func (g *Gateway) updatePlacesPrompts() {
+	g.placesPrompts = slices.ContainsFunc(g.catalog.Routes, func(r published.Route) bool {
+		return r.CarriesPrompts && slices.ContainsFunc(r.Services(), func(s ident.Service) bool {
+			return g.placement.Applies(g.catalog, true, g.directory.ByService(s))
+		})
+	})
 }
 
 // callTimeRatio returns how long the calls of a pool take at present, relative to their expected
--- a/kernel/gateway/attempts.go
+++ b/kernel/gateway/attempts.go
@@ -69,6 +69,9 @@
 	if g.paths.Lost(r.service) && g.forward(r) {
 		return
 	}
+	if g.askPlacer(r) {
+		return
+	}
 	e := g.grantedEndpoint(r)
 	for e == nil {
 		if e = g.chooseEndpoint(r); e == nil {
@@ -99,10 +102,15 @@
 	}
 	r.attemptCount++
 	r.attempt = &attempt{id: r.attemptCount, endpoint: e.Name, dataCentre: e.DataCentre, address: e.Address, version: e.Version, startedAt: now, permitted: g.isLimited(e)}
+	if r.choice.Endpoint == e {
+		r.attempt.choice = r.choice
+		g.placement.RecordSent(now, r.choice)
+	}
+	r.askedPlacer = false
 	r.sends++
 	e.OwnRequests++
 	g.startAttemptTimeout(r, e)
-	g.out.LogEvent("sent", "request", r.incoming.ID, "endpoint", e.Name, "endpointCentre", e.DataCentre, "endpointVersion", e.Version, "busy", e.EstimatedInFlight(now), "after", now.Sub(r.arrivedAt), "send", r.sends, "resume", r.lastEventID)
+	g.out.LogEvent("sent", "request", r.incoming.ID, "endpoint", e.Name, "endpointCentre", e.DataCentre, "endpointVersion", e.Version, "busy", e.EstimatedInFlight(now), "after", now.Sub(r.arrivedAt), "send", r.sends, "resume", r.lastEventID, "estimate", r.attempt.choice.Estimate)
 	g.out.NextStep(r.handle, Step{Send: &Send{
 		Attempt:                   r.attemptCount,
 		Endpoint:                  e.Name,
@@ -151,6 +159,7 @@
 	}
 	r.attempt = nil
 	g.timers.Stop(a.timeoutTimer)
+	g.placement.RecordEnd(a.choice, a.startedAt, a.firstEventAt, g.now())
 	if a.member != "" {
 		if g.forwardsTo[a.member]--; g.forwardsTo[a.member] <= 0 {
 			delete(g.forwardsTo, a.member)
@@ -208,7 +217,7 @@
 		e.RecordResponse(now, errorResponse && e.RestLeft(now) == 0, now.Sub(r.attempt.startedAt), load)
 		g.recordWhole(g.crashes.recordResponse(now, e.Name, r.attempt.startedAt))
 	}
-	r.attempt.responseStarted = true
+	r.attempt.responseStarted, r.attempt.workPercent = true, load.WorkPercent
 }
 
 // HandleFirstEvent is called when an attempt's first event has been relayed to
@@ -223,6 +232,7 @@
 		}
 		r.firstEventSent = true
 		r.attempt.firstEventAt, r.attempt.lastEventAt = g.now(), g.now()
+		g.placement.RecordFirstEvent(g.now(), r.attempt.choice, g.now().Sub(r.attempt.startedAt), r.attempt.workPercent)
 		g.releaseAll(r)
 	}
 }
--- a/kernel/gateway/gateway.go
+++ b/kernel/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"anvilcross/kernel/message"
 	"anvilcross/kernel/origin"
 	"anvilcross/kernel/paths"
+	"anvilcross/kernel/placement"
 	"anvilcross/kernel/published"
 	"anvilcross/kernel/ratelimit"
 	"anvilcross/kernel/replica"
@@ -93,6 +94,8 @@
 	// with an error is logged and ignored, except that the endpoint it names is
 	// dropped.
 	DecodeRecord func(replica.Record) (DecodedRecord, error)
+	// Placement says where endpoints are chosen by estimate; empty for placement.Auto.
+	Placement placement.Mode
 	// StopLimit is the time from BeginShutdown until EndUnfinished; zero for no limit.
 	StopLimit time.Duration
 	Output    Output
@@ -110,18 +113,22 @@
 // Gateway makes the decisions of one entry instance. Its methods must not be
 // called concurrently.
 type Gateway struct {
-	config      Config
-	timers      *timer.Scheduler
-	random      *rand.Rand
-	out         Output
-	records     *replica.Store
-	eras        *eraTracker
-	catalog     *published.Catalog
-	directory   *endpoints.Directory
-	members     *membership.Table
-	batcher     *batching.Batcher
-	retryBudget *retrybudget.Budget
-	crashes     *crashTracker
+	config    Config
+	timers    *timer.Scheduler
+	random    *rand.Rand
+	out       Output
+	records   *replica.Store
+	eras      *eraTracker
+	catalog   *published.Catalog
+	directory *endpoints.Directory
+	members   *membership.Table
+	batcher   *batching.Batcher
+	placement *placement.Table
+	placer    *placement.Client
+	// placesPrompts is set if endpoints of a route with prompts are chosen by estimate.
+	placesPrompts bool
+	retryBudget   *retrybudget.Budget
+	crashes       *crashTracker
 
 	// limits holds the rate limits that endpoints name, warmup those of cold ones. lender leases this instance's share of
 	// them to an issuer, and issuer issues the permits of the shares leased to this one.
@@ -260,6 +267,10 @@
 		pathReports:      map[ident.Instance]pathReport{},
 		forwardsTo:       map[ident.Instance]int{},
 	}
+	g.placement = placement.NewTable(placement.Config{Mode: c.Placement, Random: c.Random, Directory: g.directory})
+	g.placer = placement.NewClient(placement.ClientConfig{Timers: c.Timers, LogEvent: c.Output.LogEvent, Send: func(to ident.Instance, r placement.Request) {
+		g.sendToMember(to, message.Envelope{PlacementRequest: &r})
+	}})
 	g.limits = ratelimit.NewTable()
 	g.warmup = warmup.NewTable(warmup.Config{Profile: g.coldProfile})
 	g.lender = ratelimit.NewLender(g.startedAt)
@@ -341,7 +352,8 @@
 func (g *Gateway) RecordCount() int { return g.records.Count() }
 
 // Reload applies settings that may change while the process runs.
-func (g *Gateway) Reload(seeds []string, limits RetryLimits) {
+func (g *Gateway) Reload(seeds []string, limits RetryLimits, mode placement.Mode) {
+	g.placement.SetMode(mode)
 	g.members.SetSeeds(seeds)
 	g.config.Retry = limits
 	g.retryBudget.SetLimits(limits)
@@ -377,6 +389,7 @@
 	g.updateWarmup(now)
 	g.updateLimits(now)
 	g.directory.ExpireStatements(now)
+	g.placement.Expire(now, g.members.PingPeriod())
 	g.origins.Expire(now)
 	g.survey.holdings.Expire(now)
 	if g.catalog == nil {
@@ -384,6 +397,7 @@
 	}
 	g.poolCache = nil
 	clear(g.batcherCache)
+	g.updatePlacesPrompts()
 	g.updatePartitions(now)
 	g.paths.Forget(func(s ident.Service) bool { return g.catalog.Services[s] != nil })
 	g.updatePeerRequests(now)
--- a/kernel/gateway/pools.go
+++ b/kernel/gateway/pools.go
@@ -6,6 +6,7 @@
 
 	"anvilcross/kernel/evacuation"
 	"anvilcross/kernel/ident"
+	"anvilcross/kernel/placement"
 	"anvilcross/kernel/published"
 	"anvilcross/kernel/value"
 )
@@ -161,7 +162,7 @@
 	if r.route.CarriesPrompts {
 		prefix, _ := r.sharedPrefix()
 		candidates := g.directory.Candidates(g.now(), r.service, g.outsideBound(r))
-		if affinity, _ := affinityEndpoints(prefix, candidates, g.dataCentreWeights(r, candidates)); affinity != nil {
+		if affinity, _ := placement.AffinityEndpoints(prefix, candidates, placement.AffinityWeights(g.directory, r.route, candidates)); affinity != nil {
 			return affinity.DataCentre
 		}
 	}
--- a/kernel/gateway/stages.go
+++ b/kernel/gateway/stages.go
@@ -75,7 +75,7 @@
 			}
 		}
 	}
-	if allDone && r.attempt == nil && !r.awaitsPermit && !r.awaitsOrigin && !r.awaitsPath {
+	if allDone && r.attempt == nil && !r.awaitsPermit && !r.awaitsPlacement && !r.awaitsOrigin && !r.awaitsPath {
 		g.dispatch(r)
 	}
 }
--- a/kernel/gateway/warmup.go
+++ b/kernel/gateway/warmup.go
@@ -100,6 +100,9 @@
 	return g.members.Owner(now, key, "") == g.config.Self.Name
 }
 
+// permitMillis is the time of a permit: a round trip between data centres takes about 7 ms.
+const permitMillis = 7.0
+
 // coldCostMillis returns the cost of a cold endpoint to a request: the time of its permit, and
 // its own latency since few requests keep it warm.
 func (g *Gateway) coldCostMillis(r *request, e *endpoints.Endpoint) float64 {
@@ -109,7 +112,7 @@
 	case r.route.Kind == published.Unsafe:
 		return lastResortCostMillis
 	}
-	return crossTripCostMillis + e.LatencyMillis
+	return permitMillis + e.LatencyMillis
 }
 
 // lacksPermit reports whether a request must not be written to an endpoint that is cold now:
--- a/kernel/published/published.go
+++ b/kernel/published/published.go
@@ -6,6 +6,7 @@
 
 import (
 	"math"
+	"slices"
 	"strings"
 	"time"
 
@@ -143,6 +144,19 @@
 	ColdPerSecond float64
 	// HealthPath is the path of an endpoint's health checks; empty if there is none.
 	HealthPath string
+	// Engine describes how model endpoints run prompts; its fields are zero if the
+	// configuration does not tell.
+	Engine Engine
+}
+
+// Engine describes how the model endpoints of a service run prompts.
+type Engine struct {
+	// Slots is the number of requests that an endpoint runs at once.
+	Slots int
+	// KVCapacityTokens is the memory of an endpoint, in tokens.
+	KVCapacityTokens int
+	// Stride is the number of tokens in one event of a stream.
+	Stride int
 }
 
 // Limits bounds the size of a caller's request and the time that it may take to send
@@ -229,6 +243,19 @@
 // WorkspaceByKey returns the workspace that a key belongs to, or nil.
 func (c *Catalog) WorkspaceByKey(key string) *Workspace { return c.byKey[key] }
 
+// TightestGap returns the shortest gap objective of the streams of a service, or zero if none has
+// one.
+func (c *Catalog) TightestGap(s ident.Service) time.Duration {
+	tightest := time.Duration(0)
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		if r.Kind == Stream && r.GapObjective > 0 && (tightest == 0 || r.GapObjective < tightest) && slices.Contains(r.Services(), s) {
+			tightest = r.GapObjective
+		}
+	}
+	return tightest
+}
+
 // RequiresKey reports whether callers need a key for routes that are not public: they
 // do as soon as there is a workspace.
 func (c *Catalog) RequiresKey() bool { return len(c.Workspaces) > 0 }
