Narrow the estimated risk of gaps, and charge for prefixes that are read again

Cause: the spread of the estimate put prompts of average length down as a risk to all streams beside them, so that they left the endpoints that hold their prefixes: 1,606 of 2,110 against 339 before. Change: a decode step of 4.5 ms, as the endpoints of the new deployments take, half the spread, and the prefill of a prefix counts also for the capacity that it takes from others.

--- a/kernel/placement/estimate.go
+++ b/kernel/placement/estimate.go
@@ -16,7 +16,7 @@
 	// that are assumed of an endpoint of which nothing is known. The endpoints of the
 	// observed deployments prefill 36 to 80 tokens a millisecond.
 	usualTokensPerMilli = 70.0
-	usualStepMillis     = 10.0
+	usualStepMillis     = 4.5
 	// prefillChunkTokens is the length of the prefill that runs between two decode steps.
 	prefillChunkTokens = 2048
 	// defaultStride is the number of tokens in one event of a stream if the configuration of
@@ -26,7 +26,7 @@
 	// gapSpread the width, as a share of the objective, within which the chance of missing it
 	// rises: prompts that other instances send at the same time are not known.
 	gapMargin = 0.9
-	gapSpread = 0.12
+	gapSpread = 0.06
 	// lateSpread is the same width for the latency objective.
 	lateSpread = 0.1
 	// defaultLateMillis is the cost of a late answer on a route without a latency objective.
--- a/kernel/placement/table.go
+++ b/kernel/placement/table.go
@@ -179,7 +179,7 @@
 			state.spellShare, state.spellFactor = s.spellShare, s.spellMean
 		}
 		estimate := estimate(d, state)
-		estimate.OtherMillis += failingMillis(e) + p.ExtraMillis.of(e)
+		estimate.OtherMillis += failingMillis(e) + p.ExtraMillis.of(e) + prefillMillis(uncached(e), 1)
 		usual := prefillMillis(state.uncached, 1) + eventMillis(d.engine, 1) + state.backlog/state.pace
 		choices[i] = Choice{Endpoint: e, Estimate: estimate, tokens: d.tokens, sample: sample{tokens: state.uncached, usual: usual, workBefore: work}}
 	}
