Count connections of other instances and operators, and reuse outgrown buffers

Cause: connections to the addresses for other instances, readiness and metrics did not count against the descriptors.

Change: those connections count; where there is no room an idle connection to an endpoint is closed, then a caller's without a whole request, then one that waits at the same address. Buffers that a body has outgrown (16 KiB to 4 MiB) are reused through sync.Pool. TestCrowdsAtOtherAddresses: messages and forwarded requests that stop, heads to other instances and to the metrics, bodies to the readiness check.

Ruled out: reusing the buffers of whole bodies. A goroutine that writes an upload may still read one after the endpoint has answered, and would send another caller's bytes.

--- a/anvilcrossd/callermemory/body.go
+++ b/anvilcrossd/callermemory/body.go
@@ -2,6 +2,8 @@
 
 import (
 	"io"
+	"math/bits"
+	"sync"
 
 	"github.com/juju/errors"
 )
@@ -54,13 +56,48 @@
 	if !h.Grow(int64(capacity)) {
 		return false
 	}
-	grown := make([]byte, len(h.data), capacity)
+	grown := newBuffer(capacity)[:len(h.data)]
 	copy(grown, h.data)
+	reuse(h.data)
 	h.data = grown
 	h.shrink(int64(before))
 	return true
 }
 
+// spareBuffers has outgrown buffers by the logarithm of their capacity. Without them, bodies that grow
+// leave as much garbage as they take. The buffers of whole bodies are not reused: an upload that an
+// endpoint does not wait for may still read them.
+var spareBuffers [maxSpareLog + 1]sync.Pool
+
+const (
+	// minSpareLog and maxSpareLog bound the capacity of spare buffers: 16 KiB to 4 MiB.
+	minSpareLog = 14
+	maxSpareLog = 22
+)
+
+// spareLog returns the place of a capacity in spareBuffers; ok is false if it has none.
+func spareLog(capacity int) (log int, ok bool) {
+	log = bits.Len(uint(capacity)) - 1
+	return log, capacity == 1<<max(log, 0) && log >= minSpareLog && log <= maxSpareLog
+}
+
+// newBuffer returns an empty buffer.
+func newBuffer(capacity int) []byte {
+	if log, ok := spareLog(capacity); ok {
+		if spare, found := spareBuffers[log].Get().(*[]byte); found {
+			return (*spare)[:0]
+		}
+	}
+	return make([]byte, 0, capacity)
+}
+
+// reuse keeps a buffer that is not used any more.
+func reuse(buffer []byte) {
+	if log, ok := spareLog(cap(buffer)); ok {
+		spareBuffers[log].Put(&buffer)
+	}
+}
+
 // isEnded reports whether the holding has been ended for the benefit of others.
 func (h *Holding) isEnded() bool {
 	h.account.mutex.Lock()
--- a/anvilcrossd/descriptors/descriptors.go
+++ b/anvilcrossd/descriptors/descriptors.go
@@ -10,8 +10,8 @@
 	"github.com/juju/errors"
 )
 
-// reservedShare is the part of the descriptors, as a divisor, that is left for listeners, other
-// instances, the platform and files.
+// reservedShare is the part of the descriptors, as a divisor, that is left for listeners, the
+// platform, connections that this instance opens to others, and files.
 const reservedShare = 8
 
 // Budget counts connections. It is safe for concurrent use.
--- a/anvilcrossd/gatewayd/callerlimits.go
+++ b/anvilcrossd/gatewayd/callerlimits.go
@@ -105,6 +105,22 @@
 	_ = c.Close()
 }
 
+// trackOther returns the ConnState hook of a server for other instances or operators. Their
+// connections are never closed for callers' or endpoints', but count.
+func (d *daemon) trackOther(waiting *callermemory.Connections) func(net.Conn, http.ConnState) {
+	return func(c net.Conn, state http.ConnState) {
+		waiting.HandleState(c, state)
+		switch state {
+		case http.StateNew:
+			if !d.descriptors.Add() && !d.httpClient.MakeRoom() && !d.callersWaiting.CloseLongest(nil) {
+				waiting.CloseLongest(c)
+			}
+		case http.StateClosed, http.StateHijacked:
+			d.descriptors.Remove()
+		}
+	}
+}
+
 // newOperatorsServer returns a server for an address that only the platform and operators use.
 func (d *daemon) newOperatorsServer(handler http.Handler) *http.Server {
 	waiting := callermemory.NewConnections(callermemory.ConnectionsConfig{Limit: func() int { return maxOperatorsConnections }})
@@ -115,7 +131,7 @@
 		WriteTimeout:      operatorsTimeout,
 		IdleTimeout:       2 * operatorsTimeout,
 		MaxHeaderBytes:    maxOperatorsHeaderBytes,
-		ConnState:         waiting.HandleState,
+		ConnState:         d.trackOther(waiting),
 		ErrorLog:          newErrorLog(d.log),
 	}
 }
--- a/anvilcrossd/gatewayd/gatewayd.go
+++ b/anvilcrossd/gatewayd/gatewayd.go
@@ -314,7 +314,7 @@
 		ConnContext:       withCaller,
 		ErrorLog:          newErrorLog(d.log),
 	}
-	peerServer := &http.Server{Handler: d.peerHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: 2 * peerIdleTimeout, MaxHeaderBytes: maxPeerHeaderBytes, ConnState: d.peersWaiting.HandleState, ConnContext: entry.WithConnection, ErrorLog: newErrorLog(d.log)}
+	peerServer := &http.Server{Handler: d.peerHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: 2 * peerIdleTimeout, MaxHeaderBytes: maxPeerHeaderBytes, ConnState: d.trackOther(d.peersWaiting), ConnContext: entry.WithConnection, ErrorLog: newErrorLog(d.log)}
 	readyServer := d.newOperatorsServer(http.HandlerFunc(d.serveReady))
 	metricsServer := d.newOperatorsServer(d.metrics.handler())
 	serveErrors := make(chan error, 4)
--- a/anvilload/fleet/fleet.go
+++ b/anvilload/fleet/fleet.go
@@ -63,9 +63,10 @@
 	Name           string
 	CallerAddress  string
 	MetricsAddress string
+	PeerAddress    string
+	ReadyAddress   string
 	LogPath        string
 
-	readyAddress string
 	settingsPath string
 	binary       string
 	command      *exec.Cmd
@@ -155,7 +156,8 @@
 		CallerAddress:  addresses[0],
 		MetricsAddress: addresses[2],
 		LogPath:        filepath.Join(c.Directory, name+".log"),
-		readyAddress:   addresses[1],
+		PeerAddress:    peerAddresses[n],
+		ReadyAddress:   addresses[1],
 		settingsPath:   filepath.Join(c.Directory, name+".ini"),
 		binary:         c.Binary,
 	}
@@ -209,7 +211,7 @@
 			return errors.Errorf("%s exited before it was ready (%v); see %s", d.Name, err, d.LogPath)
 		default:
 		}
-		if client.IsReady(d.readyAddress) {
+		if client.IsReady(d.ReadyAddress) {
 			return nil
 		}
 		time.Sleep(readyPollInterval)
--- a/anvilload/fleet/hostilecallers_test.go
+++ b/anvilload/fleet/hostilecallers_test.go
@@ -150,13 +150,19 @@
 // that the process lives, answers an ordinary request while the crowd is still connected, and
 // stays within its bounds.
 func (l *limitedDaemon) runCrowd(send func(c net.Conn, n int)) {
+	l.t.Helper()
+	l.runCrowdAt(l.daemon.CallerAddress, send)
+}
+
+// runCrowdAt does the same at any address of the daemon.
+func (l *limitedDaemon) runCrowdAt(address string, send func(c net.Conn, n int)) {
 	l.t.Helper()
 	var mutex sync.Mutex
 	var open []net.Conn
 	var sending sync.WaitGroup
 	for n := range crowdSize {
 		sending.Go(func() {
-			c, err := net.DialTimeout("tcp4", l.daemon.CallerAddress, crowdWriteTimeout)
+			c, err := net.DialTimeout("tcp4", address, crowdWriteTimeout)
 			if err != nil {
 				return
 			}
@@ -380,3 +386,28 @@
 		t.Errorf("the process took %d MiB", resident>>20)
 	}
 }
+
+// Crowds at the addresses for other instances, readiness and metrics take the memory and the
+// descriptors that callers no longer can.
+func TestCrowdsAtOtherAddresses(t *testing.T) {
+	const bodyBytes = 4 << 20
+	body := bytes.Repeat([]byte(" "), bodyBytes-1)
+	head := "Host: h\r\n" + strings.Repeat("Name: "+strings.Repeat("x", 1000)+"\r\n", 900)
+	forwarded := crowdHead(fmt.Sprintf("Anvilcross-Forwarding: {\"by\":\"entry-7\"}\r\nContent-Length: %d\r\n", crowdBodyBytes))
+	for _, c := range []struct {
+		name    string
+		address func(*Daemon) string
+		text    []byte
+	}{
+		{"messages that stop", func(d *Daemon) string { return d.PeerAddress }, append([]byte(fmt.Sprintf("POST /peer HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", bodyBytes)), body...)},
+		{"forwarded requests that stop", func(d *Daemon) string { return d.PeerAddress }, append([]byte(forwarded), body[:crowdBodyBytes-1]...)},
+		{"heads to other instances", func(d *Daemon) string { return d.PeerAddress }, []byte("POST /peer HTTP/1.1\r\n" + head)},
+		{"heads to the metrics", func(d *Daemon) string { return d.MetricsAddress }, []byte("GET /metrics HTTP/1.1\r\n" + head)},
+		{"bodies to the readiness check", func(d *Daemon) string { return d.ReadyAddress }, append([]byte(fmt.Sprintf("POST /ready HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", bodyBytes)), body...)},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			l := startLimitedDaemon(t)
+			l.runCrowdAt(c.address(l.daemon), func(n net.Conn, _ int) { writePieces(n, c.text, 64<<10, 0) })
+		})
+	}
+}
