Take a release of results for done only if its reply is whole

Cause: the error of reading the reply to a release was dropped; a 200 that broke off counted as done.

Change: such a reply is a failed release.

Ruled out: sending the release again: results end by themselves, and it may have been done.

--- a/anvilcrossd/stagecall/stagecall.go
+++ b/anvilcrossd/stagecall/stagecall.go
@@ -161,8 +161,12 @@
 		c.config.LogEvent("freeFailed", "address", address, "results", len(handles), "reason", err)
 		return
 	}
-	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxReplyBytes))
+	_, err = io.Copy(io.Discard, io.LimitReader(response.Body, maxReplyBytes))
 	_ = response.Body.Close()
+	if err != nil {
+		c.config.LogEvent("freeFailed", "address", address, "results", len(handles), "reason", err)
+		return
+	}
 	if response.StatusCode != http.StatusOK {
 		c.config.LogEvent("freeFailed", "address", address, "results", len(handles), "reason", response.Status)
 		return
