--- a/kernel/endpoints/endpoints.go
+++ b/kernel/endpoints/endpoints.go
@@ -227,6 +227,17 @@
 // ByService returns all endpoints of a service, sorted by name.
 func (d *Directory) ByService(s ident.Service) []*Endpoint { return d.byService[s] }
 
+// Outside returns the endpoints of a service in data centres that are not permitted.
+func (d *Directory) Outside(s ident.Service, permits func(ident.DataCentre) bool) value.Set[ident.Endpoint] {
+	outside := value.NewSet[ident.Endpoint]()
+	for _, e := range d.byService[s] {
+		if !permits(e.DataCentre) {
+			outside.Add(e.Name)
+		}
+	}
+	return outside
+}
+
 // InDataCentre returns the endpoints of all services in a data centre.
 func (d *Directory) InDataCentre(dataCentre ident.DataCentre) []*Endpoint {
 	var found []*Endpoint
--- a/kernel/gateway/batchers.go
+++ b/kernel/gateway/batchers.go
@@ -169,7 +169,7 @@
 // updateBatchingClaims claims the pools that this instance is to batch for,
 // and hands over claimed ones that another instance now batches for.
 func (g *Gateway) updateBatchingClaims(now time.Time) {
-	pools := g.pools().list()
+	pools := g.pools().List()
 	for _, pool := range pools {
 		batcher := g.batcherOf(pool)
 		_, claimed := g.batchingSince[pool]
--- a/kernel/gateway/choose.go
+++ b/kernel/gateway/choose.go
@@ -104,7 +104,7 @@
 func (g *Gateway) chooseEndpoint(r *request) *endpoints.Endpoint {
 	now := g.now()
 	candidates := g.withoutBlocked(now, g.directory.Candidates(now, r.service, g.excludedFor(r)))
-	candidates = evacuation.Without(candidates, g.held(), func(e *endpoints.Endpoint) ident.DataCentre { return e.DataCentre })
+	candidates = evacuation.Without(candidates, g.evacuations.Draw(now, g.random.Float64), func(e *endpoints.Endpoint) ident.DataCentre { return e.DataCentre })
 	if r.route.CarriesPrompts {
 		return g.chooseModelEndpoint(now, r, candidates)
 	}
--- a/kernel/gateway/evacuation_test.go
+++ b/kernel/gateway/evacuation_test.go
@@ -55,7 +55,7 @@
 	tg.gateway.HandleChanges(records, tg.gateway.AsOf()+1)
 	tg.meet(centres...)
 	tg.advance(50 * time.Millisecond)
-	if !tg.gateway.pools().divided {
+	if !tg.gateway.pools().Divided {
 		tg.t.Fatal("the endpoints are not divided into pools")
 	}
 }
@@ -221,7 +221,7 @@
 	if b := tg.gateway.batcherOf(ident.Pool{Service: "registry", DataCentre: "east"}); b != "" {
 		t.Fatalf("%s batches for an evacuated data centre", b)
 	}
-	for _, pool := range tg.gateway.pools().list() {
+	for _, pool := range tg.gateway.pools().List() {
 		if pool.DataCentre == "east" {
 			t.Fatalf("%s is a pool", pool)
 		}
@@ -603,6 +603,9 @@
 				h := tg.sendRequest(path, func(c *CallerRequest) {
 					c.Prompt = []PromptPart{{ID: fmt.Sprint(n), Tokens: 5000}, {ID: "own", Tokens: 10}}
 				})
+				if r := tg.gateway.requests[h]; r != nil && !r.bound.Permits(testRegions, tg.gateway.homeDataCentre(r)) && r.route.CarriesPrompts {
+					t.Errorf("the stages of request %d are to run in %s", h, tg.gateway.homeDataCentre(r))
+				}
 				for range 4 {
 					step := tg.lastStep(h)
 					if step.Send == nil {
@@ -678,7 +681,7 @@
 				t.Fatalf("%d stages are submitted elsewhere and %d called from here, want 2 and none", len(work), len(tg.calls))
 			}
 			for _, p := range tg.peers {
-				if w := p.message.StageWork; w != nil && (w.PoolDataCentre != "west" || p.to.Name != "far-west") {
+				if w := p.message.StageWork; w != nil && (w.PoolDataCentre != "west" || divided && w.PreferredDataCentre != "west" || p.to.Name != "far-west") {
 					t.Errorf("pieces are submitted to %s for the pool of %q", p.to.Name, w.PoolDataCentre)
 				}
 			}
--- a/kernel/gateway/evacuationfleet_test.go
+++ b/kernel/gateway/evacuationfleet_test.go
@@ -295,7 +295,7 @@
 				}
 				f.store.put(testRecord(t, "catalog", 0, boundCatalog(2, nil, []ident.Region{"eu"})))
 				f.advance(3 * time.Second)
-				if got := f.gateways[f.names[0]].pools().divided; got != divided {
+				if got := f.gateways[f.names[0]].pools().Divided; got != divided {
 					t.Fatalf("pools are divided: %v, want %v", got, divided)
 				}
 				from := f.timers.Now()
--- a/kernel/gateway/evacuations.go
+++ b/kernel/gateway/evacuations.go
@@ -103,13 +103,7 @@
 	if !r.bound.Restricts() {
 		return nil
 	}
-	outside := value.NewSet[ident.Endpoint]()
-	for _, e := range g.directory.ByService(r.service) {
-		if !r.bound.Permits(g.config.Regions, e.DataCentre) {
-			outside.Add(e.Name)
-		}
-	}
-	return outside
+	return g.directory.Outside(r.service, func(d ident.DataCentre) bool { return r.bound.Permits(g.config.Regions, d) })
 }
 
 // refuseEvacuated answers a request that has no attempt, if all endpoints of one of the services
@@ -124,24 +118,22 @@
 			needed = append(needed, s.stage.Service)
 		}
 	}
-	if !slices.ContainsFunc(needed, func(s ident.Service) bool { return g.allBarred(r, s) }) {
+	barred := func(s ident.Service) bool {
+		outside := g.directory.Outside(s, func(d ident.DataCentre) bool { return g.mayServe(r, d) })
+		return len(outside) > 0 && len(outside) == len(g.directory.ByService(s))
+	}
+	if !slices.ContainsFunc(needed, barred) {
 		return false
 	}
 	g.answer(r, g.failureAnswer(r), busyRetryAfter, "all endpoints are evacuated or outside the allowed regions")
 	return true
 }
 
-// allBarred reports whether a service has endpoints, but none that a request may reach.
-func (g *Gateway) allBarred(r *request, s ident.Service) bool {
-	all := g.directory.ByService(s)
-	return len(all) > 0 && !slices.ContainsFunc(all, func(e *endpoints.Endpoint) bool { return g.mayServe(r, e.DataCentre) })
-}
-
 // leaveEvacuated lets the stages of a request that have not been submitted run elsewhere, if
 // the data centre in which they were to run is evacuated. Pieces that run there end by
 // themselves. If no data centre can run the stages, it answers the request and returns false.
 func (g *Gateway) leaveEvacuated(r *request) bool {
-	if !g.pools().divided || !g.evacuations.InForce(r.preferredDataCentre) {
+	if !g.pools().Divided || !g.evacuations.InForce(r.preferredDataCentre) {
 		return true
 	}
 	from := r.preferredDataCentre
@@ -162,7 +154,7 @@
 		return g.poolOf(s, r.preferredDataCentre), true
 	}
 	best, bestScore := ident.Pool{}, uint64(0)
-	for _, dataCentre := range value.SortedKeys(g.pools().counts[s]) {
+	for _, dataCentre := range value.SortedKeys(g.pools().Counts[s]) {
 		pool := ident.Pool{Service: s, DataCentre: dataCentre}
 		if !g.mayServe(r, dataCentre) || g.batcherOf(pool) == "" {
 			continue
@@ -177,12 +169,6 @@
 	return best, best.DataCentre != ""
 }
 
-// held draws the data centres whose evacuation has ended lately and that do not get the next
-// request.
-func (g *Gateway) held() value.Set[ident.DataCentre] {
-	return g.evacuations.Draw(g.now(), g.random.Float64)
-}
-
 // recovered reports whether a stage endpoint may get calls of a pool. In a pool of all data
 // centres, the endpoints of one whose evacuation has ended lately come back one after the
 // other. The requests of a pool of one data centre have been drawn when they chose it.
--- a/kernel/gateway/gateway.go
+++ b/kernel/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"anvilcross/kernel/ratelimit"
 	"anvilcross/kernel/replica"
 	"anvilcross/kernel/retrybudget"
+	"anvilcross/kernel/stagepools"
 	"anvilcross/kernel/timer"
 	"anvilcross/kernel/value"
 )
@@ -123,7 +124,7 @@
 	lender    *ratelimit.Lender
 	issuer    *ratelimit.Issuer
 	permits   *permitClient
-	fleetSize fleetSize
+	fleetSize membership.ReportedSize
 	throttle  *ratelimit.Throttle
 
 	// origins holds which software versions began the streams that this instance keeps,
@@ -163,7 +164,7 @@
 	// reach.
 	partitioned value.Set[ident.DataCentre]
 	// poolCache holds the division into pools; nil when it has to be computed.
-	poolCache *poolMap
+	poolCache *stagepools.Map
 	// evacuations holds the evacuated data centres. evacuationsChanged is set while a change
 	// of them has not been applied.
 	evacuations        *evacuation.Table
@@ -261,7 +262,7 @@
 	g.batcher = batching.NewBatcher(batching.Config{
 		Timers:       c.Timers,
 		Directory:    g.directory,
-		BatchProfile: g.batchProfile,
+		BatchProfile: func(s ident.Service) *published.BatchProfile { return g.catalog.BatchProfile(s) },
 		QueueWait:    g.queueWait,
 		MayCall:      g.mayCall,
 		Output: batching.Output{
--- a/kernel/gateway/limits.go
+++ b/kernel/gateway/limits.go
@@ -64,7 +64,7 @@
 
 // mergeLimits merges what a member reports of rate limits.
 func (g *Gateway) mergeLimits(now time.Time, p message.Ping) {
-	g.fleetSize.record(now, p.KnownCount)
+	g.fleetSize.Record(now, p.KnownCount)
 	switch {
 	case p.Leaving:
 		g.lender.Revoke(p.Member.Name, p.Member.Incarnation)
@@ -124,3 +124,10 @@
 	}
 	return len(candidates) > 0 && len(r.stageServices()) > 0 && g.random.Float64() >= g.throttle.AdmittedShare(now, r.service)
 }
+
+// shareCount returns the number of equal shares into which the fleet's limits are divided:
+// one for each instance that this or another one has heard of lately, running or not, so
+// that instances with different views do not claim more than the whole.
+func (g *Gateway) shareCount(now time.Time) int {
+	return max(g.members.KnownCount(), g.fleetSize.Latest(now), len(g.config.Seeds))
+}
--- a/kernel/gateway/move.go
+++ b/kernel/gateway/move.go
@@ -10,7 +10,7 @@
 // stagesUnreachable reports whether the data centre in which a request's stages
 // run cannot be reached.
 func (g *Gateway) stagesUnreachable(r *request) bool {
-	return g.pools().divided && (g.members.Partitioned(g.now(), r.preferredDataCentre) || g.batcherOf(g.poolOf(r.stages[0].stage.Service, r.preferredDataCentre)) == "")
+	return g.pools().Divided && (g.members.Partitioned(g.now(), r.preferredDataCentre) || g.batcherOf(g.poolOf(r.stages[0].stage.Service, r.preferredDataCentre)) == "")
 }
 
 // moveStages runs a request's stages in another data centre, because the present
--- a/kernel/gateway/partition_test.go
+++ b/kernel/gateway/partition_test.go
@@ -247,7 +247,7 @@
 	tg.advance(100 * time.Millisecond)
 	h := tg.sendRequest("/verse/", func(c *CallerRequest) { c.PieceCounts = []int{1, 2} })
 	r := tg.gateway.requests[h]
-	if !tg.gateway.pools().divided || r.preferredDataCentre != "east" {
+	if !tg.gateway.pools().Divided || r.preferredDataCentre != "east" {
 		t.Fatalf("the stages run in %q, want this instance's own data centre", r.preferredDataCentre)
 	}
 	tg.advance(200 * time.Millisecond)
--- a/kernel/gateway/pools.go
+++ b/kernel/gateway/pools.go
@@ -6,15 +6,11 @@
 
 	"anvilcross/kernel/evacuation"
 	"anvilcross/kernel/ident"
-	"anvilcross/kernel/published"
+	"anvilcross/kernel/stagepools"
 	"anvilcross/kernel/value"
 )
 
 const (
-	// minPoolEndpoints is the average number of endpoints that a service must
-	// have in each data centre for the fleet to be divided into pools. Fewer fill
-	// their calls less evenly than those of all data centres together.
-	minPoolEndpoints = 5.5
 	// awayPenalty is the queue wait that is accepted in a request's home data
 	// centre: elsewhere, its shared prompt part is read again, and its results
 	// may cross data centres.
@@ -25,72 +21,19 @@
 	sampledCentres = 2
 )
 
-// poolMap holds the stage endpoints that are listed in data centres that are not evacuated,
-// by service and data centre.
-type poolMap struct {
-	// divided is set if each data centre's endpoints form a pool of their own.
-	divided bool
-	counts  map[ident.Service]map[ident.DataCentre]int
-}
-
 // pools returns the division of the stage endpoints into pools. It is computed
-// from the published configuration and listings only, so that instances agree.
-func (g *Gateway) pools() *poolMap {
+// from the published configuration, listings and evacuations only, so that instances agree.
+func (g *Gateway) pools() *stagepools.Map {
 	if g.poolCache == nil {
-		g.poolCache = g.computePools()
+		g.poolCache = stagepools.NewMap(g.catalog, g.directory)
 	}
 	return g.poolCache
 }
 
-func (g *Gateway) computePools() *poolMap {
-	p := &poolMap{counts: map[ident.Service]map[ident.DataCentre]int{}}
-	if g.catalog == nil {
-		return p
-	}
-	fewest := 0.0
-	for _, s := range value.SortedKeys(g.catalog.Services) {
-		if g.batchProfile(s) == nil {
-			continue
-		}
-		counts := map[ident.DataCentre]int{}
-		total := 0
-		for _, e := range g.directory.ByService(s) {
-			if g.directory.Evacuated(e) {
-				continue
-			}
-			counts[e.DataCentre]++
-			total++
-		}
-		average := float64(total) / float64(max(len(counts), 1))
-		if len(p.counts) == 0 || average < fewest {
-			fewest = average
-		}
-		p.counts[s] = counts
-	}
-	p.divided = fewest >= minPoolEndpoints
-	return p
-}
-
-// list returns all pools in a fixed order.
-func (p *poolMap) list() []ident.Pool {
-	var pools []ident.Pool
-	for s, counts := range p.counts {
-		if !p.divided {
-			pools = append(pools, ident.Pool{Service: s})
-			continue
-		}
-		for dataCentre := range counts {
-			pools = append(pools, ident.Pool{Service: s, DataCentre: dataCentre})
-		}
-	}
-	slices.SortFunc(pools, ident.Pool.Compare)
-	return pools
-}
-
 // poolOf returns the pool that computes a service's pieces for requests whose
 // stages run in a data centre.
 func (g *Gateway) poolOf(s ident.Service, dataCentre ident.DataCentre) ident.Pool {
-	if !g.pools().divided {
+	if !g.pools().Divided {
 		return ident.Pool{Service: s}
 	}
 	return ident.Pool{Service: s, DataCentre: dataCentre}
@@ -111,9 +54,9 @@
 // and whose batchers are alive.
 func (g *Gateway) servingCentres(r *request, services []ident.Service) []ident.DataCentre {
 	centres := value.NewSet[ident.DataCentre]()
-	for dataCentre := range g.pools().counts[services[0]] {
+	for dataCentre := range g.pools().Counts[services[0]] {
 		serves := !slices.ContainsFunc(services, func(s ident.Service) bool {
-			return g.pools().counts[s][dataCentre] == 0 || g.batcherOf(g.poolOf(s, dataCentre)) == ""
+			return g.pools().Counts[s][dataCentre] == 0 || g.batcherOf(g.poolOf(s, dataCentre)) == ""
 		})
 		if serves && g.mayServe(r, dataCentre) {
 			centres.Add(dataCentre)
@@ -129,10 +72,10 @@
 func (g *Gateway) chooseStageDataCentre(r *request) ident.DataCentre {
 	home := g.homeDataCentre(r)
 	services := r.stageServices()
-	if !g.pools().divided || len(services) == 0 {
+	if !g.pools().Divided || len(services) == 0 {
 		return home
 	}
-	serving := evacuation.Without(g.servingCentres(r, services), g.held(), func(d ident.DataCentre) ident.DataCentre { return d })
+	serving := evacuation.Without(g.servingCentres(r, services), g.evacuations.Draw(g.now(), g.random.Float64), func(d ident.DataCentre) ident.DataCentre { return d })
 	best, bestWait := ident.DataCentre(""), time.Duration(0)
 	consider := func(dataCentre ident.DataCentre, penalty time.Duration) {
 		wait := penalty
@@ -165,17 +108,8 @@
 			return affinity.DataCentre
 		}
 	}
-	if g.pools().divided {
+	if g.pools().Divided {
 		return g.config.Self.DataCentre
 	}
 	return ""
 }
-
-// batchProfile returns the batching parameters of a service's endpoints, or nil
-// if the service is unknown or has no stage endpoints.
-func (g *Gateway) batchProfile(s ident.Service) *published.BatchProfile {
-	if g.catalog == nil || g.catalog.Services[s] == nil {
-		return nil
-	}
-	return g.catalog.Services[s].BatchProfile
-}
--- a/kernel/gateway/request.go
+++ b/kernel/gateway/request.go
@@ -233,7 +233,7 @@
 	if g.refuseEvacuated(r) {
 		return
 	}
-	if len(r.stageServices()) > 0 && g.pools().divided && r.preferredDataCentre == "" {
+	if len(r.stageServices()) > 0 && g.pools().Divided && r.preferredDataCentre == "" {
 		g.answer(r, NotRun, busyRetryAfter, noStageCentre)
 		return
 	}
--- a/kernel/gateway/stages.go
+++ b/kernel/gateway/stages.go
@@ -213,7 +213,7 @@
 		ResultBytes:         s.stage.ResultBytes,
 		Consumers:           r.consumerCount(index),
 		TimeToDue:           dueAt.Sub(now),
-		TimeToDeadline:      r.abandonAt.Sub(now) - firstEventEstimate - time.Duration(r.downstreamDepth(index))*g.singlePieceCallTime(s.stage.Service),
+		TimeToDeadline:      r.abandonAt.Sub(now) - firstEventEstimate - time.Duration(r.downstreamDepth(index))*g.catalog.BatchProfile(s.stage.Service).SinglePieceCallTime(),
 		PreferredDataCentre: r.preferredDataCentre,
 		Weight:              r.weight(),
 		Recompute:           s.recompute,
@@ -327,20 +327,12 @@
 	for i := range r.stages {
 		s := &r.stages[i]
 		if s.pieceCount > 0 {
-			longest = max(longest, time.Duration(1+r.downstreamDepth(i))*g.singlePieceCallTime(s.stage.Service))
+			longest = max(longest, time.Duration(1+r.downstreamDepth(i))*g.catalog.BatchProfile(s.stage.Service).SinglePieceCallTime())
 		}
 	}
 	return longest
 }
 
-// singlePieceCallTime returns the time of a call with one piece to a service.
-func (g *Gateway) singlePieceCallTime(s ident.Service) time.Duration {
-	if profile := g.batchProfile(s); profile != nil {
-		return profile.SinglePieceCallTime()
-	}
-	return 0
-}
-
 // failureAnswer returns the answer to a request that can no longer be served.
 func (g *Gateway) failureAnswer(r *request) Answer {
 	if r.mayHaveRun {
--- a/kernel/published/check.go
+++ b/kernel/published/check.go
@@ -267,8 +267,13 @@
 	}
 }
 
-// SinglePieceCallTime returns the time of a call with one piece.
-func (p *BatchProfile) SinglePieceCallTime() time.Duration { return p.CallOverhead + p.TimePerPiece }
+// SinglePieceCallTime returns the time of a call with one piece; zero without a profile.
+func (p *BatchProfile) SinglePieceCallTime() time.Duration {
+	if p == nil {
+		return 0
+	}
+	return p.CallOverhead + p.TimePerPiece
+}
 
 // MinStageTime returns the shortest time in which the stages of a route can run: the calls with
 // one piece of the longest chain of stages.
@@ -279,9 +284,7 @@
 		for _, dependency := range s.DependsOn {
 			ends[i] = max(ends[i], ends[dependency])
 		}
-		if service := c.Services[s.Service]; service != nil && service.BatchProfile != nil {
-			ends[i] += service.BatchProfile.SinglePieceCallTime()
-		}
+		ends[i] += c.BatchProfile(s.Service).SinglePieceCallTime()
 		longest = max(longest, ends[i])
 	}
 	return longest
--- a/kernel/published/published.go
+++ b/kernel/published/published.go
@@ -214,6 +214,15 @@
 // WorkspaceByKey returns the workspace that a key belongs to, or nil.
 func (c *Catalog) WorkspaceByKey(key string) *Workspace { return c.byKey[key] }
 
+// BatchProfile returns the batching parameters of a service's endpoints, or nil if the service is
+// unknown or has no stage endpoints. The catalog may be nil.
+func (c *Catalog) BatchProfile(s ident.Service) *BatchProfile {
+	if c == nil || c.Services[s] == nil {
+		return nil
+	}
+	return c.Services[s].BatchProfile
+}
+
 // RequiresKey reports whether callers need a key for routes that are not public: they
 // do as soon as there is a workspace.
 func (c *Catalog) RequiresKey() bool { return len(c.Workspaces) > 0 }
