--- a/kernel/gateway/evacuation_test.go
+++ b/kernel/gateway/evacuation_test.go
@@ -404,6 +404,19 @@
 	}
 }
 
+// A request is refused while the path to its service is being checked, because an evacuated
+// endpoint seems to be reachable; another instance could serve it.
+func TestRequestWaitsForThePathInSpiteOfEvacuatedEndpoints(t *testing.T) {
+	tg := newConfigured(t)
+	tg.evacuate("west")
+	for _, name := range []ident.Endpoint{"orders-0", "orders-2"} {
+		e := tg.gateway.directory.Lookup(name)
+		e.MarkUnreachable(tg.timers.Now())
+		tg.gateway.suspectPath(e)
+	}
+	tg.wantSteps(tg.sendRequest("/lookup/", nil), 0)
+}
+
 // Records that arrive late or out of order end an evacuation that is in force, or begin one
 // that has ended.
 func TestEvacuationRecordsOutOfOrder(t *testing.T) {
