--- a/kernel/gateway/choose.go
+++ b/kernel/gateway/choose.go
@@ -61,7 +61,7 @@
 func (g *Gateway) chooseEndpoint(r *request) *endpoints.Endpoint {
 	now := g.now()
 	candidates := g.withoutBlocked(now, g.directory.Candidates(now, r.service, g.excludedFor(r)))
-	candidates = evacuation.Without(candidates, g.held(), func(e *endpoints.Endpoint) ident.DataCentre { return e.DataCentre })
+	candidates = evacuation.Without(candidates, g.evacuations.Draw(now, g.random.Float64), func(e *endpoints.Endpoint) ident.DataCentre { return e.DataCentre })
 	coldMillis := func(e *endpoints.Endpoint) float64 { return g.coldCostMillis(r, e) }
 	named := r.placed
 	r.choice, r.placed = placement.Choice{}, ident.EndpointProcess{}
