--- a/anvilcrossd/gatewayd/gatewayd.go
+++ b/anvilcrossd/gatewayd/gatewayd.go
@@ -207,6 +207,7 @@
 			CancelAttempt:   d.entry.CancelAttempt,
 			SendToPeer:      func(to membership.PeerAddress, m message.Envelope) { d.mesh.SendToAddress(to.Address, m) },
 			LogEvent:        d.log.WriteEvent,
+			RecordEstimate:  d.metrics.recordEstimate,
 			StartCall:       d.stageClient.StartCall,
 			FreeResults:     d.stageClient.FreeResults,
 			InspectEndpoint: d.stageClient.InspectEndpoint,
--- a/anvilcrossd/gatewayd/metrics.go
+++ b/anvilcrossd/gatewayd/metrics.go
@@ -12,6 +12,7 @@
 	"anvilcross/anvilcrossd/eventlog"
 	"anvilcross/anvilcrossd/metrics"
 	"anvilcross/kernel/gateway"
+	"anvilcross/kernel/ident"
 )
 
 // metricsConfig sets up gatewayMetrics.
@@ -25,6 +26,8 @@
 	config   metricsConfig
 	scope    tally.Scope
 	reporter prometheus.Reporter
+	// speedRatios holds the gauges of the endpoints that differ from the median of their service.
+	speedRatios map[ident.Endpoint]tally.Gauge
 }
 
 // latencyBuckets are the bounds of the latency histograms: 1 ms doubled up to
@@ -33,7 +36,7 @@
 
 func newGatewayMetrics(c metricsConfig) *gatewayMetrics {
 	r := metrics.NewRegistry()
-	return &gatewayMetrics{config: c, scope: r.Scope, reporter: r.Reporter}
+	return &gatewayMetrics{config: c, scope: r.Scope, reporter: r.Reporter, speedRatios: map[ident.Endpoint]tally.Gauge{}}
 }
 
 // recordRequest counts a finished request and its latency by outcome.
@@ -43,6 +46,31 @@
 	scope.Histogram("latency", latencyBuckets).RecordDuration(took)
 }
 
+// estimateBuckets are the bounds of the ratio of the actual to the estimated time to the first event.
+var estimateBuckets = tally.ValueBuckets{0.25, 0.5, 0.7, 0.85, 1, 1.2, 1.5, 2, 4, 8}
+
+// recordEstimate records how the time to the first event of a request compares with its estimate.
+func (m *gatewayMetrics) recordEstimate(s ident.Service, expected, took time.Duration) {
+	if expected > 0 {
+		m.scope.Tagged(map[string]string{"service": string(s)}).Histogram("estimate_ratio", estimateBuckets).RecordValue(float64(took) / float64(expected))
+	}
+}
+
+// updateSpeedRatios sets the gauges of the endpoints that are slower or faster than the median of
+// their service. It sets those that no longer are to 1.
+func (m *gatewayMetrics) updateSpeedRatios(ratios map[ident.Endpoint]float64) {
+	for e := range m.speedRatios {
+		if _, differs := ratios[e]; !differs {
+			m.speedRatios[e].Update(1)
+			delete(m.speedRatios, e)
+		}
+	}
+	for e, ratio := range ratios {
+		m.speedRatios[e] = m.scope.Tagged(map[string]string{"endpoint": string(e)}).Gauge("endpoint_speed_ratio")
+		m.speedRatios[e].Update(ratio)
+	}
+}
+
 // handler serves the metrics in the Prometheus format.
 func (m *gatewayMetrics) handler() http.Handler {
 	next := m.reporter.HTTPHandler()
@@ -83,6 +111,12 @@
 		gauges["attempts_withheld"] = float64(c.AttemptsWithheld)
 		gauges["paths_lost"] = float64(c.PathsLost)
 		gauges["forwarded"] = float64(c.Forwarded)
+		p := g.Placement().Counters()
+		gauges["placements_made"] = float64(p.Made)
+		gauges["placements_named"] = float64(p.Named)
+		gauges["placements_local"] = float64(p.Local)
+		gauges["placements_timed_out"] = float64(p.TimedOut)
+		d.metrics.updateSpeedRatios(g.Placement().Ratios(time.Now()))
 		leaving, resting := g.WithheldCounts()
 		gauges["endpoints_leaving"] = float64(leaving)
 		gauges["endpoints_resting"] = float64(resting)
--- a/kernel/gateway/gateway.go
+++ b/kernel/gateway/gateway.go
@@ -43,6 +43,8 @@
 	SendToPeer func(to membership.PeerAddress, m message.Envelope)
 	// LogEvent writes one log line; fields alternates keys and values.
 	LogEvent func(name string, fields ...any)
+	// RecordEstimate records the estimated and the actual time to a first event; it may be nil.
+	RecordEstimate func(s ident.Service, expected, took time.Duration)
 	// StartCall starts a call to a stage endpoint, FreeResults frees results at
 	// the endpoint with the given address, and InspectEndpoint asks an endpoint,
 	// given with its address, for its free result capacity.
@@ -119,7 +121,6 @@
 	members     *membership.Table
 	batcher     *batching.Batcher
 	placement   *placement.Table
-	placer      *placement.Client
 	retryBudget *retryBudget
 	crashes     *crashTracker
 
@@ -249,10 +250,10 @@
 		pathReports:      map[ident.Instance]pathReport{},
 		forwardsTo:       map[ident.Instance]int{},
 	}
-	g.placement = placement.NewTable(placement.Config{Mode: c.Placement, Random: c.Random, Directory: g.directory})
-	g.placer = placement.NewClient(placement.ClientConfig{Timers: c.Timers, LogEvent: c.Output.LogEvent, Send: func(to ident.Instance, r placement.Request) {
+	askPlacer := func(to ident.Instance, r placement.Request) {
 		g.sendToMember(to, message.Envelope{PlacementRequest: &r})
-	}})
+	}
+	g.placement = placement.NewTable(placement.Config{Mode: c.Placement, Random: c.Random, Directory: g.directory, RecordOutcome: c.Output.RecordEstimate, Client: placement.ClientConfig{Timers: c.Timers, LogEvent: c.Output.LogEvent, Send: askPlacer}})
 	g.limits = ratelimit.NewTable()
 	g.lender = ratelimit.NewLender(g.startedAt)
 	g.issuer = ratelimit.NewIssuer(ratelimit.IssuerConfig{Self: c.Self.Name, Incarnation: c.Self.Incarnation, StartedAt: g.startedAt})
@@ -303,6 +304,9 @@
 // Counters returns the totals.
 func (g *Gateway) Counters() Counters { return g.counters }
 
+// Placement returns what is known for placing requests.
+func (g *Gateway) Placement() *placement.Table { return g.placement }
+
 // BatchStats returns the totals of the batcher.
 func (g *Gateway) BatchStats() batching.Stats { return g.batcher.Stats() }
 
--- a/kernel/gateway/peers.go
+++ b/kernel/gateway/peers.go
@@ -174,7 +174,7 @@
 	case m.PlacementRequest != nil:
 		g.handlePlacementRequest(m.From, *m.PlacementRequest)
 	case m.PlacementReply != nil:
-		g.placer.HandleReply(*m.PlacementReply)
+		g.placement.HandleReply(*m.PlacementReply)
 	case m.StreamOrigins != nil:
 		g.recordOrigins(m.StreamOrigins.Streams)
 	case m.OriginRequest != nil:
@@ -229,7 +229,7 @@
 	g.members.MarkUnreachable(g.now(), name)
 	delete(g.peerRequests, name)
 	g.abandonPermits(name)
-	g.placer.Abandon(name)
+	g.placement.Abandon(name)
 	g.updatePartitions(g.now())
 	clear(g.batcherCache)
 	g.resubmitLostPieces(g.now())
--- a/kernel/gateway/placer.go
+++ b/kernel/gateway/placer.go
@@ -26,7 +26,7 @@
 	if !p.IsLong() || placer == g.config.Self.Name {
 		return false
 	}
-	r.awaitsPlacement = g.placer.Ask(placer, placement.Request{Prompt: p, Excluded: excluded.Sorted(), Works: g.placement.Works(g.now())}, func(named ident.EndpointProcess) {
+	r.awaitsPlacement = g.placement.Ask(placer, placement.Request{Prompt: p, Excluded: excluded.Sorted(), Works: g.placement.Works(g.now())}, func(named ident.EndpointProcess) {
 		r.awaitsPlacement, r.placed = false, named
 		g.advance(r)
 	})
--- a/kernel/gateway/placer_test.go
+++ b/kernel/gateway/placer_test.go
@@ -108,11 +108,11 @@
 	if _, next := f.others(); next == placer {
 		t.Error("the killed instance is still the placer")
 	}
-	before := f.gateways[name].placer.TimedOut()
+	before := f.gateways[name].placement.Counters().TimedOut
 	f.send(name)
 	f.advance(30 * time.Millisecond)
-	if len(f.sends[name]) != 4 || f.gateways[name].placer.TimedOut() != before {
-		t.Errorf("%d requests sent, %d timed out", len(f.sends[name]), f.gateways[name].placer.TimedOut()-before)
+	if len(f.sends[name]) != 4 || f.gateways[name].placement.Counters().TimedOut != before {
+		t.Errorf("%d requests sent, %d timed out", len(f.sends[name]), f.gateways[name].placement.Counters().TimedOut-before)
 	}
 }
 
--- a/kernel/placement/placer.go
+++ b/kernel/placement/placer.go
@@ -88,7 +88,7 @@
 	return Reply{ID: r.ID, Endpoint: p.Endpoint, StartedUnixMillis: p.StartedUnixMillis}
 }
 
-// ClientConfig sets up a Client.
+// ClientConfig sets up what asks placers.
 type ClientConfig struct {
 	Timers *timer.Scheduler
 	// Send sends a request to a placer, and LogEvent writes a log line.
@@ -96,9 +96,9 @@
 	LogEvent func(name string, fields ...any)
 }
 
-// Client asks placers to choose endpoints.
-type Client struct {
-	config ClientConfig
+// client asks placers to choose endpoints.
+type client struct {
+	ClientConfig
 	lastID RequestID
 	waits  map[RequestID]wait
 	// pausedUntil holds the time until which a placer is not asked.
@@ -114,49 +114,45 @@
 	timer  *timer.Timer
 }
 
-// NewClient returns a client that waits for nothing.
-func NewClient(c ClientConfig) *Client {
-	return &Client{config: c, waits: map[RequestID]wait{}, pausedUntil: map[ident.Instance]time.Time{}}
+func newClient(c ClientConfig) *client {
+	return &client{ClientConfig: c, waits: map[RequestID]wait{}, pausedUntil: map[ident.Instance]time.Time{}}
 }
 
-// TimedOut returns how many requests got no reply in time.
-func (c *Client) TimedOut() int { return c.timedOut }
-
 // Ask asks a placer, unless it did not reply lately, and reports whether it did. Then is called
 // later with the endpoint that the placer has named, or with an empty one.
-func (c *Client) Ask(placer ident.Instance, r Request, then func(named ident.EndpointProcess)) bool {
-	now := c.config.Timers.Now()
+func (c *client) Ask(placer ident.Instance, r Request, then func(named ident.EndpointProcess)) bool {
+	now := c.Timers.Now()
 	maps.DeleteFunc(c.pausedUntil, func(_ ident.Instance, until time.Time) bool { return !now.Before(until) })
 	if _, paused := c.pausedUntil[placer]; paused {
 		return false
 	}
 	c.lastID++
 	r.ID = c.lastID
-	c.waits[r.ID] = wait{placer: placer, then: then, timer: c.config.Timers.After(placerTimeout, func() {
+	c.waits[r.ID] = wait{placer: placer, then: then, timer: c.Timers.After(placerTimeout, func() {
 		c.timedOut++
-		c.config.LogEvent("placementTimedOut", "service", r.Prompt.Service, "placer", placer)
-		c.pausedUntil[placer] = c.config.Timers.Now().Add(noPlacerPause)
+		c.LogEvent("placementTimedOut", "service", r.Prompt.Service, "placer", placer)
+		c.pausedUntil[placer] = c.Timers.Now().Add(noPlacerPause)
 		c.end(r.ID, ident.EndpointProcess{})
 	})}
-	c.config.Send(placer, r)
+	c.Send(placer, r)
 	return true
 }
 
 // HandleReply handles the placer's reply. A late one is ignored.
-func (c *Client) HandleReply(r Reply) {
+func (c *client) HandleReply(r Reply) {
 	c.end(r.ID, ident.EndpointProcess{Endpoint: r.Endpoint, StartedUnixMillis: r.StartedUnixMillis})
 }
 
-func (c *Client) end(id RequestID, named ident.EndpointProcess) {
+func (c *client) end(id RequestID, named ident.EndpointProcess) {
 	if w, waiting := c.waits[id]; waiting {
 		delete(c.waits, id)
-		c.config.Timers.Stop(w.timer)
+		c.Timers.Stop(w.timer)
 		w.then(named)
 	}
 }
 
 // Abandon ends the waits for a placer that cannot be reached.
-func (c *Client) Abandon(placer ident.Instance) {
+func (c *client) Abandon(placer ident.Instance) {
 	for _, id := range value.SortedKeys(c.waits) {
 		if w, waiting := c.waits[id]; waiting && w.placer == placer {
 			c.end(id, ident.EndpointProcess{})
--- a/kernel/placement/table.go
+++ b/kernel/placement/table.go
@@ -56,17 +56,23 @@
 	Mode      Mode
 	Random    *rand.Rand
 	Directory *endpoints.Directory
+	// RecordOutcome records the estimated and the actual time to the first event of a request;
+	// it may be nil.
+	RecordOutcome func(s ident.Service, expected, took time.Duration)
+	Client        ClientConfig
 }
 
 // Counters holds totals since the process started.
 type Counters struct {
 	// Made counts the endpoints that this instance chose for others as the placer, Named the
 	// requests that were sent where a placer had said, and Local the other choices by estimate.
-	Made, Named, Local int
+	// TimedOut counts the requests to a placer without a reply.
+	Made, Named, Local, TimedOut int
 }
 
 // Table is what an instance knows for placing requests. It is not safe for concurrent use.
 type Table struct {
+	*client
 	config   Config
 	services map[ident.Service]*service
 	// works holds the work figures that this instance has seen last.
@@ -100,7 +106,7 @@
 	if c.Mode == "" {
 		c.Mode = Auto
 	}
-	return &Table{config: c, services: map[ident.Service]*service{}}
+	return &Table{client: newClient(c.Client), config: c, services: map[ident.Service]*service{}}
 }
 
 // SetMode changes where the estimate is used.
@@ -321,7 +327,11 @@
 }
 
 // Counters returns the totals.
-func (t *Table) Counters() Counters { return t.counters }
+func (t *Table) Counters() Counters {
+	c := t.counters
+	c.TimedOut = t.timedOut
+	return c
+}
 
 // addBacklog adds the prefill of a prompt to the backlog of its endpoint.
 func (t *Table) addBacklog(now time.Time, c Choice) {
@@ -339,6 +349,9 @@
 	if c.Endpoint == nil {
 		return
 	}
+	if t.config.RecordOutcome != nil {
+		t.config.RecordOutcome(c.Endpoint.Service, time.Duration(c.Estimate.FirstEventMillis*float64(time.Millisecond)), took)
+	}
 	c.sample.observed, c.sample.workAfter = millis(took)-c.Estimate.extraMillis, float64(workPercent)/100
 	s := t.service(c.Endpoint.Service)
 	s.speeds.record(now, c.Endpoint.Process(), c.sample)
