--- a/kernel/gateway/gateway.go
+++ b/kernel/gateway/gateway.go
@@ -47,6 +47,8 @@
 	SendToPeer func(to membership.PeerAddress, m message.Envelope)
 	// LogEvent writes one log line; fields alternates keys and values.
 	LogEvent func(name string, fields ...any)
+	// RecordEstimate records the estimated and the actual time to a first event; it may be nil.
+	RecordEstimate func(s ident.Service, expected, took time.Duration)
 	// StartCall starts a call to a stage endpoint, FreeResults frees results at
 	// the endpoint with the given address, and InspectEndpoint asks an endpoint,
 	// given with its address, for its free result capacity.
@@ -125,7 +127,6 @@
 	members   *membership.Table
 	batcher   *batching.Batcher
 	placement *placement.Table
-	placer    *placement.Client
 	// placesPrompts is set if endpoints of a route with prompts are chosen by estimate.
 	placesPrompts bool
 	retryBudget   *retrybudget.Budget
@@ -268,10 +269,10 @@
 		pathReports:      map[ident.Instance]pathReport{},
 		forwardsTo:       map[ident.Instance]int{},
 	}
-	g.placement = placement.NewTable(placement.Config{Mode: c.Placement, Random: c.Random, Directory: g.directory})
-	g.placer = placement.NewClient(placement.ClientConfig{Timers: c.Timers, LogEvent: c.Output.LogEvent, Send: func(to ident.Instance, r placement.Request) {
+	askPlacer := func(to ident.Instance, r placement.Request) {
 		g.sendToMember(to, message.Envelope{PlacementRequest: &r})
-	}})
+	}
+	g.placement = placement.NewTable(placement.Config{Mode: c.Placement, Random: c.Random, Directory: g.directory, RecordOutcome: c.Output.RecordEstimate, Client: placement.ClientConfig{Timers: c.Timers, LogEvent: c.Output.LogEvent, Send: askPlacer}})
 	g.limits = ratelimit.NewTable()
 	g.warmup = warmup.NewTable(warmup.Config{Profile: g.coldProfile})
 	g.lender = ratelimit.NewLender(g.startedAt)
@@ -327,6 +328,9 @@
 // Counters returns the totals.
 func (g *Gateway) Counters() Counters { return g.counters }
 
+// Placement returns what is known for placing requests.
+func (g *Gateway) Placement() *placement.Table { return g.placement }
+
 // BatchStats returns the totals of the batcher.
 func (g *Gateway) BatchStats() batching.Stats { return g.batcher.Stats() }
 
