--- a/kernel/admission/shares.go
+++ b/kernel/admission/shares.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"math"
 	"slices"
 	"time"
@@ -68,6 +69,9 @@
 	Part      float64
 }
 
+// String returns the share for logs.
+func (s Share) String() string { return fmt.Sprintf("%s:%.2f", s.Workspace, s.Part) }
+
 // largestShares returns the workspaces that have had most, at most count.
 func largestShares(now time.Time, byWeight map[float64]*shares, count int) []Share {
 	total := 0.0
--- a/kernel/batching/pipeline.go
+++ b/kernel/batching/pipeline.go
@@ -367,6 +367,6 @@
 		if c.Contended {
 			event = "poolContended"
 		}
-		b.config.Output.LogEvent(event, "service", c.Pool.Service, "poolCentre", c.Pool.DataCentre, "wait", c.Wait, "piecesPerSecond", c.PiecesPerSecond, "workspaces", c.Largest)
+		b.config.Output.LogEvent(event, "service", c.Pool.Service, "poolCentre", c.Pool.DataCentre, "wait", c.Wait, "piecesPerSecond", int(c.PiecesPerSecond), "workspaces", c.Largest)
 	}
 }
