Test that the queue of the first pool is bounded

Cause: a decision that did not count the pieces that go before in its own pool made no test fail.

Change: a test for it. Ruled out: nothing else was tried.

--- a/kernel/admission/admission_test.go
+++ b/kernel/admission/admission_test.go
@@ -159,6 +159,28 @@
 	}
 }
 
+// Where the pool of the first stage is the one that is short, its queue must not grow beyond what
+// can be on time.
+func TestQueueOfOwnPoolIsBounded(t *testing.T) {
+	b := newBench()
+	var requests []*Request
+	for range 5 {
+		// One full call each, which the bench runs one after the other.
+		r := b.request(1, 0)
+		r.Pieces, r.Downstream = 1000, nil
+		requests = append(requests, r)
+	}
+	for i, d := range b.Decide(b.now, b.queue(), requests) {
+		want := Refuse
+		if i < 2 {
+			want = Start
+		}
+		if d.Action != want || want == Refuse && d.Short != own {
+			t.Errorf("request %d: %+v, want action %v", i, d, want)
+		}
+	}
+}
+
 // Less urgent requests leave half of the slack to urgent ones that come next. Without urgent
 // ones lately, they may use all of it.
 func TestLessUrgentRequestsLeaveSlack(t *testing.T) {
