Count the capacity for results in the admission of whole requests

Change: a less urgent request with large results starts only while its kind leaves half of the capacity for results to the more urgent kinds that need it as well (a quarter two ranks below, and so on). Ruled out: the penalty for transfers between data centres, which moves a request by seven places.

--- a/kernel/admission/admission.go
+++ b/kernel/admission/admission.go
@@ -35,6 +35,9 @@
 	// minDrain bounds the estimated share of a pool's capacity that more urgent requests
 	// leave.
 	minDrain = 0.1
+	// largeResultRatio is the ratio of the results of two kinds of requests up to which they
+	// compete for the capacity for results.
+	largeResultRatio = 4
 	// relievedAfter is how long no request must have been held or refused until a pool no
 	// longer counts as contended.
 	relievedAfter = 2 * time.Second
@@ -58,8 +61,10 @@
 	// for it to be on time, with one full call for each later stage, and Deadline when they
 	// are of no use.
 	ReceivedAt, DueAt, Deadline time.Time
-	// Pieces is the number of pieces that wait in this pool.
-	Pieces int
+	// Pieces is the number of pieces that wait in this pool, and ResultBytes the size of all
+	// their results.
+	Pieces      int
+	ResultBytes int
 	// Downstream holds the pieces of later stages.
 	Downstream []Demand
 }
@@ -98,6 +103,9 @@
 	Pool ident.Pool
 	// Ahead is the number of pieces that go first.
 	Ahead int
+	// ResultBytes is the capacity for results, and ReservedBytes the part of it that is taken
+	// or that the pieces ahead need.
+	ResultBytes, ReservedBytes int
 	// FullCallTime is the time of a full call, TimeToFinish that until a number of pieces
 	// are done.
 	FullCallTime time.Duration
@@ -141,8 +149,9 @@
 // classState is what is known of a kind of requests.
 type classState struct {
 	seenAt time.Time
-	// timeToDue is the longest time to due seen lately.
+	// timeToDue is the longest time to due seen lately, and resultBytes the largest results.
 	timeToDue   time.Duration
+	resultBytes int
 	timeToDueAt time.Time
 }
 
@@ -377,9 +386,11 @@
 
 // walk is what the requests that were decided on before take.
 type walk struct {
-	// ahead is the number of pieces in this pool, added that in later ones.
-	ahead int
-	added map[ident.Pool]int
+	// ahead is the number of pieces in this pool, resultBytes the size of their results, and
+	// added the number of pieces in later pools.
+	ahead       int
+	resultBytes int
+	added       map[ident.Pool]int
 }
 
 // decide decides on one request, after those that start before it.
@@ -421,9 +432,14 @@
 		}
 		return d
 	}
+	if !c.hasResultCapacity(q, r, w) {
+		d.Action, d.Short = Hold, q.Pool
+		return d
+	}
 	if wait <= allowed {
 		d.Action = Start
 		w.ahead += r.Pieces
+		w.resultBytes += r.ResultBytes
 	} else {
 		d.Action = Hold
 		// While the request waits, the backlog drains and its slack becomes shorter.
@@ -439,6 +455,25 @@
 	return d
 }
 
+// hasResultCapacity reports whether the results of a request may be put into the pool: those of
+// less urgent requests leave a share of the capacity to the more urgent ones that need it too. The
+// results of a long pipeline stay until its end, so that they would take all of it.
+func (c *Controller) hasResultCapacity(q Queue, r *candidate, w *walk) bool {
+	rank := 0
+	weights := value.NewSet[float64]()
+	for k, s := range c.classes[q.Pool] {
+		if k.weight > r.Weight && s.resultBytes >= r.ResultBytes/largeResultRatio && !weights.Has(k.weight) {
+			weights.Add(k.weight)
+			rank++
+		}
+	}
+	if rank == 0 || r.ResultBytes == 0 || q.ResultBytes == 0 {
+		return true
+	}
+	usable := math.Pow(rankShare, float64(rank)) * float64(q.ResultBytes)
+	return float64(q.ReservedBytes+w.resultBytes+r.ResultBytes) <= usable
+}
+
 // shortest returns the pool with the longest wait.
 func (r *candidate) shortest(downstream, own ident.Pool, longest time.Duration) ident.Pool {
 	if longest > 0 {
@@ -488,9 +523,13 @@
 	}
 	s.seenAt = now
 	toDue := r.DueAt.Sub(r.ReceivedAt)
-	if toDue >= s.timeToDue || now.Sub(s.timeToDueAt) > classTTL {
+	if now.Sub(s.timeToDueAt) > classTTL {
+		s.timeToDue, s.resultBytes = 0, 0
+	}
+	if toDue >= s.timeToDue {
 		s.timeToDue, s.timeToDueAt = toDue, now
 	}
+	s.resultBytes = max(s.resultBytes, r.ResultBytes)
 }
 
 // retryAfter returns when a refused caller is to come back.
--- a/kernel/batching/pipeline.go
+++ b/kernel/batching/pipeline.go
@@ -179,7 +179,12 @@
 		q.candidates[id] = r
 		requests = append(requests, r)
 	}
-	decisions := b.admission.Decide(now, admission.Queue{Pool: pool, Ahead: len(started), FullCallTime: estimate.fullCallTime, TimeToFinish: estimate.timeToFinish}, requests)
+	queue := admission.Queue{Pool: pool, Ahead: len(started), FullCallTime: estimate.fullCallTime, TimeToFinish: estimate.timeToFinish}
+	queue.ResultBytes, queue.ReservedBytes = b.resultCapacity(pool, profile)
+	for _, p := range started {
+		queue.ReservedBytes += p.work.ResultBytes
+	}
+	decisions := b.admission.Decide(now, queue, requests)
 	refused := map[ident.RequestID]admission.Decision{}
 	for i, d := range decisions {
 		switch d.Action {
@@ -203,6 +208,17 @@
 	slices.SortStableFunc(q.waiting, func(x, y *piece) int { return cmp.Compare(x.rank, y.rank) })
 }
 
+// resultCapacity returns the capacity for results of a pool's endpoints, and the part of it that is
+// reserved.
+func (b *Batcher) resultCapacity(pool ident.Pool, profile *published.BatchProfile) (total, reserved int) {
+	usable := int(usableCapacityShare * float64(profile.ResultCapacityBytes))
+	for _, e := range b.candidates(pool) {
+		total += usable
+		reserved += usable - max(b.endpointState(e.Name).freeBytes(b.now(), profile), 0)
+	}
+	return total, reserved
+}
+
 func setRank(pieces []*piece, rank time.Duration) {
 	for _, p := range pieces {
 		p.rank = rank
@@ -272,6 +288,7 @@
 	}
 	seen := value.NewSet[int]()
 	for _, p := range pieces {
+		r.ResultBytes += p.work.ResultBytes
 		if p.work.dueAt.Before(r.DueAt) {
 			r.DueAt = p.work.dueAt
 		}
