Catch two mutations that survived in the tests of evacuations

Cause: no test failed when canGoOn counted evacuated endpoints, or when data centres outside a request's regions were considered for its stages.

Change: a stream with a retry left breaks while all data centres are evacuated; the stages of a bound request run where its region has an instance.

Ruled out: nothing.

Run: both tests, with and without the mutation.

--- a/kernel/gateway/evacuation_test.go
+++ b/kernel/gateway/evacuation_test.go
@@ -310,10 +310,14 @@
 	if s = tg.wantSend(later); tg.centreOfEndpoint(s.Endpoint) == from {
 		t.Fatalf("the stream that is taken up goes on at %s", s.Endpoint)
 	}
+	third := tg.sendRequest("/verse/", nil)
+	s = tg.wantSend(third)
+	tg.mustBeginWrite(third, s)
+	tg.gateway.HandleFirstEvent(third, s.Attempt)
 	tg.evacuate(allTestCentres...)
 	resumed := tg.gateway.Counters().Resumed
-	tg.gateway.HandleFailure(h, tg.wantSend(h).Attempt, Broken, "8", "reset")
-	tg.wantAnswer(h, BrokenOff)
+	tg.gateway.HandleFailure(third, s.Attempt, Broken, "8", "reset")
+	tg.wantAnswer(third, BrokenOff)
 	if got := tg.gateway.Counters().Resumed; got != resumed {
 		t.Fatal("a retry was spent on a stream that nothing can go on with")
 	}
@@ -700,6 +704,21 @@
 			}
 		})
 	}
+	t.Run("no instance is alive in the home", func(t *testing.T) {
+		tg := newConfigured(t)
+		tg.gateway.SetRegions(testRegions)
+		tg.gateway.HandleChanges([]replica.Record{testRecord(t, "catalog", 2, boundCatalog(2, []ident.Region{"eu"}, nil))}, 2)
+		tg.addStageEndpoints("west")
+		for n := range 30 {
+			h := tg.sendRequest("/draft/", func(c *CallerRequest) {
+				c.PieceCounts = []int{1}
+				c.Prompt = []PromptPart{{ID: fmt.Sprint(n), Tokens: 100}, {ID: "own", Tokens: 10}}
+			})
+			if r := tg.gateway.requests[h]; r == nil || r.preferredDataCentre != "east" {
+				t.Fatalf("the stages of request %d are not to run in east", h)
+			}
+		}
+	})
 	t.Run("no instance is alive in the region", func(t *testing.T) {
 		tg := newBound(t, []ident.Region{"us"}, nil)
 		for range 4 {
