--- a/kernel/gateway/cold_test.go
+++ b/kernel/gateway/cold_test.go
@@ -601,6 +601,46 @@
 	}
 }
 
+// Requests wait for the permits of a cold endpoint although others have room.
+func TestWarmEndpointsArePreferred(t *testing.T) {
+	tg := newColdGateway(t, func(n int) bool { return n == 0 })
+	for _, e := range tg.gateway.directory.ByService("orders") {
+		e.LatencyMillis = 40
+	}
+	for range 4 {
+		if s := tg.wantSend(tg.sendRequest("/lookup/x", nil)); s.Endpoint == "orders-0" {
+			t.Error("a request goes to the cold endpoint")
+		}
+	}
+}
+
+// An endpoint that could not be reached, or that another one has replaced, counts as warm, since
+// a check of the path finds one that accepts again, or none is due so soon.
+func TestFailedAttemptsMakeEndpointsSuspects(t *testing.T) {
+	for _, failure := range []AttemptFailure{NotSent, Replaced, Declined, Broken} {
+		t.Run(failure.String(), func(t *testing.T) {
+			tg := newColdGateway(t, func(int) bool { return false })
+			h := tg.sendRequest("/lookup/x", nil)
+			s := tg.wantSend(h)
+			if failure != NotSent {
+				tg.mustBeginWrite(h, s)
+			}
+			tg.gateway.HandleFailure(h, s.Attempt, failure, "", "test")
+			if limited := tg.gateway.isLimited(tg.gateway.directory.Lookup(s.Endpoint)); limited != (failure == NotSent || failure == Replaced) {
+				t.Errorf("limited: %v", limited)
+			}
+		})
+	}
+	t.Run("a check is refused", func(t *testing.T) {
+		tg := newColdGateway(t, func(int) bool { return false })
+		tg.gateway.HandleEndpointChecked("orders-0", paths.Refused)
+		tg.gateway.HandleEndpointChecked("orders-1", paths.Silent)
+		if !tg.gateway.isLimited(tg.gateway.directory.Lookup("orders-0")) || tg.gateway.isLimited(tg.gateway.directory.Lookup("orders-1")) {
+			t.Error("only the endpoint that refuses connections should be limited")
+		}
+	})
+}
+
 // A request that was chosen before its endpoint became cold, or whose connection took long, is
 // written to it without a permit or long after that.
 func TestWriteToAnEndpointThatHasBecomeCold(t *testing.T) {
@@ -677,7 +717,7 @@
 	for id := range 50 {
 		tg.peers = nil
 		tg.gateway.members.RecordPing(tg.timers.Now(), membership.Member{Name: "two", Address: "two:1", DataCentre: "east", Incarnation: 1}, false)
-		tg.gateway.HandleMessage(message.Envelope{From: "two", PermitRequest: &message.PermitRequest{ID: message.PermitID(id), Endpoint: "orders-0", Cold: &warmup.Report{Service: "orders", Left: time.Second}}})
+		tg.gateway.HandleMessage(message.Envelope{From: "two", PermitRequest: &message.PermitRequest{ID: message.PermitID(id), Endpoint: "orders-0", Limit: ratelimit.Report{Rate: ratelimit.Unlimited}, Cold: &warmup.Report{Service: "orders", Left: time.Second}}})
 		for _, m := range tg.peers {
 			if r := m.message.PermitReply; r != nil && r.Issued {
 				issued++
@@ -719,6 +759,26 @@
 	}
 }
 
+// A suspicion of another instance that arrives before the configuration ends the process, or has
+// endpoints asked that are never cold.
+func TestSuspicionBeforeTheConfiguration(t *testing.T) {
+	for _, catalog := range []bool{false, true} {
+		tg := newTestGateway(t)
+		l := testListing("orders", 0)
+		records := []replica.Record{testRecord(t, string(l.Name), 1, l)}
+		if catalog {
+			records = append(records, testRecord(t, "catalog", 1, testCatalog(1)))
+		}
+		tg.gateway.HandleFullList(records, 1)
+		tg.advance(300 * time.Millisecond)
+		tg.gateway.HandleMessage(message.Envelope{From: "two", Ping: &message.Ping{Member: membership.Member{Name: "two", Address: "two:1", DataCentre: "east", Incarnation: 1}, KnownCount: 2, Cold: map[ident.Endpoint]warmup.Report{l.Name: {Service: "orders", Left: time.Minute, Open: true}}}})
+		tg.advance(time.Second)
+		if cold, _ := tg.gateway.ColdCounts(); cold != 0 || tg.gateway.counters.HealthQueries != 0 {
+			t.Errorf("%d are cold, %d were asked", cold, tg.gateway.counters.HealthQueries)
+		}
+	}
+}
+
 // A message with a value that no instance sends, or a field of a later build, breaks others.
 func TestUnknownOrMalformedColdReports(t *testing.T) {
 	for _, text := range []string{
--- a/kernel/warmup/warmup.go
+++ b/kernel/warmup/warmup.go
@@ -248,7 +248,7 @@
 func (t *Table) Suspects(now time.Time) []ident.EndpointProcess {
 	var found []ident.EndpointProcess
 	for p, k := range t.processes {
-		if k.listed && (k.statement.cause == Suspected && t.Cold(now, p) || now.Sub(k.suspectedAt) < 2*AskInterval) {
+		if k.listed && t.config.Profile(k.service) != (Profile{}) && (k.statement.cause == Suspected && t.Cold(now, p) || now.Sub(k.suspectedAt) < 2*AskInterval) {
 			found = append(found, p)
 		}
 	}
