--- a/kernel/gateway/cold_test.go
+++ b/kernel/gateway/cold_test.go
@@ -522,8 +522,8 @@
 			t.Errorf("%d and %d instances limit it", early, late)
 		}
 		t.Logf("%d health queries", f.queries)
-		if f.queries == 0 || f.queries > 4 {
-			t.Errorf("%d health queries, want 1 to 4", f.queries)
+		if f.queries == 0 || f.queries > 3 {
+			t.Errorf("%d health queries, want 1 to 3", f.queries)
 		}
 	})
 }
