--- a/kernel/gateway/attempts.go
+++ b/kernel/gateway/attempts.go
@@ -299,6 +299,7 @@
 	}
 	g.counters.Relayed++
 	g.recordAnswered(r, d)
+	g.placement.RecordStream(r.attempt.choice, d.Events, g.now().Sub(r.attempt.firstEventAt))
 	g.out.LogEvent("relayed", "request", r.incoming.ID, "route", r.route.Name, "status", d.Status, "after", g.now().Sub(r.arrivedAt), "firstAfter", r.timeToFirstEvent, "objective", r.route.LatencyObjective, "events", d.Events, "longestGap", d.LongestGap, "sends", r.sends, "delimited", d.Delimited)
 	g.finish(r)
 }
--- a/kernel/placement/estimate.go
+++ b/kernel/placement/estimate.go
@@ -16,7 +16,7 @@
 	// that are assumed of an endpoint of which nothing is known. The endpoints of the
 	// observed deployments prefill 36 to 80 tokens a millisecond.
 	usualTokensPerMilli = 70.0
-	usualStepMillis     = 4.5
+	usualStepMillis     = 10.0
 	// prefillChunkTokens is the length of the prefill that runs between two decode steps.
 	prefillChunkTokens = 2048
 	// defaultStride is the number of tokens in one event of a stream if the configuration of
@@ -26,7 +26,7 @@
 	// gapSpread the width, as a share of the objective, within which the chance of missing it
 	// rises: prompts that other instances send at the same time are not known.
 	gapMargin = 0.9
-	gapSpread = 0.06
+	gapSpread = 0.12
 	// lateSpread is the same width for the latency objective.
 	lateSpread = 0.1
 	// defaultLateMillis is the cost of a late answer on a route without a latency objective.
@@ -50,6 +50,9 @@
 	// tokens is the memory that the request takes, in tokens.
 	tokens float64
 	engine published.Engine
+	// event is how long the decode steps of one event take at the usual pace; zero if that has
+	// not been learned.
+	event float64
 	// meanTokens and meanRun are the average memory and running time of a request of the
 	// service.
 	meanTokens, meanRun float64
@@ -102,7 +105,7 @@
 func estimate(d demand, c candidate) Estimate {
 	prefill := prefillMillis(c.uncached, c.pace)
 	e := Estimate{prefillMillis: prefill, extraMillis: c.extra}
-	e.FirstEventMillis = slotWait(d, c) + c.backlog + prefill + eventMillis(d.engine, c.pace) + c.extra
+	e.FirstEventMillis = slotWait(d, c) + c.backlog + prefill + d.eventMillis(c.pace) + c.extra
 	e.HarmMillis = harm(d, c, prefill)
 	if c.spellShare > 0 {
 		slow := c
@@ -127,9 +130,12 @@
 // prefillMillis returns how long the prefill of some tokens takes at a pace.
 func prefillMillis(tokens, pace float64) float64 { return tokens / usualTokensPerMilli * pace }
 
-// eventMillis returns how long the decode steps of one event take.
-func eventMillis(e published.Engine, pace float64) float64 {
-	return float64(stride(e)) * usualStepMillis * pace
+// eventMillis returns how long the decode steps of one event take at a pace.
+func (d demand) eventMillis(pace float64) float64 {
+	if d.event > 0 {
+		return d.event * pace
+	}
+	return float64(stride(d.engine)) * usualStepMillis * pace
 }
 
 func stride(e published.Engine) int {
@@ -159,7 +165,7 @@
 		return 0
 	}
 	longest := prefillMillis(float64(stride(d.engine)*prefillChunkTokens), c.pace)
-	over := min(prefill, longest) + eventMillis(d.engine, c.pace) - gapMargin*objective
+	over := min(prefill, longest) + d.eventMillis(c.pace) - gapMargin*objective
 	return d.late*chance(over, gapSpread*objective) + max(over, 0)
 }
 
--- a/kernel/placement/estimate_test.go
+++ b/kernel/placement/estimate_test.go
@@ -189,3 +189,20 @@
 		t.Errorf("got %s although the figure is a second old", e.Name)
 	}
 }
+
+// Guards against a time between events that is taken from one endpoint in trouble, or never learned:
+// prompts of average length then count as a risk to the streams beside them.
+func TestTimeBetweenEventsIsLearned(t *testing.T) {
+	tb, e := newTestTable(), testEndpoints(t, "models", 1)[0]
+	for n := range 200 {
+		took := 48 * 36 * time.Millisecond
+		if n%4 == 0 {
+			took *= 4
+		}
+		tb.RecordStream(Choice{Endpoint: e}, 49, took)
+		tb.RecordStream(Choice{Endpoint: e}, 2, time.Second)
+	}
+	if event := tb.service("models").event; event < 30 || event > 60 {
+		t.Errorf("an event takes %.0f ms, 36 in three of four streams", event)
+	}
+}
--- a/kernel/placement/table.go
+++ b/kernel/placement/table.go
@@ -34,6 +34,12 @@
 	spellWeight = 0.02
 	// averageWeight is the weight of a new sample in the averages of a service.
 	averageWeight = 0.05
+	// An average time between events that is below the learned one counts with
+	// shorterEventWeight, one above it with longerEventWeight: about one in five is below.
+	shorterEventWeight = 0.1
+	longerEventWeight  = 0.025
+	// minEvents is the number of events from which on a stream tells the time between them.
+	minEvents = 5
 	// usualRunMillis is the running time of a request that is assumed before one has ended.
 	usualRunMillis = 2000.0
 )
@@ -96,6 +102,10 @@
 	// meanTokens and meanRun are averages over the requests of this instance: the memory in
 	// tokens, and the running time in milliseconds.
 	meanTokens, meanRun float64
+	// event is a low quantile of the average time between two events of a stream, in
+	// milliseconds: that of streams beside which little is prefilled. It is zero before the
+	// first stream.
+	event float64
 	// spellShare is the share of reported work factors that are those of slow spells, and
 	// spellMean the average of these.
 	spellShare, spellMean float64
@@ -185,8 +195,8 @@
 			state.spellShare, state.spellFactor = s.spellShare, s.spellMean
 		}
 		estimate := estimate(d, state)
-		estimate.OtherMillis += failingMillis(e) + p.ExtraMillis.of(e) + prefillMillis(uncached(e), 1)
-		usual := prefillMillis(state.uncached, 1) + eventMillis(d.engine, 1) + state.backlog/state.pace
+		estimate.OtherMillis += failingMillis(e) + p.ExtraMillis.of(e)
+		usual := prefillMillis(state.uncached, 1) + d.eventMillis(1) + state.backlog/state.pace
 		choices[i] = Choice{Endpoint: e, Estimate: estimate, tokens: d.tokens, sample: sample{tokens: state.uncached, usual: usual, workBefore: work}}
 	}
 	return choices
@@ -248,7 +258,7 @@
 
 // demand returns what a request needs.
 func (s *service) demand(c *published.Catalog, p Prompt) demand {
-	d := demand{late: millis(p.Objective), left: millis(p.Left), gap: millis(p.GapObjective), othersGap: millis(c.TightestGap(p.Service)), tokens: float64(p.Tokens + p.OutputTokens), meanTokens: s.meanTokens, meanRun: s.meanRun}
+	d := demand{late: millis(p.Objective), left: millis(p.Left), gap: millis(p.GapObjective), othersGap: millis(c.TightestGap(p.Service)), tokens: float64(p.Tokens + p.OutputTokens), meanTokens: s.meanTokens, meanRun: s.meanRun, event: s.event}
 	if d.late <= 0 {
 		d.late = defaultLateMillis
 	}
@@ -386,6 +396,23 @@
 	s.meanRun += averageWeight * (millis(now.Sub(sentAt)) - s.meanRun)
 }
 
+// RecordStream records the number of events of a complete stream, and the time between the first
+// and the last one.
+func (t *Table) RecordStream(c Choice, events int, took time.Duration) {
+	if c.Endpoint == nil || events < minEvents || took <= 0 {
+		return
+	}
+	s, sample := t.service(c.Endpoint.Service), millis(took)/float64(events-1)
+	switch {
+	case s.event == 0:
+		s.event = sample
+	case sample < s.event:
+		s.event += shorterEventWeight * (sample - s.event)
+	default:
+		s.event += longerEventWeight * (sample - s.event)
+	}
+}
+
 // Expire forgets what no longer counts. pingPeriod is the time between two pings of an instance.
 func (t *Table) Expire(now time.Time, pingPeriod time.Duration) {
 	t.pingPeriod = pingPeriod
