Let only kinds with results of about one size compete for their capacity

Change: a kind competes with another if their results differ by less than a factor of four. Refusals name the weight of the request.

--- a/kernel/admission/admission.go
+++ b/kernel/admission/admission.go
@@ -462,7 +462,7 @@
 	rank := 0
 	weights := value.NewSet[float64]()
 	for k, s := range c.classes[q.Pool] {
-		if k.weight > r.Weight && s.resultBytes >= r.ResultBytes/largeResultRatio && !weights.Has(k.weight) {
+		if k.weight > r.Weight && s.resultBytes >= r.ResultBytes/largeResultRatio && s.resultBytes <= r.ResultBytes*largeResultRatio && !weights.Has(k.weight) {
 			weights.Add(k.weight)
 			rank++
 		}
--- a/kernel/batching/pipeline.go
+++ b/kernel/batching/pipeline.go
@@ -357,7 +357,7 @@
 	}
 	for _, id := range value.SortedKeys(refused) {
 		d := refused[id]
-		b.config.Output.LogEvent("requestRefused", "request", id, "service", pool.Service, "poolCentre", pool.DataCentre, "short", d.Short.Service, "shortCentre", d.Short.DataCentre, "wait", d.Wait, "slack", d.Slack, "workspace", d.Request.Workspace, "retryAfter", d.RetryAfter)
+		b.config.Output.LogEvent("requestRefused", "request", id, "service", pool.Service, "poolCentre", pool.DataCentre, "short", d.Short.Service, "shortCentre", d.Short.DataCentre, "wait", d.Wait, "slack", d.Slack, "weight", d.Request.Weight, "workspace", d.Request.Workspace, "retryAfter", d.RetryAfter)
 	}
 	results := map[ident.Instance]*message.StageResults{}
 	q.waiting = slices.DeleteFunc(q.waiting, func(p *piece) bool {
