Send fewer reports on cold endpoints in a large fleet

Cause: with 500 instances and 47 endpoints suspected at once, an instance with a weak link sent 35,200 bytes a second, since each of its pings to a dozen core members had 24 reports.

Change: two reports in a ping of a large fleet.

--- a/kernel/gateway/limits.go
+++ b/kernel/gateway/limits.go
@@ -10,6 +10,7 @@
 	"anvilcross/kernel/message"
 	"anvilcross/kernel/ratelimit"
 	"anvilcross/kernel/value"
+	"anvilcross/kernel/warmup"
 )
 
 // permitLeasePings is the number of ping periods for which an instance leases its share
@@ -56,7 +57,11 @@
 // addLimits adds to a ping what this instance knows of rate limits, and to whom it
 // leases its share of them.
 func (g *Gateway) addLimits(now time.Time, p *message.Ping) {
-	p.Limits, p.Cold = g.limits.Reports(now), g.warmup.Reports(now, coldNewsPings*g.members.PingPeriod())
+	coldReports := warmup.MaxReports
+	if g.members.IsLarge() {
+		coldReports = warmup.MaxLargeFleetReports
+	}
+	p.Limits, p.Cold = g.limits.Reports(now), g.warmup.Reports(now, coldNewsPings*g.members.PingPeriod(), coldReports)
 	if g.shuttingDown || !g.leasesShares() {
 		return
 	}
--- a/kernel/warmup/warmup.go
+++ b/kernel/warmup/warmup.go
@@ -36,9 +36,12 @@
 	// AskInterval is the interval at which a suspected process is asked. It is longer than
 	// transitSlack, so that the second answer is known to be later than the suspicion.
 	AskInterval = 700 * time.Millisecond
-	// maxProcesses bounds the processes that are kept, MaxReports the reports in one message.
+	// maxProcesses bounds the processes that are kept.
 	maxProcesses = 8192
-	MaxReports   = 24
+	// MaxReports bounds the reports in one message, MaxLargeFleetReports those in a large fleet,
+	// where an instance sends each to a dozen others.
+	MaxReports           = 24
+	MaxLargeFleetReports = 2
 	// maxSuspectedShare is the share of all listed processes above which the suspicions of
 	// another instance are ignored: it probably cannot reach them itself.
 	maxSuspectedShare = 0.4
@@ -355,9 +358,9 @@
 	return &Report{Service: k.service, StartedUnixMillis: p.StartedUnixMillis, Left: max(s.until.Sub(now), 0), Open: s.open, AskedAgo: now.Sub(s.askedAt), ToldAgo: now.Sub(s.toldAt)}
 }
 
-// Reports returns what was suspected or told within the given time, the latest first and at
-// most MaxReports, or nil. All instances get the records themselves.
-func (t *Table) Reports(now time.Time, within time.Duration) map[ident.Endpoint]Report {
+// Reports returns what was suspected or told within the given time, the latest first and at most
+// the given number, or nil. All instances get the records themselves.
+func (t *Table) Reports(now time.Time, within time.Duration, limit int) map[ident.Endpoint]Report {
 	var news []ident.EndpointProcess
 	for p, k := range t.processes {
 		if fromRecord := k.statement.cause == Listed || k.statement.cause == Started; k.known && !fromRecord && !k.changedAt.IsZero() && now.Sub(k.changedAt) <= within {
@@ -372,7 +375,7 @@
 	})
 	reports := map[ident.Endpoint]Report{}
 	for _, p := range news {
-		if _, newer := reports[p.Endpoint]; !newer && len(reports) < MaxReports {
+		if _, newer := reports[p.Endpoint]; !newer && len(reports) < limit {
 			reports[p.Endpoint] = *t.Report(now, p)
 		}
 	}
