Order the requests of workspaces of equal priority by their routes

Change: where whole requests are admitted, the route's priority orders requests within one priority of workspaces. Elsewhere the weights are as before.

--- a/kernel/gateway/stages.go
+++ b/kernel/gateway/stages.go
@@ -227,7 +227,7 @@
 		TimeToDue:           dueAt.Sub(now),
 		TimeToDeadline:      r.abandonAt.Sub(now) - firstEventEstimate - time.Duration(r.downstreamDepth(index))*g.catalog.BatchProfile(s.stage.Service).SinglePieceCallTime(),
 		PreferredDataCentre: r.preferredDataCentre,
-		Weight:              r.weight(),
+		Weight:              g.weight(r),
 		Recompute:           s.recompute,
 		Recovering:          r.recomputes > 0 || r.takesUp() || g.pipelineAdmission() && r.hasResults(),
 		Workspace:           r.workspaceName(),
@@ -253,15 +253,23 @@
 // one request counts as much as three of the next lower priority.
 const priorityWeightRatio = 3.0
 
+// routeWeightRatio is the same for the priorities of routes within one priority of workspaces. The
+// weights of ten of them stay above those of the next lower priority of workspaces.
+const routeWeightRatio = 1.1
+
 // weight returns the request's weight against other requests when not all of
 // them can be on time. The priority of the workspace, if it has one, overrides
-// that of the route.
-func (r *request) weight() float64 {
-	priority := r.route.Priority
-	if r.workspace != nil && r.workspace.HasPriority {
-		priority = r.workspace.Priority
+// that of the route. Where whole requests are admitted, that of the route still
+// orders the requests of workspaces of equal priority.
+func (g *Gateway) weight(r *request) float64 {
+	if r.workspace == nil || !r.workspace.HasPriority {
+		return math.Pow(priorityWeightRatio, -float64(r.route.Priority))
+	}
+	weight := math.Pow(priorityWeightRatio, -float64(r.workspace.Priority))
+	if g.pipelineAdmission() {
+		weight *= math.Pow(routeWeightRatio, -float64(r.route.Priority))
 	}
-	return math.Pow(priorityWeightRatio, -float64(priority))
+	return weight
 }
 
 // handleResults handles a batcher's report on the outcomes of pieces.
