--- a/kernel/placement/table.go
+++ b/kernel/placement/table.go
@@ -90,7 +90,8 @@
 
 // service is what an instance knows about a service with prompts.
 type service struct {
-	speeds *speeds
+	speeds   *speeds
+	prefixes *prefixes
 	// busyUntil is the time until which the prefill lasts of the prompts that were placed at
 	// an endpoint by this instance.
 	busyUntil map[ident.EndpointProcess]time.Time
@@ -136,7 +137,7 @@
 func (t *Table) service(s ident.Service) *service {
 	known := t.services[s]
 	if known == nil {
-		known = &service{speeds: newSpeeds(), busyUntil: map[ident.EndpointProcess]time.Time{}, placed: map[ident.EndpointProcess][]time.Time{}, seenAt: map[ident.EndpointProcess]time.Time{}, meanRun: usualRunMillis}
+		known = &service{speeds: newSpeeds(), prefixes: newPrefixes(), busyUntil: map[ident.EndpointProcess]time.Time{}, placed: map[ident.EndpointProcess][]time.Time{}, seenAt: map[ident.EndpointProcess]time.Time{}, meanRun: usualRunMillis}
 		t.services[s] = known
 	}
 	return known
@@ -150,6 +151,9 @@
 	Named  bool
 	sample sample
 	tokens float64
+	prefix string
+	// held is set if this instance has sent the prefix to the endpoint lately.
+	held bool
 }
 
 // ChooseModel returns the candidate, of some, where a request with a prompt costs least, or one of
@@ -183,8 +187,13 @@
 		if !known {
 			work = 0
 		}
+		prefixTokens := uncached(e)
+		held := s.prefixes.holds(now, p.Prefix, e.Process())
+		if held {
+			prefixTokens = 0
+		}
 		state := candidate{
-			uncached: max(float64(p.Tokens-p.PrefixTokens), 0) + uncached(e),
+			uncached: max(float64(p.Tokens-p.PrefixTokens), 0) + prefixTokens,
 			backlog:  s.backlog(now, e.Process()),
 			running:  max(e.EstimatedInFlight(now)+s.unreported(now.Add(-t.pingPeriod), e.Process()), s.assumed(now, e.Process(), average)),
 			slots:    e.Slots,
@@ -197,7 +206,7 @@
 		estimate := estimate(d, state)
 		estimate.OtherMillis += failingMillis(e) + p.ExtraMillis.of(e)
 		usual := prefillMillis(state.uncached, 1) + d.eventMillis(1) + state.backlog/state.pace
-		choices[i] = Choice{Endpoint: e, Estimate: estimate, tokens: d.tokens, sample: sample{tokens: state.uncached, usual: usual, workBefore: work}}
+		choices[i] = Choice{Endpoint: e, Estimate: estimate, tokens: d.tokens, prefix: p.Prefix, held: held, sample: sample{tokens: state.uncached, usual: usual, workBefore: work}}
 	}
 	return choices
 }
@@ -236,7 +245,7 @@
 		if choices[i].Estimate.extraMillis <= nearest {
 			left = &near
 		}
-		if *left > 0 || choices[i].Endpoint == affinity {
+		if *left > 0 || choices[i].Endpoint == affinity || choices[i].held {
 			*left--
 			drawn = append(drawn, choices[i])
 		}
@@ -343,13 +352,15 @@
 	return c
 }
 
-// addBacklog adds the prefill of a prompt to the backlog of its endpoint.
+// addBacklog adds the prefill of a prompt to the backlog of its endpoint, which holds the prefix
+// then.
 func (t *Table) addBacklog(now time.Time, c Choice) {
 	known, p := t.service(c.Endpoint.Service), c.Endpoint.Process()
 	until := known.busyUntil[p]
 	if until.Before(now) {
 		until = now
 	}
+	known.prefixes.record(now, c.prefix, p)
 	known.busyUntil[p] = until.Add(time.Duration(c.Estimate.prefillMillis * float64(time.Millisecond)))
 }
 
@@ -417,6 +428,7 @@
 func (t *Table) Expire(now time.Time, pingPeriod time.Duration) {
 	t.pingPeriod = pingPeriod
 	for _, s := range t.services {
+		s.prefixes.expire(now)
 		for p, times := range s.placed {
 			times = slices.DeleteFunc(times, func(at time.Time) bool { return now.Sub(at) > pingPeriod })
 			if s.placed[p] = times; len(times) == 0 {
