Bound what less urgent requests leave of the capacity for results and of the slack

Change: three quarters of the capacity for results, half for requests with later stages, while more urgent ones compete; at most two ranks count for the slack.

--- a/kernel/admission/admission.go
+++ b/kernel/admission/admission.go
@@ -35,6 +35,14 @@
 	// minDrain bounds the estimated share of a pool's capacity that more urgent requests
 	// leave.
 	minDrain = 0.1
+	// resultShare is the share of the capacity for results that requests may use while more
+	// urgent ones need it too, and longResultShare that of requests with later stages, whose
+	// results stay for several calls.
+	resultShare     = 0.75
+	longResultShare = 0.5
+	// maxRank bounds the rank of less urgent requests: workspaces may have many priorities, and
+	// the share of the slack halves with each.
+	maxRank = 2
 	// largeResultRatio is the ratio of the results of two kinds of requests up to which they
 	// compete for the capacity for results.
 	largeResultRatio = 4
@@ -455,23 +463,23 @@
 	return d
 }
 
-// hasResultCapacity reports whether the results of a request may be put into the pool: those of
-// less urgent requests leave a share of the capacity to the more urgent ones that need it too. The
-// results of a long pipeline stay until its end, so that they would take all of it.
+// hasResultCapacity reports whether the results of a request may be put into the pool. Requests
+// leave a share of the capacity to more urgent ones whose results are of about the same size.
 func (c *Controller) hasResultCapacity(q Queue, r *candidate, w *walk) bool {
-	rank := 0
-	weights := value.NewSet[float64]()
+	if r.ResultBytes == 0 || q.ResultBytes == 0 {
+		return true
+	}
+	competes := false
 	for k, s := range c.classes[q.Pool] {
-		if k.weight > r.Weight && s.resultBytes >= r.ResultBytes/largeResultRatio && s.resultBytes <= r.ResultBytes*largeResultRatio && !weights.Has(k.weight) {
-			weights.Add(k.weight)
-			rank++
+		if k.weight > r.Weight && s.resultBytes >= r.ResultBytes/largeResultRatio && s.resultBytes <= r.ResultBytes*largeResultRatio {
+			competes = true
 		}
 	}
-	if rank == 0 || r.ResultBytes == 0 || q.ResultBytes == 0 {
-		return true
+	share := resultShare
+	if len(r.Downstream) > 0 {
+		share = longResultShare
 	}
-	usable := math.Pow(rankShare, float64(rank)) * float64(q.ResultBytes)
-	return float64(q.ReservedBytes+w.resultBytes+r.ResultBytes) <= usable
+	return !competes || float64(q.ReservedBytes+w.resultBytes+r.ResultBytes) <= share*float64(q.ResultBytes)
 }
 
 // shortest returns the pool with the longest wait.
@@ -496,7 +504,7 @@
 			top, topSlack = k.weight, s.timeToDue-q.FullCallTime
 		}
 	}
-	rank = len(weights)
+	rank = min(len(weights), maxRank)
 	if r.late {
 		rank++
 	}
