Admit whole requests at their first stage only where engines report their pace

Change: auto turns the rule on where a model endpoint reports work figures. The separate share for long pipelines is gone. Requests of less urgent kinds may use three quarters of the capacity for results.

--- a/kernel/admission/admission.go
+++ b/kernel/admission/admission.go
@@ -36,10 +36,8 @@
 	// leave.
 	minDrain = 0.1
 	// resultShare is the share of the capacity for results that requests may use while more
-	// urgent ones need it too, and longResultShare that of requests with later stages, whose
-	// results stay for several calls.
-	resultShare     = 0.75
-	longResultShare = 0.5
+	// urgent ones need it too.
+	resultShare = 0.75
 	// maxRank bounds the rank of less urgent requests: workspaces may have many priorities, and
 	// the share of the slack halves with each.
 	maxRank = 2
@@ -475,11 +473,7 @@
 			competes = true
 		}
 	}
-	share := resultShare
-	if len(r.Downstream) > 0 {
-		share = longResultShare
-	}
-	return !competes || float64(q.ReservedBytes+w.resultBytes+r.ResultBytes) <= share*float64(q.ResultBytes)
+	return !competes || float64(q.ReservedBytes+w.resultBytes+r.ResultBytes) <= resultShare*float64(q.ResultBytes)
 }
 
 // shortest returns the pool with the longest wait.
--- a/kernel/gateway/admission.go
+++ b/kernel/gateway/admission.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"anvilcross/kernel/endpoints"
 	"anvilcross/kernel/ident"
 	"anvilcross/kernel/published"
 )
@@ -12,7 +13,8 @@
 
 // The admission policies.
 const (
-	// AdmissionAuto admits whole requests where a deployment needs it, and is the default.
+	// AdmissionAuto admits whole requests where model endpoints report how long work takes, and
+	// is the default.
 	AdmissionAuto AdmissionPolicy = "auto"
 	// AdmissionPipeline admits whole requests at their first stage (kernel/admission).
 	AdmissionPipeline AdmissionPolicy = "pipeline"
@@ -22,15 +24,15 @@
 
 // pipelineAdmission reports whether whole requests are admitted at their first stage.
 func (g *Gateway) pipelineAdmission() bool {
-	return g.config.Admission == AdmissionPipeline || g.config.Admission != AdmissionStage && g.placesPrompts
+	return g.config.Admission == AdmissionPipeline || g.config.Admission != AdmissionStage && g.unevenEngines
 }
 
-// updatePlacesPrompts updates whether the endpoints of any route with prompts are chosen by
-// estimate.
-func (g *Gateway) updatePlacesPrompts() {
-	g.placesPrompts = slices.ContainsFunc(g.catalog.Routes, func(r published.Route) bool {
+// updateUnevenEngines updates whether endpoints of a route with prompts report how long work takes.
+func (g *Gateway) updateUnevenEngines() {
+	reportsWork := func(e *endpoints.Endpoint) bool { return e.ReportsWork }
+	g.unevenEngines = slices.ContainsFunc(g.catalog.Routes, func(r published.Route) bool {
 		return r.CarriesPrompts && slices.ContainsFunc(r.Services(), func(s ident.Service) bool {
-			return g.placement.Applies(g.catalog, true, g.directory.ByService(s))
+			return slices.ContainsFunc(g.directory.ByService(s), reportsWork)
 		})
 	})
 }
--- a/kernel/gateway/gateway.go
+++ b/kernel/gateway/gateway.go
@@ -127,8 +127,8 @@
 	members   *membership.Table
 	batcher   *batching.Batcher
 	placement *placement.Table
-	// placesPrompts is set if endpoints of a route with prompts are chosen by estimate.
-	placesPrompts bool
+	// unevenEngines is set if endpoints of a route with prompts report how long work takes.
+	unevenEngines bool
 	retryBudget   *retrybudget.Budget
 	crashes       *crashTracker
 
@@ -402,7 +402,7 @@
 	}
 	g.poolCache = nil
 	clear(g.batcherCache)
-	g.updatePlacesPrompts()
+	g.updateUnevenEngines()
 	g.updatePartitions(now)
 	g.paths.Forget(func(s ident.Service) bool { return g.catalog.Services[s] != nil })
 	g.updatePeerRequests(now)
