--- a/kernel/placement/estimate_test.go
+++ b/kernel/placement/estimate_test.go
@@ -91,16 +91,14 @@
 // Guards against a request that waits for a slot, or for memory, while another endpoint has it.
 func TestRequestAvoidsFullEndpoints(t *testing.T) {
 	all := testEndpoints(t, "models", 2)
-	p := testPrompt(200)
-	all[0].PeerRequests, all[1].PeerRequests = 16, 15
-	if share := shareOf(newTestTable(), p, published.Engine{}, all, all[0]); share > 0.02 {
+	all[0].Slots, all[0].PeerRequests, all[1].PeerRequests = 4, 4, 9
+	if share := shareOf(newTestTable(), testPrompt(200), published.Engine{}, all, all[0]); share > 0.02 {
 		t.Errorf("%.2f go to the endpoint without a free slot", share)
 	}
-	tb := newTestTable()
-	tb.service("models").meanTokens = 8000
-	all[0].PeerRequests, all[1].PeerRequests = 9, 5
-	if share := shareOf(tb, p, published.Engine{KVCapacityTokens: 60_000}, all, all[0]); share > 0.02 {
-		t.Errorf("%.2f go to the endpoint without memory", share)
+	d := demand{late: 1400, left: 1400, tokens: 8000, meanTokens: 8000, meanRun: 2000, engine: published.Engine{KVCapacityTokens: 60_000}}
+	fits, full := estimate(d, candidate{running: 6, slots: 16, pace: 1}), estimate(d, candidate{running: 7, slots: 16, pace: 1})
+	if fits.FirstEventMillis > 100 || full.FirstEventMillis < 200 {
+		t.Errorf("%.0f ms with memory for one more request, %.0f ms without", fits.FirstEventMillis, full.FirstEventMillis)
 	}
 }
 
@@ -188,3 +186,131 @@
 		t.Errorf("got %s although the figure is a second old", e.Name)
 	}
 }
+
+// Guards against a stream that begins behind prompts in prefill and then misses its own gap objective.
+func TestOwnStreamAvoidsPrefillInProgress(t *testing.T) {
+	d := demand{late: 1400, left: 1400, gap: 400}
+	c := candidate{uncached: 200, slots: 16, pace: 2, backlog: 300}
+	if e := estimate(d, c); e.HarmMillis < 300 {
+		t.Errorf("harm of %.0f ms behind a prefill of 300 ms", e.HarmMillis)
+	}
+}
+
+// Guards against a prefill that costs nothing to the requests that arrive while it lasts.
+func TestLongPrefillCostsThoseThatArrive(t *testing.T) {
+	d := demand{late: 1400, left: 1400}
+	if e := estimate(d, candidate{uncached: 7000, slots: 16, pace: 2}); e.OtherMillis < 150 {
+		t.Errorf("cost of %.0f ms for occupying a slow endpoint for 200 ms", e.OtherMillis)
+	}
+}
+
+// Guards against an endpoint that fails, or one in another data centre, that counts as well as others.
+func TestFarAndFailingEndpointsCostMore(t *testing.T) {
+	all := testEndpoints(t, "models", 3)
+	all[0].DataCentre = "west"
+	all[1].FailureShare = 0.5
+	if share := shareOf(newTestTable(), testPrompt(1000), published.Engine{}, all, all[2]); share < 0.9 {
+		t.Errorf("%.2f go to the sound endpoint of the own data centre", share)
+	}
+	p := testPrompt(1000)
+	p.InputBytes = map[ident.DataCentre]int{"west": 8_000_000}
+	if share := shareOf(newTestTable(), p, published.Engine{}, all, all[0]); share < 0.9 {
+		t.Errorf("%.2f go to the data centre of the inputs", share)
+	}
+}
+
+// Guards against instances that know the same and all choose the same of several equal endpoints.
+func TestEqualCandidatesShareLoad(t *testing.T) {
+	tb, all := newTestTable(), testEndpoints(t, "models", 8)
+	for _, e := range all {
+		if share := shareOf(tb, testPrompt(1000), published.Engine{}, all, e); share < 0.06 || share > 0.19 {
+			t.Errorf("%.2f go to one of eight equal endpoints", share)
+		}
+	}
+	counts := map[*endpoints.Endpoint]int{}
+	choices := tb.modelChoices(start, testCatalog(published.Engine{}), testPrompt(1000), all)
+	for range 400 {
+		counts[tb.drawNear(choices).Endpoint]++
+	}
+	if len(counts) != 8 {
+		t.Errorf("the placer draws from %d of eight equal endpoints", len(counts))
+	}
+}
+
+// Guards against a choice that compares all candidates by old figures, or without the one that has
+// the prefix cached.
+func TestSampleOfCandidates(t *testing.T) {
+	tb, all := newTestTable(), testEndpoints(t, "models", 60)
+	for _, e := range all[:30] {
+		e.DataCentre = "west"
+	}
+	p := testPrompt(6000)
+	p.PrefixTokens = 5400
+	affinity, _ := AffinityEndpoints(p.Prefix, all, nil)
+	for range 50 {
+		near, found := 0, false
+		drawn := tb.sample(p, tb.modelChoices(start, testCatalog(published.Engine{}), p, all), all)
+		for _, c := range drawn {
+			found = found || c.Endpoint == affinity
+			if c.Endpoint.DataCentre == "east" {
+				near++
+			}
+		}
+		if len(drawn) > nearSample+farSample+1 || near < nearSample || !found {
+			t.Fatalf("%d candidates, %d of the own data centre, affinity endpoint %t", len(drawn), near, found)
+		}
+	}
+}
+
+// Guards against an endpoint that was least busy a second ago and gets most requests.
+func TestLeastBusyEndpointIsNotFlooded(t *testing.T) {
+	all := testEndpoints(t, "models", 60)
+	for _, e := range all[1:] {
+		e.PeerRequests = 4
+	}
+	if share := shareOf(newTestTable(), testPrompt(200), published.Engine{}, all, all[0]); share > 0.2 {
+		t.Errorf("%.2f go to the least busy of 60 endpoints", share)
+	}
+}
+
+// Guards against an endpoint that is new, and so empty, and gets the requests of all instances.
+func TestNewEndpointCountsAsBusy(t *testing.T) {
+	tb, all := newTestTable(), testEndpoints(t, "models", 6)
+	for _, e := range all[:5] {
+		e.PeerRequests = 6
+	}
+	tb.modelChoices(start, testCatalog(published.Engine{}), testPrompt(200), all[:5])
+	share := func(at time.Time) float64 {
+		n := 0
+		for range 200 {
+			if tb.ChooseModel(at, testCatalog(published.Engine{}), testPrompt(200), all, ident.EndpointProcess{}).Endpoint == all[5] {
+				n++
+			}
+		}
+		return float64(n) / 200
+	}
+	if got := share(start); got > 0.6 {
+		t.Errorf("%.2f go to the new endpoint at once", got)
+	}
+	if got := share(start.Add(joinTime)); got < 0.9 {
+		t.Errorf("%.2f go to the empty endpoint that is no longer new", got)
+	}
+}
+
+// Guards against a placer that does not count its placements until pings report them.
+func TestPlacerCountsUnreportedPlacements(t *testing.T) {
+	tb, all := newTestTable(), testEndpoints(t, "models", 2)
+	tb.Expire(start, time.Second)
+	for n := range 20 {
+		at := start.Add(time.Duration(n) * 10 * time.Second)
+		first := tb.Place(at, testCatalog(published.Engine{}), Request{Prompt: testPrompt(4000)}, all)
+		second := tb.Place(at.Add(700*time.Millisecond), testCatalog(published.Engine{}), Request{Prompt: testPrompt(4000)}, all)
+		if second.Endpoint == first.Endpoint {
+			t.Fatalf("round %d: the second prompt joins the stream of the first", n)
+		}
+	}
+	tb.Expire(start.Add(time.Hour), time.Second)
+	if n := tb.service("models").unreported(start.Add(time.Hour), all[0].Process()) + tb.service("models").unreported(start.Add(time.Hour), all[1].Process()); n != 0 {
+		t.Errorf("%d placements are counted twice", n)
+	}
+}
--- a/kernel/placement/pattern_test.go
+++ b/kernel/placement/pattern_test.go
@@ -78,6 +78,20 @@
 	}
 }
 
+// Guards against instances that all send to the few endpoints that were least busy a second ago.
+func TestLoadFiguresOneSecondOld(t *testing.T) {
+	for _, instances := range []int{77, 295} {
+		t.Run(fmt.Sprintf("%d instances", instances), func(t *testing.T) {
+			t.Parallel()
+			usual, estimated := compare(t, simConfig{instances: instances, endpoints: 40, perSecond: 120, longShare: 0.2, longMean: 6600, slowShare: 0.25, placer: true, duration: 15 * time.Second})
+			t.Logf("most streams at one endpoint: %d and %d", usual.most, estimated.most)
+			if estimated.most > usual.most/2 || estimated.missedShare() > mostMissed(instances, usual.missedShare()) {
+				t.Errorf("an endpoint had %d streams at once, %d with the usual choice", estimated.most, usual.most)
+			}
+		})
+	}
+}
+
 // Guards against figures that are false making the choice worse than without any.
 func TestFalseLoadFigures(t *testing.T) {
 	c := simConfig{instances: 77, endpoints: 90, perSecond: 110, longShare: 0.5, longMean: 6600, slowShare: 0.25, lies: true, placer: true, duration: 24 * time.Second}
--- a/kernel/placement/shared_test.go
+++ b/kernel/placement/shared_test.go
@@ -128,7 +128,11 @@
 		t.Errorf("reports %v long after the observation", again)
 	}
 	to.Merge(start, "other", map[ident.Endpoint]SpeedReport{"gone": reports["e-00"]}, map[ident.Endpoint]float64{"gone": 2})
-	if len(s.others["other"]) != 1 || len(s.told) != 0 {
+	to.Merge(start, "core", nil, map[ident.Endpoint]float64{"e-03": 2})
+	if ratio := to.Ratios(start.Add(pacesTTL))["e-03"]; ratio != 2 {
+		t.Errorf("ratio %v, want the reported one of 2", ratio)
+	}
+	if len(s.others["other"]) != 1 || len(s.told) != 1 {
 		t.Errorf("reports of unknown endpoints were kept")
 	}
 	s.update(start.Add(time.Hour))
--- a/kernel/placement/simulation_test.go
+++ b/kernel/placement/simulation_test.go
@@ -125,9 +125,10 @@
 	firsts []float64
 	// slowShare and slowTokens are the shares of streams and prompt tokens at slow endpoints.
 	slowShare, slowTokens float64
-	joinedMost            int
-	tables                []*Table
-	endpoints             []*simEndpoint
+	// most is the largest number of streams at one endpoint, joinedMost that at the one that joined.
+	most, joinedMost int
+	tables           []*Table
+	endpoints        []*simEndpoint
 }
 
 func (r simResult) String() string {
@@ -261,6 +262,7 @@
 			if c.joinAt > 0 && len(fleet) > c.endpoints {
 				result.joinedMost = max(result.joinedMost, len(fleet[c.endpoints].streams))
 			}
+			result.most = max(result.most, len(e.streams))
 			allTokens += float64(p.Tokens)
 			if e.slow > 1 {
 				slowStreams++
--- a/kernel/placement/table.go
+++ b/kernel/placement/table.go
@@ -162,11 +162,7 @@
 	d := s.demand(c, p)
 	uncached := uncachedPrefix(p, candidates)
 	s.see(now, candidates)
-	average := 0
-	for _, e := range candidates {
-		average += e.EstimatedInFlight(now)
-	}
-	average /= max(len(candidates), 1)
+	average := s.averageRunning(now, candidates)
 	choices := make([]Choice, len(candidates))
 	for i, e := range candidates {
 		work, known := e.WorkFactor(now)
@@ -205,6 +201,17 @@
 	}
 }
 
+// averageRunning returns the average number of requests at the candidates that are not new.
+func (s *service) averageRunning(now time.Time, candidates []*endpoints.Endpoint) int {
+	running, count := 0, 0
+	for _, e := range candidates {
+		if now.Sub(s.seenAt[e.Process()]) >= joinTime {
+			running, count = running+e.EstimatedInFlight(now), count+1
+		}
+	}
+	return running / max(count, 1)
+}
+
 // assumed returns how many requests an endpoint is assumed to run while it is new, given the average
 // of the service: other instances begin to send to it at the same time.
 func (s *service) assumed(now time.Time, p ident.EndpointProcess, average int) int {
@@ -212,7 +219,8 @@
 	return int(float64(average) * max(left, 0))
 }
 
-// sample returns some of the choices, drawn at random, and the one for the affinity endpoint.
+// sample returns some of the choices, drawn at random, and the one for the affinity endpoint if that
+// has a prefix cached.
 func (t *Table) sample(p Prompt, choices []Choice, candidates []*endpoints.Endpoint) []Choice {
 	affinity, _ := AffinityEndpoints(p.Prefix, candidates, p.Weights)
 	nearest := math.Inf(1)
@@ -226,7 +234,7 @@
 		if choices[i].Estimate.extraMillis <= nearest {
 			left = &near
 		}
-		if *left > 0 || choices[i].Endpoint == affinity {
+		if *left > 0 || choices[i].Endpoint == affinity && p.PrefixTokens > 0 {
 			*left--
 			drawn = append(drawn, choices[i])
 		}
