Test that a reply for another process of an endpoint is not used

Cause: removing the check of the process in the placer's reply failed no test, since the local choice could take the same endpoint.

Change: the test counts the requests that were sent as the placer said.

Ruled out: a fleet with a single candidate, to which any choice would go.

--- a/kernel/gateway/placer_test.go
+++ b/kernel/gateway/placer_test.go
@@ -133,6 +133,9 @@
 			if len(sends) != 1 || sends[0].Endpoint == reply.Endpoint && reply.Endpoint != "models-0" {
 				t.Fatalf("sends: %+v", sends)
 			}
+			if named := g.placement.Counters().Named; named != 0 {
+				t.Errorf("%d requests were sent as the reply says", named)
+			}
 			g.HandleMessage(message.Envelope{From: placer, Incarnation: 1, PlacementReply: &reply})
 			f.advance(100 * time.Millisecond)
 			if len(f.sends[others[0]]) != 1 {
