Place only long prompts by estimate where engines do not report their pace

Change: in a deployment with cold starts and without work figures, short prompts are sent by the usual choice. The help of anvilcross check no longer names a record of the platform.

--- a/anvilcross/command/check.go
+++ b/anvilcross/command/check.go
@@ -19,7 +19,7 @@
 
 // check validates a file of answers or a configuration.
 type check struct {
-	File     string `arg:"" help:"Configuration of a platform (the value of op/config, .json), configuration of the product (.json) or answers (.ini)." type:"existingfile"`
+	File     string `arg:"" help:"Configuration of a platform (the value of its record, .json), configuration of the product (.json) or answers (.ini)." type:"existingfile"`
 	InForce  string `help:"Platform configuration in force; what the new one changes is listed." type:"existingfile"`
 	Settings string `help:"Settings of an instance, for the checks against its memory, retry budget and regions." type:"existingfile"`
 	Strict   bool   `help:"Exit with 1 if there are warnings."`
--- a/kernel/gateway/choose.go
+++ b/kernel/gateway/choose.go
@@ -24,15 +24,20 @@
 	return id, tokens
 }
 
+// promptTokens returns the number of tokens of the request's prompt.
+func (r *request) promptTokens() int {
+	tokens := 0
+	for _, part := range r.incoming.Prompt {
+		tokens += part.Tokens
+	}
+	return max(tokens, r.incoming.PromptTokens)
+}
+
 // promptOf returns what the placement of a request depends on.
 func (g *Gateway) promptOf(r *request, candidates []*endpoints.Endpoint) placement.Prompt {
 	prefix, tokens := r.sharedPrefix()
-	p := placement.Prompt{Service: r.service, Prefix: prefix, PrefixTokens: tokens, OutputTokens: r.incoming.OutputTokens, From: g.config.Self.DataCentre, InputBytes: map[ident.DataCentre]int{}, Weights: placement.AffinityWeights(g.directory, r.route, candidates), Objective: r.route.LatencyObjective, GapObjective: r.route.GapObjective}
+	p := placement.Prompt{Service: r.service, Prefix: prefix, PrefixTokens: tokens, Tokens: r.promptTokens(), OutputTokens: r.incoming.OutputTokens, From: g.config.Self.DataCentre, InputBytes: map[ident.DataCentre]int{}, Weights: placement.AffinityWeights(g.directory, r.route, candidates), Objective: r.route.LatencyObjective, GapObjective: r.route.GapObjective}
 	p.ExtraMillis = func(e *endpoints.Endpoint) float64 { return g.coldCostMillis(r, e) }
-	for _, part := range r.incoming.Prompt {
-		p.Tokens += part.Tokens
-	}
-	p.Tokens = max(p.Tokens, r.incoming.PromptTokens)
 	if !r.firstEventSent && !r.takesUp() {
 		p.Left = r.dueAt.Sub(g.now())
 	}
@@ -53,7 +58,8 @@
 
 // estimates reports whether the endpoint of a request is chosen by estimate.
 func (g *Gateway) estimates(r *request) bool {
-	return g.placement.Applies(g.catalog, r.route.CarriesPrompts, g.directory.ByService(r.service))
+	long := r.route.CarriesPrompts && placement.IsLong(r.promptTokens())
+	return g.placement.Applies(g.catalog, long, g.directory.ByService(r.service))
 }
 
 // chooseEndpoint returns the candidate endpoint with the lowest cost for a
--- a/kernel/placement/placer.go
+++ b/kernel/placement/placer.go
@@ -27,7 +27,10 @@
 
 // IsLong reports whether the prefill of the prompt takes so long that its endpoint is to be chosen
 // with knowledge of the other prompts in the fleet.
-func (p Prompt) IsLong() bool { return prefillMillis(float64(p.Tokens), 1) > longPromptMillis }
+func (p Prompt) IsLong() bool { return IsLong(p.Tokens) }
+
+// IsLong reports whether a prompt of some tokens is placed by the placer.
+func IsLong(tokens int) bool { return prefillMillis(float64(tokens), 1) > longPromptMillis }
 
 // RequestID numbers the placements that an instance asks for.
 type RequestID uint64
--- a/kernel/placement/table.go
+++ b/kernel/placement/table.go
@@ -49,8 +49,8 @@
 
 // The modes.
 const (
-	// Auto uses the estimate for services whose endpoints report work figures, and for those
-	// with prompts if the configuration has cold starts.
+	// Auto uses the estimate for services whose endpoints report work figures, and for long
+	// prompts if the configuration has cold starts.
 	Auto Mode = "auto"
 	// Always uses it for all services, Off for none.
 	Always Mode = "estimate"
@@ -123,15 +123,16 @@
 // SetMode changes where the estimate is used.
 func (t *Table) SetMode(m Mode) { t.config.Mode = m }
 
-// Applies reports whether the estimate is used for a service.
-func (t *Table) Applies(c *published.Catalog, prompts bool, all []*endpoints.Endpoint) bool {
+// Applies reports whether the estimate is used for a request to a service; longPrompt is set if it
+// carries a long prompt.
+func (t *Table) Applies(c *published.Catalog, longPrompt bool, all []*endpoints.Endpoint) bool {
 	switch t.config.Mode {
 	case Always:
 		return true
 	case Off:
 		return false
 	}
-	return prompts && c.HasColdEndpoints() || slices.ContainsFunc(all, func(e *endpoints.Endpoint) bool { return e.ReportsWork })
+	return longPrompt && c.HasColdEndpoints() || slices.ContainsFunc(all, func(e *endpoints.Endpoint) bool { return e.ReportsWork })
 }
 
 func (t *Table) service(s ident.Service) *service {
