Test small parts of admission that no test needed

Cause: without them, no test failed: held pieces that do not fill a call, the start rate after a quiet time, the soon repeated decision, running calls in the ratio of call times, the order of start within the queue.

Change: a test for each; each fails when its part is removed.

Ruled out: nothing.

--- a/kernel/batching/pipeline_test.go
+++ b/kernel/batching/pipeline_test.go
@@ -745,7 +745,10 @@
 // submitFirst submits one first stage of a request to the batcher of the first service.
 func (s *pipelineSimulation) submitFirst(w message.StageWork) {
 	w.Service, w.PieceKey, w.ResultBytes, w.Consumers = "first", "key", 8_000, 1
-	w.TimeToDue, w.TimeToDeadline, w.Weight = 900*time.Millisecond, 8*time.Second, 1
+	w.TimeToDue, w.TimeToDeadline = 900*time.Millisecond, 8*time.Second
+	if w.Weight == 0 {
+		w.Weight = 1
+	}
 	s.batchers["first"].Submit(origin, w)
 }
 
@@ -825,3 +828,89 @@
 		t.Errorf("events %v, want one relieved pool", s.events)
 	}
 }
+
+// Held pieces must not make a small call start at once: it would occupy an endpoint for the
+// whole overhead, while the pieces that it could have waited for come a moment later.
+func TestHeldPiecesDoNotEndTheWaitForMore(t *testing.T) {
+	s := newPipelineSimulation(true)
+	for n := range 10 {
+		s.submitFirst(message.StageWork{Request: ident.RequestID(fmt.Sprint("fill", n)), Pieces: []int{0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13}})
+	}
+	s.advance(20 * time.Millisecond)
+	for n := range 10 {
+		// The service has no endpoints.
+		s.submitFirst(message.StageWork{Request: ident.RequestID(fmt.Sprint("held", n)), Pieces: []int{0}, DownstreamServices: []ident.Service{"gone"}, DownstreamPieces: []int{1}})
+	}
+	s.advance(120 * time.Millisecond)
+	if s.calls["first"] != 10 {
+		t.Fatalf("%d calls, want the 10 that fill endpoints", s.calls["first"])
+	}
+	s.submitFirst(message.StageWork{Request: "small", Pieces: []int{0}})
+	s.advance(160 * time.Millisecond)
+	if s.calls["first"] != 10 {
+		t.Error("a call of one piece started at once")
+	}
+	s.advance(250 * time.Millisecond)
+	if s.calls["first"] != 11 {
+		t.Errorf("%d calls, want 11 when the wait for more is over", s.calls["first"])
+	}
+}
+
+// After a quiet time, the rate of started pieces is low for lack of pieces. It must not be
+// reported as a wait of a minute.
+func TestQueueWaitAfterQuietTime(t *testing.T) {
+	s := newPipelineSimulation(true)
+	s.advance(3 * time.Second)
+	s.submitFirst(message.StageWork{Request: "one", Pieces: []int{0}})
+	for n := range 10 {
+		s.submitFirst(message.StageWork{Request: ident.RequestID(fmt.Sprint("more", n)), Pieces: []int{0, 1, 2, 3, 4, 5}})
+	}
+	if wait := s.batchers["first"].EstimateQueueWait(ident.Pool{Service: "first"}); wait > 500*time.Millisecond {
+		t.Errorf("queue wait %v in front of 16 idle endpoints", wait)
+	}
+}
+
+// A request that waits for the message of its other first stage is decided on again soon, without
+// another event in the pool.
+func TestHeldRequestIsDecidedOnAgainSoon(t *testing.T) {
+	s := newPipelineSimulation(true)
+	s.advance(time.Millisecond)
+	s.submitFirst(message.StageWork{Request: "r", Pieces: []int{0}, FirstStages: 2})
+	// The next periodic dispatch is at 50 ms.
+	s.advance(49 * time.Millisecond)
+	if s.calls["first"] != 1 {
+		t.Errorf("%d calls, want 1", s.calls["first"])
+	}
+}
+
+// Calls that take longer than expected count before they end: their replies would come after
+// another half second of requests has started.
+func TestRunningCallsCountForCallTimes(t *testing.T) {
+	s := newPipelineSimulation(true)
+	s.slowness["first"] = 10
+	s.submitFirst(message.StageWork{Request: "r", Pieces: []int{0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13}})
+	pool := ident.Pool{Service: "first"}
+	s.advance(400 * time.Millisecond)
+	if ratio := s.batchers["first"].CallTimeRatio(pool); ratio != 1 {
+		t.Errorf("ratio %.2f within the expected time, want 1", ratio)
+	}
+	s.advance(880 * time.Millisecond)
+	if ratio := s.batchers["first"].CallTimeRatio(pool); ratio < 1.8 {
+		t.Errorf("ratio %.2f after twice the expected time, want about 2", ratio)
+	}
+}
+
+// While all endpoints are busy, an urgent request goes before less urgent ones that came first.
+func TestUrgentRequestGoesBeforeWaitingOnes(t *testing.T) {
+	s := newPipelineSimulation(true)
+	for n := range 22 {
+		s.submitFirst(message.StageWork{Request: ident.RequestID(fmt.Sprintf("modest%02d", n)), Pieces: []int{0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13}, Weight: 0.1})
+	}
+	s.advance(40 * time.Millisecond)
+	s.submitFirst(message.StageWork{Request: "urgent", Pieces: []int{0}})
+	s.advance(80 * time.Millisecond)
+	waiting := s.batchers["first"].queue(ident.Pool{Service: "first"}).waiting
+	if len(waiting) < 15 || waiting[0].id.Request != "urgent" {
+		t.Errorf("%d pieces wait, want the urgent one first", len(waiting))
+	}
+}
