Split the order of start and the contention of pools from the admission controller

Tests of kernel/admission and kernel/endpoints (with the race detector) and of kernel/batching pass.

--- a/kernel/admission/admission.go
+++ b/kernel/admission/admission.go
@@ -1,9 +1,7 @@
 package admission
 
 import (
-	"cmp"
 	"math"
-	"slices"
 	"time"
 
 	"anvilcross/kernel/ident"
@@ -24,14 +22,6 @@
 	// its first calls must have ended. Beyond it, a refusal costs its caller less than the
 	// wait.
 	maxLateCompletion = 1200 * time.Millisecond
-	// lateWeight is the weight of a late request relative to one that can be on time.
-	lateWeight = 0.15
-	// shortDue is the share of the usual time to due below which a request counts as refused
-	// before.
-	shortDue = 0.85
-	// overShareFactor is the use of capacity, relative to the mean of the workspaces, above
-	// which a workspace's requests go behind others of the same urgency, whatever they cost.
-	overShareFactor = 1.5
 	// minDrain bounds the estimated share of a pool's capacity that more urgent requests
 	// leave.
 	minDrain = 0.1
@@ -44,11 +34,6 @@
 	// largeResultRatio is the ratio of the results of two kinds of requests up to which they
 	// compete for the capacity for results.
 	largeResultRatio = 4
-	// relievedAfter is how long no request must have been held or refused until a pool no
-	// longer counts as contended.
-	relievedAfter = 2 * time.Second
-	// namedWorkspaces is how many workspaces are named for a contended pool.
-	namedWorkspaces = 3
 )
 
 // Demand is a number of pieces that a request needs at a pool of a later stage.
@@ -135,17 +120,6 @@
 	Asked, Started, Held, Refused int
 }
 
-// Contention is a change of a pool between enough and too little capacity.
-type Contention struct {
-	Pool      ident.Pool
-	Contended bool
-	Wait      time.Duration
-	// PiecesPerSecond is the capacity reckoned with.
-	PiecesPerSecond float64
-	// Largest holds the workspaces that had most lately.
-	Largest []Share
-}
-
 // class is a kind of requests: those of equal weight that have, or do not have, later stages.
 type class struct {
 	weight     float64
@@ -256,23 +230,6 @@
 	return counts
 }
 
-// candidate is a request in the order of start.
-type candidate struct {
-	*Request
-	// urgency is the weight, reduced for a request that is late.
-	urgency float64
-	late    bool
-	// short is set if the request was probably refused before.
-	short bool
-	// costStep is the cost on a logarithmic scale, cost that in seconds.
-	costStep int
-	cost     float64
-	// turn is what the workspace will have had once this request has started, and overShare
-	// is set if that is more than its share.
-	turn      float64
-	overShare bool
-}
-
 // Decide decides on all waiting requests of a pool of which no piece has started, and returns
 // the decisions in the order in which the requests are to start.
 func (c *Controller) Decide(now time.Time, q Queue, requests []*Request) []Decision {
@@ -313,83 +270,6 @@
 	return decisions
 }
 
-// order returns the requests in the order of start: by urgency, then those of workspaces that
-// have not had more than their share, then by cost, in steps of a factor of two, then by what
-// their workspaces have had lately.
-func (c *Controller) order(now time.Time, q Queue, requests []*Request) []*candidate {
-	candidates := make([]*candidate, 0, len(requests))
-	for _, r := range requests {
-		k := &candidate{Request: r, urgency: r.Weight, cost: c.costOf(now, q.Pool, r)}
-		k.late = r.DueAt.Sub(r.ReceivedAt)+estimateTolerance < q.FullCallTime
-		if k.late {
-			k.urgency *= lateWeight
-		}
-		usual := c.classes[q.Pool][classOf(r)].timeToDue
-		k.short = float64(r.DueAt.Sub(r.ReceivedAt)) < shortDue*float64(usual)
-		if k.cost > 0 {
-			k.costStep = int(math.Floor(math.Log2(k.cost)))
-		}
-		candidates = append(candidates, k)
-	}
-	slices.SortStableFunc(candidates, func(x, y *candidate) int {
-		if n := compareKind(x, y); n != 0 {
-			return n
-		}
-		if x.short != y.short {
-			if x.short {
-				return -1
-			}
-			return 1
-		}
-		return x.DueAt.Compare(y.DueAt)
-	})
-	type sharer struct {
-		weight    float64
-		workspace ident.Workspace
-	}
-	used := map[sharer]float64{}
-	mean := map[float64]float64{}
-	for _, k := range candidates {
-		by := sharer{weight: k.Weight, workspace: k.Workspace}
-		if _, known := mean[k.Weight]; !known {
-			mean[k.Weight] = c.sharesOf(k.Weight).mean(now)
-		}
-		u, known := used[by]
-		if !known {
-			u = c.sharesOf(k.Weight).usedBy(now, k.Workspace)
-		}
-		used[by] = u + k.cost
-		k.turn = u + k.cost
-		if k.short {
-			k.turn = u
-		}
-		k.overShare = u > overShareFactor*mean[k.Weight]
-	}
-	slices.SortStableFunc(candidates, func(x, y *candidate) int {
-		if n := cmp.Compare(y.urgency, x.urgency); n != 0 {
-			return n
-		}
-		if x.overShare != y.overShare {
-			if y.overShare {
-				return -1
-			}
-			return 1
-		}
-		if n := cmp.Compare(x.costStep, y.costStep); n != 0 {
-			return n
-		}
-		return cmp.Compare(x.turn, y.turn)
-	})
-	return candidates
-}
-
-func compareKind(x, y *candidate) int {
-	if n := cmp.Compare(y.urgency, x.urgency); n != 0 {
-		return n
-	}
-	return cmp.Compare(x.costStep, y.costStep)
-}
-
 // walk is what the requests that were decided on before take.
 type walk struct {
 	// ahead is the number of pieces in this pool, resultBytes the size of their results, and
@@ -549,36 +429,6 @@
 	return k.place(now, cost, drained, r.Deadline.Sub(now))
 }
 
-func (c *Controller) noteContended(now time.Time, d Decision) {
-	if _, known := c.contended[d.Short]; !known {
-		c.changes = append(c.changes, c.contention(now, d.Short, true, d.Wait))
-	}
-	c.contended[d.Short] = now
-}
-
-func (c *Controller) noteRelieved(now time.Time) {
-	for pool, at := range c.contended {
-		if now.Sub(at) >= relievedAfter {
-			delete(c.contended, pool)
-			c.changes = append(c.changes, c.contention(now, pool, false, 0))
-		}
-	}
-}
-
-func (c *Controller) contention(now time.Time, pool ident.Pool, contended bool, wait time.Duration) Contention {
-	return Contention{Pool: pool, Contended: contended, Wait: wait, PiecesPerSecond: c.account(now, pool).capacity, Largest: largestShares(now, c.shares, namedWorkspaces)}
-}
-
-// TakeChanges returns the pools that have become contended or are no longer, since the last
-// call.
-func (c *Controller) TakeChanges(now time.Time) []Contention {
-	c.noteRelieved(now)
-	changes := c.changes
-	c.changes = nil
-	slices.SortFunc(changes, func(x, y Contention) int { return x.Pool.Compare(y.Pool) })
-	return changes
-}
-
 // Forget drops what is kept of a request that no longer waits.
 func (c *Controller) Forget(id ident.RequestID) {
 	delete(c.held, id)
--- a/kernel/endpoints/endpoints.go
+++ b/kernel/endpoints/endpoints.go
@@ -125,7 +125,7 @@
 	// partitioned holds the data centres that this instance can probably not
 	// reach.
 	partitioned value.Set[ident.DataCentre]
-	// evacuated holds the data centres whose endpoints get nothing, by the operator's word.
+	// evacuated holds the data centres that the operator evacuates; their endpoints get nothing.
 	evacuated value.Set[ident.DataCentre]
 }
 
