Make the scripts of cases 7 and 10 steadier

Cause: case 7 met the machine that batches in a third of its rounds; case 10 broke its rule by one retry only, and read times of a daemon while it was restarted.

--- a/review/standin-2/daemons.go
+++ b/review/standin-2/daemons.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"regexp"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -28,7 +29,9 @@
 	name, ip, settings, log, binary string
 	command                         *exec.Cmd
 	exited                          chan struct{}
-	// startedAt and termAt tell when the daemon was started and when it got a SIGTERM.
+	// mutex guards startedAt and termAt, which tell when the daemon was started and when it got
+	// a SIGTERM; termAt is zero if it has not.
+	mutex             sync.Mutex
 	startedAt, termAt time.Time
 }
 
@@ -82,7 +85,8 @@
 	if err := d.command.Start(); err != nil {
 		return err
 	}
-	d.startedAt, d.termAt, d.exited = time.Now(), time.Time{}, make(chan struct{})
+	d.exited = make(chan struct{})
+	d.setTimes(time.Now(), time.Time{})
 	go func(c *exec.Cmd, exited chan struct{}) {
 		_ = c.Wait()
 		_ = log.Close()
@@ -91,11 +95,32 @@
 	return nil
 }
 
+func (d *daemon) setTimes(startedAt, termAt time.Time) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.startedAt, d.termAt = startedAt, termAt
+}
+
+// stopping reports whether the daemon has got a SIGTERM.
+func (d *daemon) stopping() bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return !d.termAt.IsZero()
+}
+
+// inTouch reports whether the daemon was in touch at a time: it had run for contact-ms, with no
+// SIGTERM in it.
+func (d *daemon) inTouch(at time.Time) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return at.Sub(d.startedAt) >= contactTime && (d.termAt.IsZero() || at.Before(d.termAt))
+}
+
 func (d *daemon) signal(s syscall.Signal) { _ = d.command.Process.Signal(s) }
 
 // restart stops the daemon as the platform does, and starts it again.
 func (d *daemon) restart() error {
-	d.termAt = time.Now()
+	d.setTimes(d.startedAt, time.Now())
 	d.signal(syscall.SIGTERM)
 	select {
 	case <-d.exited:
--- a/review/standin-2/laterefusal.go
+++ b/review/standin-2/laterefusal.go
@@ -38,8 +38,10 @@
 	// freezeTime is how long a machine is frozen. The sites freeze machines for up to 4 s.
 	freezeTime = 2500 * time.Millisecond
 	// lostEvery: of the answers of one worker of two, two of five are lost (the sites: a share of
-	// 0.6 of the workers loses 0.4 of the answers).
+	// 0.6 of the workers loses 0.4 of the answers), for losingTime from the moment at which the
+	// machine wakes.
 	lostEvery, lostOf = 2, 5
+	losingTime        = 4 * time.Second
 )
 
 // rounds name the machine that clients send to and the one that freezes. With these names, machine
@@ -55,7 +57,8 @@
 	ran := &runs{byID: map[string][]string{}}
 	made := &results{byName: map[string]bool{}}
 	var mutex sync.Mutex
-	losing := map[string]int{}
+	// finished counts the answers of the worker that loses some, until losingUntil.
+	finished, losingUntil := 0, time.Time{}
 	model := func(wk *worker, out http.ResponseWriter, r *http.Request) {
 		id := r.Header.Get("Request-Id")
 		_, _ = io.Copy(io.Discard, r.Body)
@@ -66,12 +69,6 @@
 			return
 		}
 		w.addf("%s takes %s", wk.id, id)
-		lost := false
-		if mutex.Lock(); w.trouble && wk.id == "kowadlo-1" {
-			losing[wk.id]++
-			lost = losing[wk.id]%lostOf < lostEvery
-		}
-		mutex.Unlock()
 		time.Sleep(firstToken)
 		if r.Context().Err() != nil {
 			return
@@ -79,6 +76,12 @@
 		// A request starts to run with its first token.
 		ran.add(id, wk.id)
 		w.addf("%s runs %s", wk.id, id)
+		lost := false
+		if mutex.Lock(); time.Now().Before(losingUntil) && wk.id == "kowadlo-1" {
+			finished++
+			lost = finished%lostOf < lostEvery
+		}
+		mutex.Unlock()
 		if lost {
 			time.Sleep(200 * time.Millisecond)
 			w.addf("%s has run %s, and the answer is lost", wk.id, id)
@@ -143,6 +146,9 @@
 			time.Sleep(freezeTime)
 			frozen.signal(syscall.SIGCONT)
 			w.addf("%s wakes", frozen.name)
+			mutex.Lock()
+			losingUntil = time.Now().Add(losingTime)
+			mutex.Unlock()
 		}
 		for range burstRequests {
 			o := <-outcomes
--- a/review/standin-2/probes.go
+++ b/review/standin-2/probes.go
@@ -27,12 +27,6 @@
 	id string
 }
 
-// inTouch reports whether a daemon was in touch at a time: it had run for contactTime, with no
-// SIGTERM in it.
-func (d *daemon) inTouch(at time.Time) bool {
-	return at.Sub(d.startedAt) >= contactTime && (d.termAt.IsZero() || at.Before(d.termAt))
-}
-
 // probes sends a request that crashes the workers that run it, again and again, while the daemons
 // are restarted in turn. After its third crash it may reach workers in three more retries.
 func probes(w *world) (int, error) {
@@ -80,13 +74,10 @@
 	time.Sleep(4 * time.Second)
 	stop := make(chan struct{})
 	var senders sync.WaitGroup
-	var daemonMutex sync.Mutex
 	choose := func(n int) *daemon {
-		daemonMutex.Lock()
-		defer daemonMutex.Unlock()
 		for k := range w.daemons {
 			// The balancer leaves out daemons that are not ready.
-			if d := w.daemons[(n+k)%len(w.daemons)]; d.termAt.IsZero() && d.ready() {
+			if d := w.daemons[(n+k)%len(w.daemons)]; !d.stopping() && d.ready() {
 				return d
 			}
 		}
@@ -128,7 +119,7 @@
 				reached = reached || run.id == id
 			}
 			late := !thirdAt.IsZero() && sentAt.Sub(thirdAt) > contactTime
-			if reached && late && inTouch && d.termAt.IsZero() {
+			if reached && late && inTouch && !d.stopping() {
 				counted++
 				w.addf("retry %s reached a worker through %s, in touch, %.1f s after the third crash: %d so far", id, d.name, sentAt.Sub(thirdAt).Seconds(), counted)
 			}
@@ -142,7 +133,7 @@
 		}
 	}()
 	time.Sleep(20 * time.Second)
-	for roll := 0; roll < 3; roll++ {
+	for roll := 0; roll < 4; roll++ {
 		for _, d := range w.daemons {
 			if w.trouble {
 				w.addf("%s gets SIGTERM", d.name)
@@ -156,7 +147,7 @@
 			}
 			time.Sleep(2 * time.Second)
 		}
-		time.Sleep(5 * time.Second)
+		time.Sleep(3 * time.Second)
 	}
 	close(stop)
 	senders.Wait()
