Ask before the first byte of a response reaches the caller

Cause: after a pause, the time-out of the attempt runs before the events that arrived meanwhile are read. It queues the next attempt. The goroutine that serves the request then relayed what it had in its buffer without asking whether its attempt was still the current one, and the next run after it. HandleFirstEvent tells of an event that is out already.

Ruled out: the kernel ignores reports of superseded attempts, and the next attempt is not written before the late events are read, since one goroutine serves a request.

Change: the entry server asks the gateway (BeginRelay) right before an attempt's first byte to the caller, as it asks BeginWrite before the first one to the endpoint. An attempt that may write is not superseded any more. One that may not writes nothing. A whole response of a superseded attempt is still relayed, since the next attempt cannot have been written, and the request ends then; before, the gateway kept it until its time-out. The same question now stands before buffered and large responses.

Evidence: TestEventsThatAreReadLateAreNotJoinedWithAnotherRun lets time pass between the arrival of events and their reading: both cases failed in 5 of 5 runs before ("late" 1 to 3, then "second" 1 to 6), pass in 10 of 10 now, with the race detector. TestResponsesThatAreReadLate: an error went out although another attempt was under way, and a request was not finished, 5 of 5; pass.

--- a/anvilcrossd/entry/buffered.go
+++ b/anvilcrossd/entry/buffered.go
@@ -64,6 +64,9 @@
 			return ""
 		}
 	}
+	if !c.beginRelay(send, gateway.Response{Complete: beginning.complete, Error: errorResponse}) {
+		return ""
+	}
 	c.writeHead(response, responseLength(response, beginning))
 	if _, err := c.writer.Write(beginning.Data); err != nil {
 		return c.handleCallerLeft()
--- a/anvilcrossd/entry/entry.go
+++ b/anvilcrossd/entry/entry.go
@@ -393,6 +393,12 @@
 	c.withGateway(func(g *gateway.Gateway) { g.HandleNotice(send.Process(), notice, sentAgo) })
 }
 
+// beginRelay asks the gateway whether the response of an attempt may be written to the caller.
+func (c *callerExchange) beginRelay(send *gateway.Send, response gateway.Response) (allowed bool) {
+	c.withGateway(func(g *gateway.Gateway) { allowed = g.BeginRelay(c.active.handle, send.Attempt, response) })
+	return allowed
+}
+
 // reportFailure tells the gateway that an attempt failed. lastEventID is the id
 // of the last event that was relayed, if any.
 func (c *callerExchange) reportFailure(send *gateway.Send, f gateway.AttemptFailure, lastEventID, detail string) {
--- a/anvilcrossd/entry/stream.go
+++ b/anvilcrossd/entry/stream.go
@@ -38,6 +38,8 @@
 	// lastEventAt is when the last event was relayed, and reportedAt when the gateway was last
 	// told of one.
 	lastEventAt, reportedAt time.Time
+	// allowed is set once the gateway has let the attempt write to the caller.
+	allowed bool
 }
 
 // relayStream relays each event as soon as it is complete, so that a broken
@@ -65,11 +67,16 @@
 			err = relay.check(event)
 		}
 		switch {
-		case err == io.EOF:
-			return relay.finish()
-		case err != nil:
+		case err != nil && err != io.EOF:
 			c.reportFailure(send, streamFailure(response, err), relay.lastEventID, err.Error())
 			return ""
+		case err == nil && relay.isLead(event):
+			relay.lead = append(relay.lead, event.text...)
+			continue
+		case !relay.mayWrite(err == io.EOF):
+			return ""
+		case err == io.EOF:
+			return relay.finish()
 		}
 		if err := relay.write(event); err != nil {
 			return c.handleCallerLeft()
@@ -85,13 +92,19 @@
 	return e.check(r.lastEventID)
 }
 
-// write sends an event to the caller, or keeps what comes before the first one.
+// isLead reports whether a text comes before the first event of the answer.
+func (r *streamRelay) isLead(e streamEvent) bool { return e.id == "" && !r.exchange.headSent }
+
+// mayWrite reports whether the attempt may write to the caller. Events may have arrived in a
+// pause of the process after which the gateway gave up the attempt before they were read.
+func (r *streamRelay) mayWrite(complete bool) bool {
+	r.allowed = r.allowed || r.exchange.beginRelay(r.send, gateway.Response{Complete: complete})
+	return r.allowed
+}
+
+// write sends an event to the caller.
 func (r *streamRelay) write(e streamEvent) error {
 	c := r.exchange
-	if e.id == "" && !c.headSent {
-		r.lead = append(r.lead, e.text...)
-		return nil
-	}
 	r.begin()
 	if _, err := c.writer.Write(append(r.lead, e.text...)); err != nil {
 		return errors.Trace(err)
--- a/kernel/gateway/attempts.go
+++ b/kernel/gateway/attempts.go
@@ -220,6 +220,41 @@
 	r.attempt.responseStarted, r.attempt.workPercent = true, load.WorkPercent
 }
 
+// Response describes a response of which the first byte is about to be relayed.
+type Response struct {
+	// Complete is set if all of it has arrived.
+	Complete bool
+	// Error is set if the endpoint reports an error of its own.
+	Error bool
+}
+
+// BeginRelay reports whether the entry server may write the response of an attempt to the
+// caller; the entry server calls it right before the first byte. Once it has returned true, no
+// other attempt takes the place of this one. If it returns false, nothing may be written, and
+// the entry server carries out the gateway's next step.
+//
+// The request may have been answered, or another attempt may have been started, while the
+// response waited to be read. A response that is complete is relayed all the same, unless it is
+// an error and another attempt may still succeed: nothing else has reached the caller, and an
+// attempt that has not been written is not needed any more.
+func (g *Gateway) BeginRelay(h RequestHandle, id AttemptID, response Response) bool {
+	r := g.requests[h]
+	if r == nil {
+		return response.Complete
+	}
+	if g.requestOfAttempt(h, id) != nil {
+		r.attempt.responseStarted = true
+		return true
+	}
+	relay := response.Complete && !response.Error && !r.atEndpoint()
+	g.out.LogEvent("lateResponse", "request", r.incoming.ID, "attempt", id, "current", r.attemptCount, "complete", response.Complete, "relayed", relay)
+	if relay {
+		g.counters.Relayed++
+		g.finish(r)
+	}
+	return relay
+}
+
 // HandleFirstEvent is called when an attempt's first event has been relayed to
 // the caller. The endpoint has fetched its inputs by then, so they are freed.
 func (g *Gateway) HandleFirstEvent(h RequestHandle, id AttemptID) {
