Let a late report on a stage not end a request that runs

Cause: an instance that was frozen while it batched refuses the pieces in its queue when it wakes. Their results have come from another batcher by then. The report was taken for the state of the request: it was answered by mayHaveRun, which does not know the attempt in flight, its timer was stopped and its results were freed. If the endpoint's answer was then lost, the entry server found the gateway's 503.

Ruled out: the other batcher refuses nothing; mayHaveRun is not set late, it is set when an attempt has failed.

Stage work is not submitted again while an attempt is in flight.

--- a/kernel/gateway/attempts.go
+++ b/kernel/gateway/attempts.go
@@ -79,7 +79,7 @@
 				r.awaitsPath = true
 				return
 			}
-			g.answer(r, g.failureAnswer(r), g.noEndpointRetryAfter(r), "no endpoint can take it")
+			g.fail(r, g.noEndpointRetryAfter(r), "no endpoint can take it")
 			return
 		}
 		process := e.Process()
@@ -394,7 +394,7 @@
 	}
 	r.excluded.Add(a.endpoint)
 	if !g.allowRetry(r, f) {
-		g.answer(r, g.failureAnswer(r), busyRetryAfter, "attempt "+f.String())
+		g.fail(r, busyRetryAfter, "attempt "+f.String())
 		return
 	}
 	g.counters.Retried++
--- a/kernel/gateway/evacuations.go
+++ b/kernel/gateway/evacuations.go
@@ -126,7 +126,7 @@
 	if !slices.ContainsFunc(needed, barred) {
 		return false
 	}
-	g.answer(r, g.failureAnswer(r), busyRetryAfter, "all endpoints are evacuated or outside the allowed regions")
+	g.fail(r, busyRetryAfter, "all endpoints are evacuated or outside the allowed regions")
 	return true
 }
 
@@ -141,9 +141,9 @@
 	r.preferredDataCentre = g.chooseStageDataCentre(r)
 	g.out.LogEvent("stagesMoved", "request", r.incoming.ID, "from", from, "to", r.preferredDataCentre, "after", g.now().Sub(r.arrivedAt))
 	if r.preferredDataCentre == "" {
-		g.answer(r, g.failureAnswer(r), busyRetryAfter, noStageCentre)
+		g.fail(r, busyRetryAfter, noStageCentre)
 	}
-	return !r.finished
+	return r.preferredDataCentre != ""
 }
 
 // poolFor returns the pool that computes a service's pieces for a request. The pieces of a
--- a/kernel/gateway/forward.go
+++ b/kernel/gateway/forward.go
@@ -166,7 +166,7 @@
 	case a.Answer == NotRun && a.Elsewhere:
 		g.forwardAgain(r, a.RetryAfter, a.Reason)
 	case a.Answer == NotRun:
-		g.answer(r, g.failureAnswer(r), a.RetryAfter, a.Reason)
+		g.fail(r, a.RetryAfter, a.Reason)
 	default:
 		g.answer(r, a.Answer, a.RetryAfter, a.Reason)
 	}
@@ -184,7 +184,7 @@
 // not run it. If there is none, the request is answered.
 func (g *Gateway) forwardAgain(r *request, retryAfter time.Duration, reason string) {
 	if !g.now().Before(r.deadline) || !g.forward(r) {
-		g.answer(r, g.failureAnswer(r), max(retryAfter, busyRetryAfter), reason)
+		g.fail(r, max(retryAfter, busyRetryAfter), reason)
 	}
 }
 
--- a/kernel/gateway/move.go
+++ b/kernel/gateway/move.go
@@ -20,7 +20,7 @@
 	r.preferredDataCentre = g.chooseStageDataCentre(r)
 	g.out.LogEvent("stagesMoved", "request", r.incoming.ID, "from", from, "to", r.preferredDataCentre, "after", g.now().Sub(r.arrivedAt))
 	if r.preferredDataCentre == "" {
-		g.answer(r, g.failureAnswer(r), busyRetryAfter, noStageCentre)
+		g.fail(r, busyRetryAfter, noStageCentre)
 		return
 	}
 	g.dropPartitionedResults(r)
--- a/kernel/gateway/peers.go
+++ b/kernel/gateway/peers.go
@@ -160,11 +160,11 @@
 	case m.StageWork != nil:
 		g.handleStageWork(m.From, *m.StageWork)
 	case m.StageResults != nil:
-		g.handleResults(*m.StageResults)
+		g.handleResults(m.From, *m.StageResults)
 	case m.StageReservations != nil:
 		g.batcher.AdoptReservations(m.StageReservations.ReservedBytes, inheritedReservationsTTL)
 	case m.StageInputsFetched != nil:
-		g.handleInputsFetched(*m.StageInputsFetched)
+		g.handleInputsFetched(m.From, *m.StageInputsFetched)
 	case m.StageRelease != nil:
 		g.batcher.HandleRelease(*m.StageRelease)
 	case m.PermitRequest != nil:
--- a/kernel/gateway/request.go
+++ b/kernel/gateway/request.go
@@ -381,6 +381,19 @@
 	g.out.NextStep(r.handle, step)
 }
 
+// fail answers a request that can no longer be served. It does nothing while the request has an
+// attempt, which has all that it needs: only the end of that, or of the request's time, decides.
+func (g *Gateway) fail(r *request, retryAfter time.Duration, reason string) {
+	switch {
+	case r.attempt != nil:
+		g.out.LogEvent("failureIgnored", "request", r.incoming.ID, "reason", reason, "endpoint", r.attempt.endpoint, "member", r.attempt.member, "written", r.attempt.written)
+	case r.mayHaveRun:
+		g.answer(r, MayHaveRun, retryAfter, reason)
+	default:
+		g.answer(r, NotRun, retryAfter, reason)
+	}
+}
+
 // finish removes a request and frees the stage results that it holds.
 func (g *Gateway) finish(r *request) {
 	if r.finished {
--- a/kernel/gateway/stages.go
+++ b/kernel/gateway/stages.go
@@ -200,7 +200,7 @@
 	now := g.now()
 	pool, found := g.poolFor(r, s.stage.Service)
 	if !found {
-		g.answer(r, g.failureAnswer(r), busyRetryAfter, noStageCentre)
+		g.fail(r, busyRetryAfter, noStageCentre)
 		return
 	}
 	s.submitted = true
@@ -273,9 +273,10 @@
 }
 
 // handleResults handles a batcher's report on the outcomes of pieces.
-func (g *Gateway) handleResults(m message.StageResults) {
+func (g *Gateway) handleResults(from ident.Instance, m message.StageResults) {
 	g.recordRedirect(m)
 	affected := map[RequestHandle]*request{}
+	outdated := 0
 	for _, p := range m.Results {
 		r := g.requestsByID[p.ID.Request]
 		if r == nil || p.ID.Stage >= len(r.stages) || p.ID.Piece >= r.stages[p.ID.Stage].pieceCount {
@@ -283,8 +284,8 @@
 			continue
 		}
 		s := &r.stages[p.ID.Stage]
-		switch p.Outcome {
-		case message.PieceDone:
+		switch {
+		case p.Outcome == message.PieceDone:
 			if s.handles[p.ID.Piece] != "" || s.released {
 				if s.handles[p.ID.Piece] != p.Handle {
 					g.freeUnneededResult(m, p)
@@ -294,25 +295,31 @@
 			s.handles[p.ID.Piece] = p.Handle
 			s.missingCount--
 			s.capacityLow = s.capacityLow || m.CapacityLow
-		case message.PieceInputGone:
+		case !s.isAt(from, p.ID.Piece):
+			outdated++
+			continue
+		case p.Outcome == message.PieceInputGone:
 			if !s.submitted {
 				continue
 			}
 			s.submitted = false
 			clear(s.inputsFetched)
 			g.recomputeResults(r, s.stage.DependsOn)
-		case message.PieceRefused:
-			g.answer(r, g.failureAnswer(r), g.retryAfterRefusal(r, p.RetryAfter), "no room at stage "+string(m.Service))
+		case p.Outcome == message.PieceRefused:
+			g.fail(r, g.retryAfterRefusal(r, p.RetryAfter), "no room at stage "+string(m.Service))
 			continue
-		case message.PieceMoved:
+		case p.Outcome == message.PieceMoved:
 			s.submitted = false
 			g.counters.PiecesMoved++
 		default:
-			g.answer(r, g.failureAnswer(r), busyRetryAfter, "stage piece "+string(p.Outcome))
+			g.fail(r, busyRetryAfter, "stage piece "+string(p.Outcome))
 			continue
 		}
 		affected[r.handle] = r
 	}
+	if outdated > 0 {
+		g.out.LogEvent("outdatedReport", "batcher", from, "service", m.Service, "poolCentre", m.PoolDataCentre, "pieces", outdated)
+	}
 	for _, h := range value.SortedKeys(affected) {
 		r := affected[h]
 		g.releaseConsumed(r)
@@ -320,13 +327,19 @@
 	}
 }
 
+// isAt reports whether a piece without a result is at a batcher. Another one's report that it has
+// not computed the piece, or one that comes after the result, says nothing of the request.
+func (s *stageState) isAt(batcher ident.Instance, piece int) bool {
+	return s.batcher == batcher && s.handles[piece] == "" && !s.released
+}
+
 // handleInputsFetched handles a batcher's report that the inputs of pieces have
 // been fetched, and frees the inputs that nothing else needs.
-func (g *Gateway) handleInputsFetched(m message.StageInputsFetched) {
+func (g *Gateway) handleInputsFetched(from ident.Instance, m message.StageInputsFetched) {
 	affected := map[RequestHandle]*request{}
 	for _, id := range m.Pieces {
 		r := g.requestsByID[id.Request]
-		if r == nil || id.Stage >= len(r.stages) || id.Piece >= r.stages[id.Stage].pieceCount {
+		if r == nil || id.Stage >= len(r.stages) || id.Piece >= r.stages[id.Stage].pieceCount || !r.stages[id.Stage].isAt(from, id.Piece) {
 			continue
 		}
 		r.stages[id.Stage].inputsFetched.Add(id.Piece)
@@ -357,14 +370,6 @@
 	return longest
 }
 
-// failureAnswer returns the answer to a request that can no longer be served.
-func (g *Gateway) failureAnswer(r *request) Answer {
-	if r.mayHaveRun {
-		return MayHaveRun
-	}
-	return NotRun
-}
-
 // freeUnneededResult frees a result that no request of this instance needs.
 func (g *Gateway) freeUnneededResult(m message.StageResults, p message.PieceResult) {
 	if p.Handle == "" {
@@ -380,7 +385,7 @@
 	r.recomputes++
 	g.counters.Recomputes++
 	if r.recomputes > maxRecomputes {
-		g.answer(r, g.failureAnswer(r), busyRetryAfter, "stage results lost repeatedly")
+		g.fail(r, busyRetryAfter, "stage results lost repeatedly")
 		return
 	}
 	g.out.LogEvent("resultsLost", "request", r.incoming.ID, "stages", indexes, "remakes", r.recomputes)
@@ -474,7 +479,7 @@
 func (g *Gateway) resubmitLostPieces(now time.Time) {
 	for _, h := range value.SortedKeys(g.requests) {
 		r := g.requests[h]
-		if r == nil {
+		if r == nil || r.attempt != nil {
 			continue
 		}
 		for i := range r.stages {
