Read what arrived in a pause before an attempt counts as silent

What callers saw: after a freeze, streams whose first events had arrived meanwhile were given up and run again elsewhere, and came later.

Cause: after a pause, the timers that became due run before the input that arrived is read (the class of docs/incidents/2026-12-05-input-unread-at-a-stop.md).

Change: a time-out of an attempt that runs more than 50 ms late gives the process another 50 ms to read. A response that starts in that time keeps the attempt; an endpoint that is silent is given up after it.

Evidence: TestAttemptsOutliveAPauseInWhichTheirResponseArrived failed before (two steps after the pause, one wanted).

--- a/kernel/gateway/attempts.go
+++ b/kernel/gateway/attempts.go
@@ -46,6 +46,10 @@
 	// at least minAttemptTimeout.
 	attemptTimeoutFactor = 4.0
 	minAttemptTimeout    = 150 * time.Millisecond
+	// A timer that runs maxTimerDelay late shows that the process was paused. What arrived
+	// meanwhile is read within pauseReadTime.
+	maxTimerDelay = 50 * time.Millisecond
+	pauseReadTime = 50 * time.Millisecond
 	// maxUnsentAttempts limits the attempts of a request that fail as NotSent
 	// before it is given up. A third of a large service may crash at once, and
 	// crashed endpoints are tried first because they look the least busy.
@@ -138,7 +142,8 @@
 		wait = max(wait, r.route.LatencyObjective)
 	}
 	a := r.attempt
-	a.timeoutTimer = g.timers.After(wait, func() {
+	dueAt := g.now().Add(wait)
+	end := func() {
 		if r.attempt != a || a.responseStarted {
 			return
 		}
@@ -147,6 +152,13 @@
 		g.out.LogEvent("attemptSilent", "request", r.incoming.ID, "endpoint", a.endpoint, "waited", wait)
 		g.retryOrEnd(r, Broken, "no answer within "+wait.String())
 		g.out.CancelAttempt(r.handle)
+	}
+	a.timeoutTimer = g.timers.After(wait, func() {
+		if g.now().Sub(dueAt) > maxTimerDelay {
+			a.timeoutTimer = g.timers.After(pauseReadTime, end)
+			return
+		}
+		end()
 	})
 }
 
--- a/kernel/gateway/relay_test.go
+++ b/kernel/gateway/relay_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"anvilcross/kernel/endpoints"
 )
 
 func (tg *testGateway) wantRelay(h RequestHandle, s *Send, response Response, want bool) {
@@ -79,3 +81,28 @@
 		c.wantRelay(h, s, events, false)
 	})
 }
+
+// After a pause of the process, an attempt is given up although its response has arrived, and the
+// endpoint's work is done again elsewhere.
+func TestAttemptsOutliveAPauseInWhichTheirResponseArrived(t *testing.T) {
+	pause := func(t *testing.T) (*testGateway, RequestHandle, *Send) {
+		tg := newConfigured(t)
+		h := tg.sendRequest("/verse/", nil)
+		s := tg.wantSend(h)
+		tg.mustBeginWrite(h, s)
+		tg.timers.Advance(tg.timers.Now().Add(4 * time.Second))
+		tg.wantSteps(h, 1)
+		return tg, h, s
+	}
+	t.Run("it arrived", func(t *testing.T) {
+		tg, h, s := pause(t)
+		tg.gateway.HandleResponseHead(h, s.Attempt, false, endpoints.Load{})
+		tg.advance(time.Second)
+		tg.wantSteps(h, 1)
+	})
+	t.Run("it did not", func(t *testing.T) {
+		tg, h, _ := pause(t)
+		tg.advance(pauseReadTime)
+		tg.wantSteps(h, 2)
+	})
+}
