Rule out that an endpoint that has left began a stream

Cause: the survey took the listed endpoints for all that can have begun the stream. Those that had left were ruled out by their absence.

Ruled out: all listed endpoints were asked and answered; no keeper was left.

Change: kernel/departures remembers which processes have left, and since when it knows of all. What happened before an instance's first list it reads in the store's history, once, when it is asked for a stream that no keeper knows. A version is proved only if no process of another one has left since the stream may have begun, or if an endpoint keeps the tokens of as many events as the caller has: it has made them, which an earlier turn of a session has not. An instance that cannot know who has left says so, and the next surveyor is asked; before, a surveyor could be asked twice once another one had replied. The survey is a package of its own, kernel/survey.

Evidence: TestStreamsOfSessionsGoOnAtTheirVersionAfterItHasLeft failed before in all nine cases (18, 15 and 7 streams of two versions with 6, 66 and 295 instances; 11, 13 and 6 without a report), passes now. TestStreamsGoOnThoughEndpointsHaveLeft guards the other side.

--- a/anvilcrossd/gatewayd/gatewayd.go
+++ b/anvilcrossd/gatewayd/gatewayd.go
@@ -44,6 +44,7 @@
 	"anvilcross/kernel/paths"
 	"anvilcross/kernel/published"
 	"anvilcross/kernel/replica"
+	"anvilcross/kernel/survey"
 	"anvilcross/kernel/timer"
 	"anvilcross/platform"
 )
@@ -221,6 +222,7 @@
 		Regions:      s.Regions,
 		Admission:    gateway.AdmissionPolicy(s.AdmissionPolicy),
 		Placement:    s.Placement,
+		HistorySpan:  s.PlatformHistory,
 		Random:       rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		Timers:       timers,
 		DecodeRecord: platform.DecodeRecord,
@@ -236,6 +238,7 @@
 			InspectEndpoint: d.stageClient.InspectEndpoint,
 			CheckEndpoint:   d.checkEndpoint,
 			ListPrompts:     prompts.List,
+			ReadHistory:     d.readHistory,
 			QueryHealth:     health.Query,
 		},
 	})})
@@ -243,11 +246,32 @@
 	return d, nil
 }
 
+// historyTimeout limits the reading of the platform's history. Its result is of use as long as a
+// question for the version of a stream waits.
+const historyTimeout = survey.Timeout - 20*time.Millisecond
+
+func (d *daemon) store() platform.Store {
+	return platform.Store{Address: d.settings.PlatformAddress, RoundTrip: metadata.NewTransport(peerTimeout).RoundTrip}
+}
+
+// readHistory reads the platform's history for the gateway. It does not block.
+func (d *daemon) readHistory(upTo replica.Revision) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), historyTimeout)
+		defer cancel()
+		changes, err := metadata.ReadHistory(ctx, d.store(), upTo)
+		if err != nil {
+			d.log.WriteEvent("historyNotRead", "upTo", upTo, "reason", err)
+		}
+		d.withGateway(func(g *gateway.Gateway) { g.HandleHistory(changes, err == nil) })
+	}()
+}
+
 // newFollower returns the follower that passes the platform's records to the
 // gateway.
 func (d *daemon) newFollower() *metadata.Follower {
 	return metadata.NewFollower(metadata.Config{
-		Store: platform.Store{Address: d.settings.PlatformAddress, RoundTrip: metadata.NewTransport(peerTimeout).RoundTrip},
+		Store: d.store(),
 		OnFullList: func(r []replica.Record, asOf replica.Revision) {
 			d.applyUpdate(func(g *gateway.Gateway) { g.HandleFullList(r, asOf) })
 		},
--- a/anvilcrossd/settings/gateway.go
+++ b/anvilcrossd/settings/gateway.go
@@ -33,6 +33,8 @@
 	MetricsListen   string
 
 	PlatformAddress string
+	// PlatformHistory is the time for which the platform's store keeps the history of changes.
+	PlatformHistory time.Duration
 
 	// MemoryMegabytes is the memory that the process may use, in units of
 	// 1 << 20 bytes.
@@ -75,6 +77,7 @@
 		announceSetting(),
 		listenSetting("metrics", func(s *Gateway) *string { return &s.MetricsListen }),
 		textSetting("platform", "address", true, func(s *Gateway) *string { return &s.PlatformAddress }),
+		{section: "platform", key: "historySeconds", apply: applyPlatformHistory},
 		countSetting("memoryMegabytes", func(s *Gateway) *int { return &s.MemoryMegabytes }),
 		{section: "limits", key: "callerMemoryShare", apply: applyCallerMemoryShare},
 		countSetting("waitingConnections", func(s *Gateway) *int { return &s.MaxWaitingConnections }),
@@ -131,6 +134,20 @@
 	return fmt.Errorf("%q is not %s, %s or %s", text, placement.Auto, placement.Always, placement.Off)
 }
 
+// applyPlatformHistory parses the time for which the platform's store keeps its history. A platform
+// that does not tell it leaves the text empty.
+func applyPlatformHistory(s *Gateway, text string) error {
+	if text == "" {
+		return nil
+	}
+	seconds, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(seconds >= 0 && seconds <= maxPlatformHistory.Seconds()) {
+		return fmt.Errorf("%q is not a number of seconds from 0 to %v", text, maxPlatformHistory.Seconds())
+	}
+	s.PlatformHistory = time.Duration(seconds * float64(time.Second))
+	return nil
+}
+
 // applySeeds parses a comma-separated list of addresses.
 func applySeeds(s *Gateway, text string) error {
 	s.Seeds = nil
@@ -180,6 +197,8 @@
 	defaultRetryRatio        = 0.1
 	defaultRetrySlack        = 20
 	defaultRetryWindow       = 10 * time.Second
+	defaultPlatformHistory   = 20 * time.Second
+	maxPlatformHistory       = 24 * time.Hour
 )
 
 // ParseGateway parses a gateway's settings from INI text. Overrides are
@@ -193,6 +212,7 @@
 		RetryRatio:        defaultRetryRatio,
 		RetrySlack:        defaultRetrySlack,
 		RetryWindow:       defaultRetryWindow,
+		PlatformHistory:   defaultPlatformHistory,
 		Regions:           evacuation.Regions{},
 		AdmissionPolicy:   admissionPolicies[0],
 		Placement:         placement.Auto,
--- a/anvilcrossd/settings/settings_test.go
+++ b/anvilcrossd/settings/settings_test.go
@@ -1,8 +1,10 @@
 package settings
 
 import (
+	"slices"
 	"strings"
 	"testing"
+	"time"
 )
 
 const validText = `[instance]
@@ -62,3 +64,20 @@
 		}
 	})
 }
+
+// A platform that does not tell how long it keeps its history leaves an instance without valid
+// settings, or a wrong number counts.
+func TestPlatformHistory(t *testing.T) {
+	base := []string{"instance.seat=a", "instance.dataCentre=b", "listen.callers=h:1", "listen.ready=h:2", "listen.peers=h:3", "listen.metrics=h:4", "platform.address=h:5"}
+	for text, want := range map[string]time.Duration{"": defaultPlatformHistory, "0": 0, "12.5": 12500 * time.Millisecond} {
+		s, err := ParseGateway(nil, append(slices.Clone(base), "platform.historySeconds="+text))
+		if err != nil || s.PlatformHistory != want {
+			t.Errorf("%q gives %+v and %v, want %v", text, s, err, want)
+		}
+	}
+	for _, text := range []string{"-1", "20s", "NaN", "1e9"} {
+		if _, err := ParseGateway(nil, append(slices.Clone(base), "platform.historySeconds="+text)); err == nil {
+			t.Errorf("%q is accepted", text)
+		}
+	}
+}
--- a/kernel/endpoints/endpoints.go
+++ b/kernel/endpoints/endpoints.go
@@ -127,11 +127,23 @@
 	partitioned value.Set[ident.DataCentre]
 	// evacuated holds the data centres that the operator evacuates; their endpoints get nothing.
 	evacuated value.Set[ident.DataCentre]
+	// onDeparted is called with the listing of each process that is listed no more.
+	onDeparted func(Listing)
 }
 
 // NewDirectory returns an empty directory.
 func NewDirectory() *Directory {
-	return &Directory{byName: map[ident.Endpoint]*Endpoint{}, statements: map[ident.EndpointProcess]*statements{}}
+	return &Directory{byName: map[ident.Endpoint]*Endpoint{}, statements: map[ident.EndpointProcess]*statements{}, onDeparted: func(Listing) {}}
+}
+
+// OnDeparted sets a function that is called with the listing of each process that is not listed any
+// more, also because another one has its name.
+func (d *Directory) OnDeparted(f func(Listing)) { d.onDeparted = f }
+
+// remove removes an endpoint; rebuildIndexes has to follow.
+func (d *Directory) remove(e *Endpoint) {
+	delete(d.byName, e.Name)
+	d.onDeparted(e.Listing)
 }
 
 // Upsert adds an endpoint or updates its listing. It returns true when the
@@ -140,6 +152,9 @@
 	e := d.byName[l.Name]
 	isNew := e == nil || e.Address != l.Address || e.Service != l.Service || e.StartedUnixMillis != l.StartedUnixMillis
 	if isNew {
+		if e != nil {
+			d.onDeparted(e.Listing)
+		}
 		e = &Endpoint{}
 		d.byName[l.Name] = e
 	}
@@ -169,7 +184,7 @@
 		}
 		return
 	}
-	delete(d.byName, name)
+	d.remove(e)
 	d.rebuildIndexes()
 }
 
@@ -189,7 +204,7 @@
 	if e == nil || e.unconfirmedUntil.IsZero() {
 		return false
 	}
-	delete(d.byName, name)
+	d.remove(e)
 	d.rebuildIndexes()
 	return true
 }
@@ -210,7 +225,7 @@
 	var purged []ident.Endpoint
 	for name, e := range d.byName {
 		if !e.unconfirmedUntil.IsZero() && !now.Before(e.unconfirmedUntil) {
-			delete(d.byName, name)
+			d.remove(e)
 			purged = append(purged, name)
 		}
 	}
--- a/kernel/gateway/eras.go
+++ b/kernel/gateway/eras.go
@@ -109,7 +109,11 @@
 // applyRemoval applies the removal of an endpoint's entry.
 func (g *Gateway) applyRemoval(name ident.Endpoint, r replica.Revision, source string, unconfirmedFor time.Duration) {
 	g.eras.recordRemoval(g.now(), name, r)
-	if e := g.directory.Lookup(name); e != nil {
+	e := g.directory.Lookup(name)
+	if e == nil && g.departures.Begun() {
+		g.departures.RecordUnidentified(g.now(), name)
+	}
+	if e != nil {
 		g.recordEndpointGone(e)
 		g.out.LogEvent("endpointRemoved", "endpoint", name, "revision", r, "source", source, "unconfirmed", unconfirmedFor > 0)
 	}
--- a/kernel/gateway/evacuation_test.go
+++ b/kernel/gateway/evacuation_test.go
@@ -15,6 +15,7 @@
 	"anvilcross/kernel/published"
 	"anvilcross/kernel/ratelimit"
 	"anvilcross/kernel/replica"
+	"anvilcross/kernel/survey"
 )
 
 var allTestCentres = []ident.DataCentre{"east", "west", "north"}
@@ -336,7 +337,7 @@
 	tg.evacuate("west")
 	tg.gateway.freeResults("planning-1:80", []message.ResultHandle{"planning-1:80/x"})
 	tg.gateway.inspectEndpoint("planning-1", "planning-1:80")
-	tg.gateway.askEndpoints([]ident.Service{"models"})
+	tg.gateway.survey.Ask(&survey.Question{Services: []ident.Service{"models"}, Reply: func(survey.Result) {}})
 	tg.advance(3 * time.Second)
 	if len(tg.freed) != 0 || slices.ContainsFunc(inspected, func(e ident.Endpoint) bool { return tg.centreOfEndpoint(e) == "west" }) || !slices.Equal(listed, []ident.Endpoint{"models-0", "models-2"}) {
 		t.Fatalf("freed %v, inspected %v, asked %v for prompts", tg.freed, inspected, listed)
--- a/kernel/gateway/fleet_test.go
+++ b/kernel/gateway/fleet_test.go
@@ -52,6 +52,8 @@
 	checkEndpoint func(ident.Instance, ident.Endpoint)
 	// listPrompts carries out an instance's question for the prompts of an endpoint.
 	listPrompts func(ident.Instance, ident.Endpoint)
+	// history returns the changes that the platform's history has; nil if it cannot be read.
+	history func() []replica.Change
 	// queryHealth carries out an instance's question whether a process is cold.
 	queryHealth func(ident.Instance, ident.EndpointProcess)
 	// onStart is called for each instance that start starts.
@@ -148,6 +150,7 @@
 		f.timers.After(2*linkDelay, func() { f.gateways[name].HandleEndpointChecked(e, paths.Accepted) })
 	}
 	f.listPrompts = func(ident.Instance, ident.Endpoint) {}
+	f.history = func() []replica.Change { return []replica.Change{} }
 	f.queryHealth = func(ident.Instance, ident.EndpointProcess) {}
 	return f
 }
@@ -178,6 +181,7 @@
 		Random:       rand.New(rand.NewPCG(seed, 1)),
 		Timers:       f.timers,
 		DecodeRecord: decodeTestRecord,
+		HistorySpan:  20 * time.Second,
 		Output: Output{
 			NextStep:      func(h RequestHandle, s Step) { f.nextStep(m.Name, h, s) },
 			CancelAttempt: func(RequestHandle) {},
@@ -192,8 +196,12 @@
 			InspectEndpoint: func(ident.Endpoint, string) {},
 			CheckEndpoint:   func(e ident.Endpoint, _ string) { f.checkEndpoint(m.Name, e) },
 			ListPrompts:     func(e ident.Endpoint, _ string) { f.listPrompts(m.Name, e) },
-			QueryHealth:     func(p ident.EndpointProcess, _, _ string) { f.queryHealth(m.Name, p) },
-			FreeResults:     func(address string, handles []message.ResultHandle) { f.freeResults(m.Name, address, handles) },
+			ReadHistory: func(replica.Revision) {
+				g := f.gateways[m.Name]
+				f.timers.After(4*linkDelay, func() { changes := f.history(); g.HandleHistory(changes, changes != nil) })
+			},
+			QueryHealth: func(p ident.EndpointProcess, _, _ string) { f.queryHealth(m.Name, p) },
+			FreeResults: func(address string, handles []message.ResultHandle) { f.freeResults(m.Name, address, handles) },
 		},
 	})
 }
--- a/kernel/gateway/gateway.go
+++ b/kernel/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"anvilcross/kernel/batching"
+	"anvilcross/kernel/departures"
 	"anvilcross/kernel/endpoints"
 	"anvilcross/kernel/evacuation"
 	"anvilcross/kernel/ident"
@@ -26,6 +27,7 @@
 	"anvilcross/kernel/replica"
 	"anvilcross/kernel/retrybudget"
 	"anvilcross/kernel/stagepools"
+	"anvilcross/kernel/survey"
 	"anvilcross/kernel/timer"
 	"anvilcross/kernel/value"
 	"anvilcross/kernel/warmup"
@@ -61,6 +63,8 @@
 	// ListPrompts asks a model endpoint, given with its address, which prompt parts it
 	// holds. Its answer comes through HandlePrompts.
 	ListPrompts func(ident.Endpoint, string)
+	// ReadHistory reads the platform's history up to a revision. HandleHistory is called with it.
+	ReadHistory func(upTo replica.Revision)
 	// QueryHealth asks the process of an endpoint, given with its address and the path of
 	// its health checks, whether it is cold. An answer comes through HandleNotice.
 	QueryHealth func(p ident.EndpointProcess, address, path string)
@@ -97,6 +101,8 @@
 	// with an error is logged and ignored, except that the endpoint it names is
 	// dropped.
 	DecodeRecord func(replica.Record) (DecodedRecord, error)
+	// HistorySpan is the time for which the platform keeps the history of its records.
+	HistorySpan time.Duration
 	// Placement says where endpoints are chosen by estimate; empty for placement.Auto.
 	Placement placement.Mode
 	// StopLimit is the time from BeginShutdown until EndUnfinished; zero for no limit.
@@ -143,10 +149,14 @@
 	throttle  *ratelimit.Throttle
 
 	// origins holds which software versions began the streams that this instance keeps,
-	// and lookups those that it asks for. survey asks endpoints for the prompts they hold.
-	origins *origin.Table
-	lookups *originLookups
-	survey  *promptSurvey
+	// and lookups those that it asks for. survey asks endpoints for the prompts they hold, and
+	// departures holds the endpoint processes that have left. firstAsOf is the revision of the
+	// first list.
+	origins    *origin.Table
+	lookups    *originLookups
+	survey     *survey.Survey
+	departures *departures.Table
+	firstAsOf  replica.Revision
 
 	requests map[RequestHandle]*request
 	// longestTimeout is the longest timeout that a caller of each route has
@@ -281,7 +291,9 @@
 	g.throttle = ratelimit.NewThrottle()
 	g.origins = origin.NewTable(origin.TableConfig{Retention: originRetention, MaxStreams: maxOrigins})
 	g.lookups = newOriginLookups()
-	g.survey = newPromptSurvey()
+	g.departures = departures.NewTable(departures.Config{Retention: departureRetention})
+	g.directory.OnDeparted(func(l endpoints.Listing) { g.departures.Record(g.now(), departures.NewProcess(l)) })
+	g.survey = g.newSurvey()
 	g.retryBudget = retrybudget.NewBudget(c.Retry)
 	g.crashes = newCrashTracker()
 	g.batcher = batching.NewBatcher(batching.Config{
@@ -396,7 +408,8 @@
 	g.directory.ExpireStatements(now)
 	g.placement.Expire(now, g.members.PingPeriod())
 	g.origins.Expire(now)
-	g.survey.holdings.Expire(now)
+	g.survey.Expire(now)
+	g.departures.Expire(now)
 	if g.catalog == nil {
 		return
 	}
@@ -452,6 +465,10 @@
 			g.applyRemoval(decoded.Endpoint, r.Revision, source, unconfirmedFor)
 		}
 	}
+	if asOf := g.records.AsOf(); asOf > 0 && !g.departures.Begun() {
+		g.departures.Begin(g.now())
+		g.firstAsOf = asOf
+	}
 	g.poolCache = nil
 	g.applyEvacuations()
 	for _, s := range changedServices.Sorted() {
--- a/kernel/gateway/notice_test.go
+++ b/kernel/gateway/notice_test.go
@@ -10,6 +10,7 @@
 	"anvilcross/kernel/message"
 	"anvilcross/kernel/ratelimit"
 	"anvilcross/kernel/replica"
+	"anvilcross/kernel/survey"
 )
 
 const (
@@ -364,7 +365,7 @@
 		}
 		g.freeResults("registry-0:80", []message.ResultHandle{"registry-0:80/a"})
 		g.inspectEndpoint("registry-0", "registry-0:80")
-		g.askEndpoints([]ident.Service{"models"})
+		g.survey.Ask(&survey.Question{Services: []ident.Service{"models"}, Reply: func(survey.Result) {}})
 		return tg, asked
 	}
 	wantFreed := func(t *testing.T, tg *testGateway, want int) {
--- a/kernel/gateway/origins.go
+++ b/kernel/gateway/origins.go
@@ -10,6 +10,7 @@
 	"anvilcross/kernel/message"
 	"anvilcross/kernel/origin"
 	"anvilcross/kernel/published"
+	"anvilcross/kernel/survey"
 	"anvilcross/kernel/timer"
 	"anvilcross/kernel/value"
 )
@@ -39,9 +40,9 @@
 	// waiting is the number of replies that have not come.
 	waiting int
 	timer   *timer.Timer
-	// surveys is the number of surveyors that have been asked since no keeper knew the
-	// stream.
-	surveys int
+	// surveyors are the instances that have been asked to survey endpoints since no keeper knew
+	// the stream.
+	surveyors value.Set[ident.Instance]
 	// replied is set once another instance has replied.
 	replied bool
 }
@@ -127,7 +128,7 @@
 	r.awaitsOrigin = true
 	g.lookups.lastID++
 	id := g.lookups.lastID
-	l := &originLookup{request: r}
+	l := &originLookup{request: r, surveyors: value.NewSet[ident.Instance]()}
 	g.lookups.pending[id] = l
 	l.timer = g.timers.After(lookupTimeout, func() { g.surveyPrompts(id) })
 	for _, keeper := range g.keepersOf(r.streamID(), originAsked) {
@@ -148,50 +149,49 @@
 	g.timers.Stop(l.timer)
 	prompt := l.request.incoming.Prompt
 	surveyors := g.surveyorsFor(l)
-	if len(prompt) == 0 || l.surveys >= len(surveyors) {
+	if len(prompt) == 0 || len(surveyors) == 0 {
 		g.finishLookup(id, origin.Origin{}, "none")
 		return
 	}
-	m := message.OriginRequest{ID: id, Services: l.request.route.Services(), Part: ident.PromptPart(prompt[len(prompt)-1].ID)}
-	g.sendToMember(surveyors[l.surveys], message.Envelope{OriginRequest: &m})
-	l.surveys++
+	m := message.OriginRequest{ID: id, Services: l.request.route.Services(), Part: ident.PromptPart(prompt[len(prompt)-1].ID), RanTokens: g.ranTokens(l.request)}
+	g.sendToMember(surveyors[0], message.Envelope{OriginRequest: &m})
+	l.surveyors.Add(surveyors[0])
 	l.waiting = 1
-	l.timer = g.timers.After(lookupTimeout+surveyTimeout, func() { g.surveyPrompts(id) })
+	l.timer = g.timers.After(lookupTimeout+survey.Timeout, func() { g.surveyPrompts(id) })
 }
 
-// surveyorsFor returns the instances that may survey endpoints for a lookup. An instance that
-// hears from no other one is none: endpoints may have joined of which it does not know.
+// surveyorsFor returns the instances that may survey endpoints for a lookup and have not been
+// asked. An instance that hears from no other one is none: endpoints may have joined of which it
+// does not know.
 func (g *Gateway) surveyorsFor(l *originLookup) []ident.Instance {
-	surveyors := g.members.Ranked(g.now(), "prompts", maxSurveyors)
-	if l.replied || g.members.KnownCount() == 1 {
-		return surveyors
-	}
-	return slices.DeleteFunc(surveyors, func(name ident.Instance) bool { return name == g.config.Self.Name })
+	heard := l.replied || g.members.KnownCount() == 1
+	return slices.DeleteFunc(g.members.Ranked(g.now(), "prompts", maxSurveyors), func(name ident.Instance) bool {
+		return l.surveyors.Has(name) || !heard && name == g.config.Self.Name
+	})
 }
 
 // handleOriginRequest answers another instance's question, or this one's own. Without recent
 // news of the platform it surveys no endpoints, since it may not know all of them.
 func (g *Gateway) handleOriginRequest(from ident.Instance, m message.OriginRequest) {
 	if len(m.Services) > 0 && !g.hasRecentNews(g.now()) {
-		g.replyOrigin(from, m.ID, origin.Origin{}, false)
+		g.replyOrigin(from, message.OriginReply{ID: m.ID, Unsure: true}, origin.Origin{}, false)
 		return
 	}
 	if len(m.Services) > 0 {
-		g.surveyPart(&promptQuestion{services: m.Services, part: m.Part, reply: func(o origin.Origin, known bool) {
-			g.replyOrigin(from, m.ID, o, known)
+		g.survey.Ask(&survey.Question{Services: m.Services, Part: m.Part, RanTokens: m.RanTokens, Reply: func(r survey.Result) {
+			g.replyOrigin(from, message.OriginReply{ID: m.ID, Unsure: r.Unsure}, r.Origin, r.Proved)
 		}})
 		return
 	}
 	o, known := g.origins.Lookup(m.Stream)
-	g.replyOrigin(from, m.ID, o, known)
+	g.replyOrigin(from, message.OriginReply{ID: m.ID}, o, known)
 }
 
-func (g *Gateway) replyOrigin(to ident.Instance, id message.LookupID, o origin.Origin, known bool) {
-	reply := &message.OriginReply{ID: id}
+func (g *Gateway) replyOrigin(to ident.Instance, reply message.OriginReply, o origin.Origin, known bool) {
 	if known {
 		reply.Origin = &o
 	}
-	g.sendToMember(to, message.Envelope{OriginReply: reply})
+	g.sendToMember(to, message.Envelope{OriginReply: &reply})
 }
 
 // handleOriginReply handles the answer of a keeper or of the surveyor. A late one is
@@ -204,12 +204,12 @@
 	l.waiting--
 	l.replied = l.replied || from != g.config.Self.Name
 	switch {
-	case m.Origin != nil && l.surveys > 0:
+	case m.Origin != nil && len(l.surveyors) > 0:
 		g.finishLookup(m.ID, *m.Origin, "prompt held")
 	case m.Origin != nil:
 		g.finishLookup(m.ID, *m.Origin, "keeper")
 	case l.waiting > 0:
-	case l.surveys > 0:
+	case len(l.surveyors) > 0 && !m.Unsure:
 		g.finishLookup(m.ID, origin.Origin{}, "prompt not held")
 	default:
 		g.surveyPrompts(m.ID)
--- a/kernel/gateway/survey_test.go
+++ b/kernel/gateway/survey_test.go
@@ -9,6 +9,7 @@
 	"anvilcross/kernel/message"
 	"anvilcross/kernel/origin"
 	"anvilcross/kernel/replica"
+	"anvilcross/kernel/survey"
 )
 
 // drain lists the endpoints of a version as leaving, at all instances.
@@ -47,13 +48,21 @@
 func newSurveyor(t *testing.T) *surveyor {
 	s := &surveyor{testGateway: newTestGateway(t)}
 	s.gateway.out.ListPrompts = func(e ident.Endpoint, _ string) { s.asked = append(s.asked, e) }
-	s.list(testListing("models", 0), "v1", 1)
+	s.listFirst()
 	s.list(testListing("models", 1), "v1", 2)
 	s.list(testListing("models", 2), "v2", 3)
 	s.receivePing("two", "east", -1)
+	s.gateway.HandleHistory(nil, true)
 	return s
 }
 
+// listFirst gives the surveyor its first records: the configuration and models-0.
+func (s *surveyor) listFirst() {
+	l := testListing("models", 0)
+	l.StartedUnixMillis = 1000
+	s.gateway.HandleChanges([]replica.Record{testRecord(s.t, "catalog", 1, testCatalog(1)), testRecord(s.t, string(l.Name), 1, l)}, 1)
+}
+
 // list lists an endpoint whose process started at one second.
 func (s *surveyor) list(l endpoints.Listing, version ident.SoftwareVersion, revision replica.Revision) {
 	l.Version, l.StartedUnixMillis = version, 1000
@@ -102,7 +111,7 @@
 			s.gateway.HandleNotice(process, endpoints.Notice{Rest: 2 * time.Second}, 0)
 		}},
 		{name: "it is unreachable", later: func(s *surveyor) { s.gateway.HandlePrompts("models-2", nil) }},
-		{name: "it is late", later: func(s *surveyor) { s.advance(surveyTimeout) }},
+		{name: "it is late", later: func(s *surveyor) { s.advance(survey.Timeout) }},
 		{name: "it has started again", later: func(s *surveyor) { s.answer("models-2", 2000) }},
 		{name: "one that has started again holds the part", later: func(s *surveyor) {
 			s.answer("models-2", 1000)
@@ -112,7 +121,7 @@
 			s.list(testListing("models", 3), "v2", 4)
 			s.answer("models-2", 1000)
 		}},
-		{name: "one names no version", before: func(s *surveyor) { s.list(testListing("models", 2), "", 4) }, later: func(s *surveyor) { s.advance(surveyTimeout) }},
+		{name: "one names no version", before: func(s *surveyor) { s.list(testListing("models", 2), "", 4) }, later: func(s *surveyor) { s.advance(survey.Timeout) }},
 	}
 	for _, c := range silent {
 		t.Run(c.name, func(t *testing.T) {
--- a/kernel/gateway/testgateway_test.go
+++ b/kernel/gateway/testgateway_test.go
@@ -55,6 +55,7 @@
 		Random:       rand.New(rand.NewPCG(1, 2)),
 		Timers:       tg.timers,
 		DecodeRecord: decodeTestRecord,
+		HistorySpan:  20 * time.Second,
 		Output: Output{
 			NextStep:        func(h RequestHandle, s Step) { tg.steps[h] = append(tg.steps[h], s) },
 			CancelAttempt:   func(h RequestHandle) { tg.cancels = append(tg.cancels, h) },
@@ -66,6 +67,7 @@
 				tg.timers.After(0, func() { tg.gateway.HandleEndpointChecked(e, paths.Accepted) })
 			},
 			ListPrompts: func(ident.Endpoint, string) {},
+			ReadHistory: func(replica.Revision) {},
 			QueryHealth: func(ident.EndpointProcess, string, string) {},
 			FreeResults: func(_ string, h []message.ResultHandle) { tg.freed = append(tg.freed, h...) },
 		},
--- a/kernel/gateway/versions_test.go
+++ b/kernel/gateway/versions_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -29,6 +30,9 @@
 	// silenceTime the same for one whose instance lost power.
 	noticeTime  = 50 * time.Millisecond
 	silenceTime = 5 * time.Second
+	// partTokens is the length of the last part of a prompt, and streamEvents the number of events,
+	// of a token each, that callers have of a stream that breaks off.
+	partTokens, streamEvents = 50, 5
 	// watchPeriod is the time that a watch of the platform takes.
 	watchPeriod = 900 * time.Millisecond
 )
@@ -74,6 +78,8 @@
 	// requests; nil if all do.
 	sessions int
 	only     func(ident.Instance) bool
+	// tellsTokens is set if endpoints tell how many tokens they hold of each part.
+	tellsTokens bool
 	// offStore is the instance that cannot read the platform; empty for none.
 	offStore ident.Instance
 }
@@ -155,10 +161,10 @@
 	s.instance, s.handle, s.id = name, h, ident.RequestID(fmt.Sprint("request-", h))
 	f.byHandle[h] = s
 	c := CallerRequest{ID: s.id, Host: "h", Path: "/verse/", Key: "key", Timeout: left, PieceCounts: []int{0, 0}, Digest: ident.Digest(h),
-		Prompt: []PromptPart{{ID: fmt.Sprint("root-", f.random.IntN(4)), Tokens: 200}, {ID: s.part, Tokens: 50}}}
+		Prompt: []PromptPart{{ID: fmt.Sprint("root-", f.random.IntN(4)), Tokens: 200}, {ID: s.part, Tokens: partTokens}}}
 	if s.began != "" {
 		s.takenUp = true
-		c.Resumes, c.LastEventID = s.began, "5"
+		c.Resumes, c.LastEventID = s.began, strconv.Itoa(streamEvents)
 	}
 	f.gateways[name].HandleRequest(h, c)
 }
@@ -234,6 +240,9 @@
 		list := origin.PromptList{StartedUnixMillis: m.listing.StartedUnixMillis}
 		for _, part := range value.SortedKeys(m.held) {
 			list.Parts = append(list.Parts, ident.PromptPart(part))
+			if f.tellsTokens {
+				list.Tokens = append(list.Tokens, partTokens+streamEvents)
+			}
 		}
 		f.gateways[name].HandlePrompts(e, &list)
 	})
--- a/kernel/message/origin.go
+++ b/kernel/message/origin.go
@@ -20,10 +20,14 @@
 	Stream   ident.RequestID  `json:"stream,omitempty"`
 	Services []ident.Service  `json:"services,omitempty"`
 	Part     ident.PromptPart `json:"part,omitempty"`
+	// RanTokens is as in survey.Question; earlier builds do not set it.
+	RanTokens int `json:"ranTokens,omitempty"`
 }
 
-// OriginReply answers an OriginRequest. Origin is nil if it is not known.
+// OriginReply answers an OriginRequest. Origin is nil if it is not known. Unsure is set if the sender
+// lacks news that another surveyor may have; earlier builds do not set it.
 type OriginReply struct {
 	ID     LookupID       `json:"id"`
 	Origin *origin.Origin `json:"origin,omitempty"`
+	Unsure bool           `json:"unsure,omitempty"`
 }
--- a/kernel/origin/origin.go
+++ b/kernel/origin/origin.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"anvilcross/kernel/ident"
-	"anvilcross/kernel/value"
 )
 
 // Origin is the service and the software version of the endpoint that began a stream.
@@ -109,12 +108,16 @@
 	// StartedUnixMillis is when the process that answered started, 0 if it did not say so.
 	StartedUnixMillis int64
 	Parts             []ident.PromptPart
+	// Tokens holds, in the order of Parts, the tokens kept of each, with those generated after it
+	// if it is the last of a prompt; empty if they are not known.
+	Tokens []int
 }
 
 type holding struct {
 	holder Holder
-	parts  value.Set[ident.PromptPart]
-	at     time.Time
+	// parts holds the tokens of each part; zero if they are not known.
+	parts map[ident.PromptPart]int
+	at    time.Time
 }
 
 // Holdings holds what endpoints last said of the prompt parts in their memories.
@@ -128,9 +131,32 @@
 	return &Holdings{ttl: ttl, byEndpoint: map[ident.Endpoint]holding{}}
 }
 
-// Record stores an endpoint's report.
+// Record stores an endpoint's report of the parts that it holds.
 func (h *Holdings) Record(now time.Time, holder Holder, parts []ident.PromptPart) {
-	h.byEndpoint[holder.Endpoint] = holding{holder: holder, parts: value.NewSet(parts...), at: now}
+	h.RecordList(now, holder, PromptList{Parts: parts})
+}
+
+// RecordList stores an endpoint's report.
+func (h *Holdings) RecordList(now time.Time, holder Holder, list PromptList) {
+	report := holding{holder: holder, parts: make(map[ident.PromptPart]int, len(list.Parts)), at: now}
+	for n, part := range list.Parts {
+		report.parts[part] = 0
+		if n < len(list.Tokens) {
+			report.parts[part] = list.Tokens[n]
+		}
+	}
+	h.byEndpoint[holder.Endpoint] = report
+}
+
+// MostTokens returns the most tokens of a part that an endpoint of some services holds.
+func (h *Holdings) MostTokens(services []ident.Service, part ident.PromptPart) int {
+	most := 0
+	for _, report := range h.byEndpoint {
+		if slices.Contains(services, report.holder.Service) {
+			most = max(most, report.parts[part])
+		}
+	}
+	return most
 }
 
 // Fresh reports whether there is a valid report of an endpoint's process.
@@ -183,12 +209,17 @@
 	return found, verdict
 }
 
+func (h holding) holds(part ident.PromptPart) bool {
+	_, held := h.parts[part]
+	return held
+}
+
 // commonOrigin returns the origin of all holders of a part; it is empty if there is none.
 // agreed is false if they have several origins or one that is not known.
 func (h *Holdings) commonOrigin(services []ident.Service, part ident.PromptPart) (common Origin, agreed bool) {
 	for _, report := range h.byEndpoint {
 		switch {
-		case !slices.Contains(services, report.holder.Service) || !report.parts.Has(part):
+		case !slices.Contains(services, report.holder.Service) || !report.holds(part):
 		case !report.holder.Known() || common.Known() && common != report.holder.Origin:
 			return Origin{}, false
 		default:
--- a/kernel/replica/replica.go
+++ b/kernel/replica/replica.go
@@ -21,6 +21,13 @@
 	Removed  bool     `json:"removed,omitempty"`
 }
 
+// Change is a change of a record in the platform's history.
+type Change struct {
+	Record
+	// Created is set if there was no such record before.
+	Created bool
+}
+
 // removalRetention is how long a removal is kept for instances that have not
 // received it. Later they get the keys of all records instead.
 const removalRetention = time.Minute
