Pass the regions as a word of the command, so that stand-ins can fill in the template

Cause: the template had a section over the platform's table of zones. The users' stand-ins fill in plain fields.

"started" in the log tells how many there are, and the span of the history.

Tests: TestFieldsOfTheTemplate compares the placeholders of the template and the deploy file with the fields that the platform's pages list, and allows the template no others than plain ones that stand-ins fill in. It fails with the template before ("#zones", "@", "." and "/zones"). TestRegionsOfTheTemplate checked that the table arrives through the section; TestRegionsOfTheDeployFile checks the same for the argument, and that bad tables are refused. TestUnknownKeysBesideRegions now writes the section itself and also checks that it is read.

--- a/anvilcrossd/gatewayd/gatewayd.go
+++ b/anvilcrossd/gatewayd/gatewayd.go
@@ -377,7 +377,7 @@
 	go d.follower.Run(ctx)
 	go d.watchSettings(stop)
 	go d.sweepIdleConnections(stop)
-	d.log.WriteEvent("started", "callers", d.settings.CallerListen, "seeds", len(d.settings.Seeds))
+	d.log.WriteEvent("started", "callers", d.settings.CallerListen, "seeds", len(d.settings.Seeds), "regions", len(d.settings.Regions), "platformHistory", d.settings.PlatformHistory)
 	for {
 		select {
 		case err := <-serveErrors:
--- a/anvilcrossd/settings/gateway.go
+++ b/anvilcrossd/settings/gateway.go
@@ -1,7 +1,9 @@
 package settings
 
 import (
+	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -86,6 +88,7 @@
 		numberSetting("retries", "ratio", func(s *Gateway) *float64 { return &s.RetryRatio }),
 		numberSetting("retries", "slack", func(s *Gateway) *float64 { return &s.RetrySlack }),
 		durationSetting("retries", "window", func(s *Gateway) *time.Duration { return &s.RetryWindow }),
+		{section: "instance", key: "regions", apply: applyRegions},
 		{section: "regions", applyKey: func(s *Gateway, dataCentre, region string) {
 			s.Regions[ident.DataCentre(dataCentre)] = ident.Region(region)
 		}},
@@ -148,6 +151,19 @@
 	return nil
 }
 
+// applyRegions parses a JSON table of the region of each data centre. It may be empty.
+func applyRegions(s *Gateway, text string) error {
+	if text == "" {
+		return nil
+	}
+	var table map[ident.DataCentre]ident.Region
+	if err := json.Unmarshal([]byte(text), &table); err != nil {
+		return fmt.Errorf("%q is not a table of names: %v", text, err)
+	}
+	maps.Copy(s.Regions, table)
+	return nil
+}
+
 // applySeeds parses a comma-separated list of addresses.
 func applySeeds(s *Gateway, text string) error {
 	s.Seeds = nil
