Move what earlier eras of the store said out of the gateway

Cause: the gateway's package is too large, and the survey of departures added to it. Change: kernel/eras holds the listings and the configuration of earlier eras. Evidence: the tests of restored stores and of replaced endpoints pass (kernel/gateway, 5.7 s).

--- a/kernel/gateway/gateway.go
+++ b/kernel/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"anvilcross/kernel/batching"
 	"anvilcross/kernel/departures"
 	"anvilcross/kernel/endpoints"
+	"anvilcross/kernel/eras"
 	"anvilcross/kernel/evacuation"
 	"anvilcross/kernel/ident"
 	"anvilcross/kernel/membership"
@@ -127,7 +128,7 @@
 	random    *rand.Rand
 	out       Output
 	records   *replica.Store
-	eras      *eraTracker
+	eras      *eras.Tracker
 	catalog   *published.Catalog
 	directory *endpoints.Directory
 	members   *membership.Table
@@ -258,7 +259,7 @@
 		random:           c.Random,
 		out:              c.Output,
 		records:          replica.NewStore(),
-		eras:             newEraTracker(),
+		eras:             eras.NewTracker(),
 		directory:        endpoints.NewDirectory(),
 		members:          membership.NewTable(membership.Config{Self: c.Self, Seeds: c.Seeds}),
 		requests:         map[RequestHandle]*request{},
--- a/kernel/gateway/replaced_test.go
+++ b/kernel/gateway/replaced_test.go
@@ -49,7 +49,7 @@
 	tg.advance(3 * time.Minute)
 	for name, size := range map[string]int{
 		"listings":           g.directory.Count(),
-		"listings of eras":   len(g.eras.known),
+		"listings of eras":   len(g.eras.Known),
 		"broken exchanges":   len(g.crashes.brokenExchanges),
 		"checks":             len(g.crashes.checking),
 		"blocked until":      g.permits.BlockedCount(),
