Tell the other instances which probes of a quarantine have been used

Cause: how many periods of a quarantine had been used for a probe was known only to the instance that decides on them. The next one by rank, and the first one once it was back, allowed a request in all periods that had passed.

Ruled out: the quarantine and its age are told, and right.

Change: pings tell for how many periods a request has been allowed; the larger number counts. Earlier builds do not tell it, and ignore it.

--- a/kernel/blame/news.go
+++ b/kernel/blame/news.go
@@ -17,7 +17,9 @@
 	// Quarantined holds since when each quarantined part has been so, and Exonerated when
 	// evidence ended quarantines.
 	Quarantined map[ident.PromptPart]time.Time
-	Exonerated  map[ident.PromptPart]time.Time
+	// Probes holds for how many periods of each quarantine a request has been allowed.
+	Probes     map[ident.PromptPart]int
+	Exonerated map[ident.PromptPart]time.Time
 }
 
 // NewsLimits bounds News.
@@ -33,7 +35,7 @@
 // Beyond the limits it prefers the crashes that have been told least often, and of these the
 // latest, and the latest clearances.
 func (p *Parts) NewsSince(now, since time.Time, limits NewsLimits) News {
-	n := News{Sound: map[ident.PromptPart]time.Time{}, Quarantined: map[ident.PromptPart]time.Time{}}
+	n := News{Sound: map[ident.PromptPart]time.Time{}, Quarantined: map[ident.PromptPart]time.Time{}, Probes: map[ident.PromptPart]int{}}
 	for _, c := range p.crashesLearnedSince(since) {
 		if len(n.Crashes) >= limits.Crashes || len(n.Crashes) > 0 && len(c.ran) > limits.Suspects {
 			break
@@ -54,6 +56,9 @@
 	for d, q := range p.quarantined {
 		if now.Before(q.until) {
 			n.Quarantined[d] = q.at
+			if q.probes > 0 {
+				n.Probes[d] = q.probes
+			}
 		}
 	}
 	return n
--- a/kernel/blame/parts.go
+++ b/kernel/blame/parts.go
@@ -250,6 +250,14 @@
 	return true
 }
 
+// RecordProbes records that instances have allowed a request in some periods of a quarantine.
+func (p *Parts) RecordProbes(part ident.PromptPart, periods int) {
+	if q, quarantined := p.quarantined[part]; quarantined && periods > q.probes {
+		q.probes = periods
+		p.quarantined[part] = q
+	}
+}
+
 // probePeriods returns how many of the periods of the length delay, twice delay, and so on have
 // passed in a time.
 func probePeriods(passed, delay time.Duration) int {
--- a/kernel/gateway/partfleet_test.go
+++ b/kernel/gateway/partfleet_test.go
@@ -96,20 +96,27 @@
 	crashAfter time.Duration
 }
 
+// records returns all records of the platform.
+func (f *partFleet) records() []replica.Record {
+	records := []replica.Record{testRecord(f.t, "catalog", 1, testCatalog(1))}
+	for _, m := range f.models {
+		records = append(records, testRecord(f.t, string(m.listing.Name), f.revision, m.listing))
+	}
+	return records
+}
+
 func newPartFleet(t *testing.T, size, models int, seed uint64) *partFleet {
 	t.Helper()
 	f := &partFleet{testFleet: startTestFleet(t, min(size, 6), max(size-6, 0), []ident.DataCentre{"east", "west", "north"}), random: rand.New(rand.NewPCG(seed, 5)), byName: map[ident.Endpoint]*crashable{}, byHandle: map[RequestHandle]*partRequest{}, revision: 1, downtime: crashDowntime}
 	f.nextStep = f.takeStep
 	f.checkEndpoint = f.check
-	records := []replica.Record{testRecord(t, "catalog", 1, testCatalog(1))}
 	for n := range models {
 		m := &crashable{listing: testListing("models", n), up: true, exchanges: map[*partRequest]bool{}}
 		m.listing.Slots = 128
 		f.models = append(f.models, m)
 		f.byName[m.listing.Name] = m
-		records = append(records, testRecord(t, string(m.listing.Name), 1, m.listing))
 	}
-	f.publish(records)
+	f.publish(f.records())
 	f.advance(3 * time.Second)
 	f.timers.Every(time.Second/soundPerSecond, func() { f.arrive(false) })
 	f.timers.Every(time.Second/crashingPerSecond, func() {
--- a/kernel/gateway/parts.go
+++ b/kernel/gateway/parts.go
@@ -282,6 +282,9 @@
 		}
 		p.QuarantinedParts[part] = now.Sub(at)
 	}
+	if len(news.Probes) > 0 {
+		p.PartProbes = news.Probes
+	}
 	for part, at := range news.Exonerated {
 		if p.ExoneratedParts == nil {
 			p.ExoneratedParts = map[ident.PromptPart]time.Duration{}
@@ -303,6 +306,7 @@
 		if g.crashes.parts.AddQuarantine(now, part, now.Add(-p.QuarantinedParts[part])) {
 			quarantined = append(quarantined, part)
 		}
+		g.crashes.parts.RecordProbes(part, p.PartProbes[part])
 	}
 	g.quarantineParts(quarantined, string(p.Member.Name))
 	for _, c := range p.PartCrashes {
--- a/kernel/gateway/poisonpart_test.go
+++ b/kernel/gateway/poisonpart_test.go
@@ -367,3 +367,24 @@
 		})
 	}
 }
+
+// A request that crashes endpoints is tried again by each instance that starts, though it has been
+// tried in that period of its quarantine.
+func TestQuarantinedContentIsTriedOnceWhileInstancesRestart(t *testing.T) {
+	t.Parallel()
+	for _, size := range []int{3, 66} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			t.Parallel()
+			f := newPartFleet(t, size, 9, 9)
+			f.poison = true
+			f.timers.Every(200*time.Millisecond, func() { f.arrive(true) })
+			f.advance(12 * time.Second)
+			for n := range 30 {
+				name := f.names[n%min(size, 6)]
+				f.restart(name, 500*time.Millisecond, func() { f.gateways[name].HandleFullList(f.records(), f.revision) })
+				f.advance(2 * time.Second)
+			}
+			f.wantLatePoison()
+		})
+	}
+}
--- a/kernel/message/gateway.go
+++ b/kernel/message/gateway.go
@@ -65,7 +65,10 @@
 	SoundParts       map[ident.PromptPart]time.Duration `json:"soundParts,omitempty"`
 	PartRuns         []PartRun                          `json:"partRuns,omitempty"`
 	QuarantinedParts map[ident.PromptPart]time.Duration `json:"quarantinedParts,omitempty"`
-	ExoneratedParts  map[ident.PromptPart]time.Duration `json:"exoneratedParts,omitempty"`
+	// PartProbes holds for how many periods of its quarantine a request with a part has been
+	// allowed, as far as the sender knows; earlier builds do not tell.
+	PartProbes      map[ident.PromptPart]int           `json:"partProbes,omitempty"`
+	ExoneratedParts map[ident.PromptPart]time.Duration `json:"exoneratedParts,omitempty"`
 	// Limits holds the rate limits of endpoints that the sender knows. PermitClock and
 	// PermitLease are set with them: the sender's clock, and to whom it leases its
 	// share of them.
