Discard what a refused caller still sends before closing its connection

Cause: the connection was closed with unread input, since the read deadline was in the past, and reset for that; the reset takes the answer along.

Change: the answer goes out at once, in full duplex, and the rest of the body is discarded for up to 500 ms and 1 MiB. The body's memory is given back first. The same for requests that are refused for want of memory.

--- a/anvilcrossd/entry/entry.go
+++ b/anvilcrossd/entry/entry.go
@@ -6,8 +6,10 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -33,6 +35,10 @@
 	// memoryRetryAfter is how long a caller waits that is refused for want of memory. A body
 	// that makes no progress loses its memory to others in that time.
 	memoryRetryAfter = time.Second
+	// discardAfterAnswerTime and maxDiscardedAfterAnswer limit what is read of a body after its
+	// request has been refused.
+	discardAfterAnswerTime  = 500 * time.Millisecond
+	maxDiscardedAfterAnswer = 1 << 20
 )
 
 // Config sets up a Server.
@@ -137,9 +143,11 @@
 	switch status {
 	case 0:
 	case http.StatusServiceUnavailable:
+		body.Release()
 		s.refuseForMemory(w, r, forwarding != nil)
 		return
 	default:
+		body.Release()
 		s.reject(w, r, status, "the body is too large, too slow or cut off")
 		return
 	}
@@ -190,27 +198,40 @@
 func (s *Server) reject(w http.ResponseWriter, r *http.Request, status int, reason string) {
 	s.config.LogEvent("rejected", "status", status, "reason", reason, "method", r.Method)
 	s.config.RecordRequest("rejected", 0)
-	stopReading(w)
-	http.Error(w, reason, status)
+	answerUnread(w, r, func() {
+		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		w.Header().Set("Content-Length", strconv.Itoa(len(reason)+1))
+		w.WriteHeader(status)
+		_, _ = io.WriteString(w, reason+"\n")
+	})
 }
 
 // refuseForMemory answers a request for whose body there is no memory: it has not run.
 func (s *Server) refuseForMemory(w http.ResponseWriter, r *http.Request, forwarded bool) {
 	s.config.OnRefused(r)
 	s.config.RecordRequest("refusedForMemory", 0)
-	stopReading(w)
 	step := gateway.Step{Answer: gateway.NotRun, RetryAfter: memoryRetryAfter, Reason: "no memory is left for the body of the request", Elsewhere: true}
 	if forwarded {
 		forward.SetAnswer(w.Header(), step.ForwardAnswer())
 	}
-	platform.WriteAnswer(w, r, step)
+	answerUnread(w, r, func() { platform.WriteAnswer(w, r, step) })
 }
 
-// stopReading closes the connection after the answer, and reads no more of a body that may still be
-// sent. net/http would otherwise wait for up to 256 KiB of it before it sends the answer.
-func stopReading(w http.ResponseWriter) {
+// answerUnread answers a request of which a part has not been read, and ends its connection. The
+// answer goes out at once, where net/http would first wait for up to 256 KiB of the body. What the
+// caller still sends is discarded for a while: a connection that is closed with unread input is reset,
+// which can take the answer along.
+func answerUnread(w http.ResponseWriter, r *http.Request, write func()) {
+	controller := http.NewResponseController(w)
 	w.Header().Set("Connection", "close")
-	_ = http.NewResponseController(w).SetReadDeadline(time.Unix(1, 0))
+	_ = controller.EnableFullDuplex()
+	_ = controller.SetReadDeadline(time.Now().Add(discardAfterAnswerTime))
+	write()
+	_ = controller.Flush()
+	if r.Body != nil {
+		_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, maxDiscardedAfterAnswer))
+	}
+	_ = controller.SetReadDeadline(time.Unix(1, 0))
 }
 
 // readBody reads the complete body of a request. If that fails, it returns the HTTP status for the
