--- a/kernel/gateway/fleet_test.go
+++ b/kernel/gateway/fleet_test.go
@@ -64,6 +64,15 @@
 	// extraDelay returns what a message takes longer than linkDelay, so that messages can
 	// overtake each other; nil if none does.
 	extraDelay func() time.Duration
+	// slowness holds what messages from and to an instance take longer than linkDelay.
+	slowness map[ident.Instance]time.Duration
+	// loses reports whether a message that is no ping is lost without a failure; nil if none is.
+	loses func(from, to ident.Instance, e message.Envelope) bool
+}
+
+// delay returns how long a message between two instances takes.
+func (f *testFleet) delay(from, to ident.Instance) time.Duration {
+	return linkDelay + f.slowness[from] + f.slowness[to]
 }
 
 // pathTo returns what happens to messages between two instances.
@@ -141,7 +150,7 @@
 // newIdleFleet returns a fleet without instances.
 func newIdleFleet(t *testing.T) *testFleet {
 	t.Helper()
-	f := &testFleet{t: t, timers: timer.NewScheduler(timer.Config{Start: testStart}), gateways: map[ident.Instance]*Gateway{}, byAddress: map[string]ident.Instance{}, down: map[ident.Instance]bool{}, sent: map[ident.Instance]int{}, received: map[ident.Instance]int{}, calls: map[ident.Instance]int{}}
+	f := &testFleet{t: t, timers: timer.NewScheduler(timer.Config{Start: testStart}), gateways: map[ident.Instance]*Gateway{}, byAddress: map[string]ident.Instance{}, down: map[ident.Instance]bool{}, sent: map[ident.Instance]int{}, received: map[ident.Instance]int{}, calls: map[ident.Instance]int{}, slowness: map[ident.Instance]time.Duration{}}
 	f.nextStep = func(ident.Instance, RequestHandle, Step) {}
 	f.startCall = func(name ident.Instance, _ batching.Call) { f.calls[name]++ }
 	f.freeResults = func(ident.Instance, string, []message.ResultHandle) {}
@@ -221,10 +230,13 @@
 		f.timers.After(linkDelay, func() { f.gateways[from].HandlePeerFailure(to, "reset") })
 		return
 	}
-	delay := linkDelay
+	delay := f.delay(from, to)
 	if f.extraDelay != nil {
 		delay += f.extraDelay()
 	}
+	if f.loses != nil && e.Ping == nil && f.loses(from, to, e) {
+		return
+	}
 	f.timers.After(delay, func() {
 		f.received[to]++
 		f.gateways[to].HandleMessage(e)
@@ -233,7 +245,7 @@
 		}
 		pong := f.gateways[to].AnswerPing(*e.Ping)
 		f.sent[to] += f.messageBytes(pong)
-		f.timers.After(linkDelay, func() { f.gateways[from].HandleMessage(pong) })
+		f.timers.After(f.delay(to, from), func() { f.gateways[from].HandleMessage(pong) })
 	})
 }
 
--- a/kernel/gateway/propagation_test.go
+++ b/kernel/gateway/propagation_test.go
@@ -80,6 +80,8 @@
 	version            int64
 	removals           int
 	events             []string
+	// kinds holds the disruptions that the day draws from.
+	kinds []disruption
 	// latest is the longest time that a change took, for configurations and for
 	// removals.
 	latest, latestRemoval time.Duration
@@ -88,7 +90,7 @@
 // newChangeDay starts a fleet and lets it settle.
 func newChangeDay(t *testing.T, strong, weak, centreCount int, seed uint64) *changeDay {
 	t.Helper()
-	d := &changeDay{testFleet: newIdleFleet(t), random: rand.New(rand.NewPCG(seed, 99)), centres: []ident.DataCentre{"east", "west", "north", "south", "middle"}[:centreCount], version: 1, refusals: map[ident.Instance]int{}, disturbedAt: map[ident.Instance]time.Time{}}
+	d := &changeDay{testFleet: newIdleFleet(t), random: rand.New(rand.NewPCG(seed, 99)), centres: []ident.DataCentre{"east", "west", "north", "south", "middle"}[:centreCount], version: 1, kinds: disruptions, refusals: map[ident.Instance]int{}, disturbedAt: map[ident.Instance]time.Time{}}
 	var records []replica.Record
 	for _, s := range []ident.Service{"orders", "models", "registry", "planning"} {
 		for n := range 30 {
@@ -186,11 +188,14 @@
 	return length
 }
 
-// disruptions are the kinds of disruption that a day draws from.
-var disruptions = []struct {
+// disruption is a kind of disruption.
+type disruption struct {
 	name  string
 	begin func(*changeDay)
-}{
+}
+
+// disruptions are the kinds that a day draws from unless it says otherwise.
+var disruptions = []disruption{
 	{"many processes are killed", func(d *changeDay) { d.kill(d.draw(0.55)) }},
 	{"all readers are killed", func(d *changeDay) { d.kill(d.regularReaders()) }},
 	{"a share is cut off from the others", func(d *changeDay) { d.cutOff(d.draw(0.3), false) }},
@@ -315,7 +320,7 @@
 			nextChange = now.Add(d.drawMillis(300, 1200))
 		}
 		if !now.Before(nextDisruption) && now.Sub(d.begin) < changesUntil {
-			kind := disruptions[d.random.IntN(len(disruptions))]
+			kind := d.kinds[d.random.IntN(len(d.kinds))]
 			d.log("%s", kind.name)
 			kind.begin(d)
 			nextDisruption = now.Add(d.drawMillis(500, 5000))
--- a/kernel/gateway/store_test.go
+++ b/kernel/gateway/store_test.go
@@ -51,6 +51,8 @@
 	readers          map[ident.Instance]*storeReader
 	// lists counts the full lists that were sent.
 	lists int
+	// slowness is what the store's replies take longer than storeDelay.
+	slowness time.Duration
 }
 
 // storeWatch is a watch that waits for changes.
@@ -204,7 +206,7 @@
 	}
 	timers.After(storeDelay, func() {
 		start(func(apply func()) {
-			timers.After(storeDelay, func() {
+			timers.After(storeDelay+r.store.slowness+r.store.fleet.slowness[r.name], func() {
 				if r.path() == pathOpen && !r.store.staleConnections.Has(r.name) {
 					finish(apply)
 				}
