Log how long an instance knew that it lacked records

Cause: the logs told neither at which age of the readers' contact an instance begins to read nor whether it had heard of the newer records before it got them. Change: platformReading names the limit, configured how long the instance lagged.

--- a/kernel/gateway/eras.go
+++ b/kernel/gateway/eras.go
@@ -89,7 +89,7 @@
 	}
 	g.eras.Configuration = r
 	g.catalog = c
-	g.out.LogEvent("configured", "version", c.Version, "revision", r.Revision, "source", source, "routes", len(c.Routes), "workspaces", len(c.Workspaces))
+	g.out.LogEvent("configured", "version", c.Version, "revision", r.Revision, "source", source, "behindFor", g.behindFor(g.now()), "routes", len(c.Routes), "workspaces", len(c.Workspaces))
 }
 
 // version returns the version of the configuration in force, or zero.
--- a/kernel/gateway/gateway.go
+++ b/kernel/gateway/gateway.go
@@ -202,6 +202,10 @@
 	recordsOfferedAt time.Time
 	// recordsReceivedAt is when a member last sent records that this instance lacked.
 	recordsReceivedAt time.Time
+	// behindSince is when this instance first heard of records that it lacks, behindRevision the
+	// revision that it heard of; the time is zero while it has all that it has heard of.
+	behindSince    time.Time
+	behindRevision replica.Revision
 	// laggingPeers holds the members that lack records this instance has.
 	laggingPeers map[ident.Instance]peerLag
 	// batchingSince holds the pools that this instance batches for, and
--- a/kernel/gateway/peers.go
+++ b/kernel/gateway/peers.go
@@ -216,6 +216,7 @@
 	if p.AsOf > 0 && g.recordsOfferedAt.IsZero() {
 		g.recordsOfferedAt = now
 	}
+	g.noticeNewerRecords(now, p.AsOf)
 	g.sendMissingRecords(now, p.Member, p.AsOf)
 	g.sendCarried(now, p.Member, isNew, p.Version)
 }
--- a/kernel/gateway/readers.go
+++ b/kernel/gateway/readers.go
@@ -101,7 +101,31 @@
 		return
 	}
 	g.loggedReading = cause
-	g.out.LogEvent("platformReading", "cause", cause, "readerContactAge", now.Sub(g.latestReaderContact(now)), "asOf", g.records.AsOf())
+	g.out.LogEvent("platformReading", "cause", cause, "readerContactAge", now.Sub(g.latestReaderContact(now)), "maxAge", g.maxReaderContactAge(), "asOf", g.records.AsOf())
+}
+
+// noticeNewerRecords notes when another member first says that it has records that this
+// instance lacks.
+func (g *Gateway) noticeNewerRecords(now time.Time, peerRevision replica.Revision) {
+	if peerRevision > g.records.AsOf() && g.behindSince.IsZero() {
+		g.behindSince, g.behindRevision = now, peerRevision
+	}
+}
+
+// behindFor returns for how long this instance has known that others have records that it
+// lacks; zero if it doesn't.
+func (g *Gateway) behindFor(now time.Time) time.Duration {
+	if g.behindSince.IsZero() {
+		return 0
+	}
+	return now.Sub(g.behindSince)
+}
+
+// endBehind ends the time in which this instance lacked records of others, once it has them.
+func (g *Gateway) endBehind() {
+	if g.records.AsOf() >= g.behindRevision {
+		g.behindSince = time.Time{}
+	}
 }
 
 // expectsRecords reports whether another instance, which has records, will soon
@@ -200,6 +224,7 @@
 		g.outageUntil = now.Add(unconfirmedRemovalTime)
 	}
 	g.applyRecords(updates, source, g.outageWindow(now))
+	g.endBehind()
 	if len(updates) > 0 {
 		g.broadcastRecords(base)
 	}
@@ -250,6 +275,7 @@
 		g.recordsReceivedAt = now
 	}
 	g.applyRecords(updates, string(from), m.UnconfirmedFor)
+	g.endBehind()
 }
 
 // settleRemovals drops the endpoints whose removal has been unconfirmed for long
