Pass changes on in time in large fleets once the store loses its readers

Callers saw a version in force later than 3 s after its acknowledgement, on instances that nothing had disturbed. Cause: the age of the readers' contact from which others read in their place grew with the fleet, from 1.76 s at 77 instances to 2.8 s from 160 on, since most members hear of contacts once in a ping period. What an instance of another data centre then reads went to that centre's core only, whose other members got it at the second ping that showed them behind, up to two periods of a second later. Change: core members, who ping each other at a fleet's base period, use the small fleet's age; the first member of a data centre after its reader, if outside the core, pings it every 0.4 s and does so too. The reader of a data centre passes on what it hears from another one. A member that hears of records it lacks asks a core member for them after the time in which they should have come. Earlier builds ignore the question.

--- a/kernel/gateway/gateway.go
+++ b/kernel/gateway/gateway.go
@@ -206,6 +206,11 @@
 	// revision that it heard of; the time is zero while it has all that it has heard of.
 	behindSince    time.Time
 	behindRevision replica.Revision
+	// askingIn holds the data centres of which a member will be asked for records that
+	// this instance lacks.
+	askingIn value.Set[ident.DataCentre]
+	// isStandby is set if this instance is the standby reader of its data centre.
+	isStandby bool
 	// laggingPeers holds the members that lack records this instance has.
 	laggingPeers map[ident.Instance]peerLag
 	// batchingSince holds the pools that this instance batches for, and
@@ -276,6 +281,7 @@
 		platformContacts: map[ident.Instance]platformContact{},
 		batcherCache:     map[ident.Pool]ident.Instance{},
 		laggingPeers:     map[ident.Instance]peerLag{},
+		askingIn:         value.NewSet[ident.DataCentre](),
 		redirects:        map[ident.Pool]redirect{},
 		loggedReading:    noReading,
 		partitioned:      value.NewSet[ident.DataCentre](),
--- a/kernel/gateway/peers.go
+++ b/kernel/gateway/peers.go
@@ -30,6 +30,7 @@
 // pingTargets pings the members that are due for a ping.
 func (g *Gateway) pingTargets() {
 	now := g.now()
+	g.updateStandby(now)
 	targets := g.members.PingTargets(now)
 	if len(targets) == 0 {
 		return
@@ -157,6 +158,8 @@
 		g.handlePing(*m.Ping)
 	case m.Records != nil:
 		g.handleRecords(m.From, *m.Records)
+	case m.RecordsRequest != nil:
+		g.sendRecordsAbove(m.From, m.RecordsRequest.Above)
 	case m.StageWork != nil:
 		g.handleStageWork(m.From, *m.StageWork)
 	case m.StageResults != nil:
@@ -216,7 +219,7 @@
 	if p.AsOf > 0 && g.recordsOfferedAt.IsZero() {
 		g.recordsOfferedAt = now
 	}
-	g.noticeNewerRecords(now, p.AsOf)
+	g.noticeNewerRecords(now, p.Member, p.AsOf)
 	g.sendMissingRecords(now, p.Member, p.AsOf)
 	g.sendCarried(now, p.Member, isNew, p.Version)
 }
--- a/kernel/gateway/readers.go
+++ b/kernel/gateway/readers.go
@@ -84,32 +84,97 @@
 	if g.platformReaders(now).Has(g.config.Self.Name) {
 		return regularReading
 	}
-	overdue := now.Sub(g.latestReaderContact(now)) - g.maxReaderContactAge()
+	overdue := now.Sub(g.latestReaderContact(now)) - g.extraReaderDelay(now)
 	if overdue < 0 {
 		return noReading
 	}
-	rank := slices.Index(g.members.RankedLocalMembers(now, "reader"), g.config.Self.Name)
+	rank := slices.Index(g.standbyRanks(now), g.config.Self.Name)
 	if overdue >= time.Duration(rank)*extraReaderInterval {
 		return extraReading
 	}
 	return noReading
 }
 
+// extraReaderDelay returns the age of the readers' last contact from which this instance may
+// read in their place. Core members and the standby reader hear of it sooner than the others.
+func (g *Gateway) extraReaderDelay(now time.Time) time.Duration {
+	delay := g.maxReaderContactAge()
+	switch {
+	case g.members.InCore(now, g.config.Self.Name):
+		return min(delay, maxContactAge)
+	case g.isStandby:
+		return min(delay, maxContactAge+membership.WatchedPingPeriod-membership.BasePingPeriod)
+	}
+	return delay
+}
+
+// standbyRanks returns the members of the own data centre that may read in place of the regular
+// readers, in the order in which they begin: those in the core first.
+func (g *Gateway) standbyRanks(now time.Time) []ident.Instance {
+	readers := g.platformReaders(now)
+	var core, others []ident.Instance
+	for _, name := range g.members.RankedLocalMembers(now, "reader") {
+		switch {
+		case readers.Has(name):
+		case g.members.InCore(now, name):
+			core = append(core, name)
+		default:
+			others = append(others, name)
+		}
+	}
+	return append(core, others...)
+}
+
+// updateStandby determines whether this instance is the standby reader of its data centre, the
+// first one that would read in place of a regular reader. Outside the core it has to ping that
+// reader more often than it would otherwise.
+func (g *Gateway) updateStandby(now time.Time) {
+	ranks := g.standbyRanks(now)
+	g.isStandby = len(ranks) > 0 && ranks[0] == g.config.Self.Name
+	watched := ident.Instance("")
+	if g.isStandby {
+		for name := range g.platformReaders(now) {
+			if g.members.DataCentre(name) == g.config.Self.DataCentre {
+				watched = max(watched, name)
+			}
+		}
+	}
+	g.members.Watch(watched)
+}
+
 // logReading logs when this instance begins or ceases to read the platform.
 func (g *Gateway) logReading(now time.Time, cause readingCause) {
 	if cause == g.loggedReading {
 		return
 	}
 	g.loggedReading = cause
-	g.out.LogEvent("platformReading", "cause", cause, "readerContactAge", now.Sub(g.latestReaderContact(now)), "maxAge", g.maxReaderContactAge(), "asOf", g.records.AsOf())
+	g.out.LogEvent("platformReading", "cause", cause, "readerContactAge", now.Sub(g.latestReaderContact(now)), "maxAge", g.extraReaderDelay(now), "asOf", g.records.AsOf())
 }
 
-// noticeNewerRecords notes when another member first says that it has records that this
-// instance lacks.
-func (g *Gateway) noticeNewerRecords(now time.Time, peerRevision replica.Revision) {
-	if peerRevision > g.records.AsOf() && g.behindSince.IsZero() {
+// noticeNewerRecords handles that another member says up to which revision it has records. If
+// this instance lacks some, it soon asks a core member for them unless they have come: a member by
+// itself sends what another one lacks only if a second ping shows that it still does.
+func (g *Gateway) noticeNewerRecords(now time.Time, m membership.Member, peerRevision replica.Revision) {
+	if peerRevision <= g.records.AsOf() {
+		return
+	}
+	if g.behindSince.IsZero() {
 		g.behindSince, g.behindRevision = now, peerRevision
 	}
+	delay := remoteResendDelay
+	if m.DataCentre == g.config.Self.DataCentre {
+		delay = localResendDelay
+	}
+	if g.askingIn.Has(m.DataCentre) || !g.members.InCore(now, m.Name) {
+		return
+	}
+	g.askingIn.Add(m.DataCentre)
+	g.timers.After(delay, func() {
+		delete(g.askingIn, m.DataCentre)
+		if above := g.records.AsOf(); peerRevision > above {
+			g.sendToMember(m.Name, message.Envelope{RecordsRequest: &message.RecordsRequest{Above: above}})
+		}
+	})
 }
 
 // behindFor returns for how long this instance has known that others have records that it
@@ -226,7 +291,7 @@
 	g.applyRecords(updates, source, g.outageWindow(now))
 	g.endBehind()
 	if len(updates) > 0 {
-		g.broadcastRecords(base)
+		g.broadcastRecords(base, g.outageWindow(now), true)
 	}
 }
 
@@ -249,13 +314,14 @@
 // cannot read the platform learn of changes in time. This includes records that
 // this instance already had from another data centre's member, since the
 // receivers may lack them. The rest of the fleet is served by the reader of its
-// own data centre, or in answer to its pings.
-func (g *Gateway) broadcastRecords(base replica.Revision) {
+// own data centre, or in answer to its pings. Only members of the own data centre get them
+// unless toCore is set.
+func (g *Gateway) broadcastRecords(base replica.Revision, unconfirmedFor time.Duration, toCore bool) {
 	now := g.now()
-	m := message.Records{Delta: g.records.ChangesSince(base, maxRecordsPerMessage), UnconfirmedFor: g.outageWindow(now)}
+	m := message.Records{Delta: g.records.ChangesSince(base, maxRecordsPerMessage), UnconfirmedFor: unconfirmedFor}
 	for _, name := range g.members.AliveMembers(now) {
 		sameCentre := g.members.DataCentre(name) == g.config.Self.DataCentre
-		if name != g.config.Self.Name && (sameCentre || g.members.InCore(now, name)) {
+		if name != g.config.Self.Name && (sameCentre || toCore && g.members.InCore(now, name)) {
 			g.sendToMember(name, message.Envelope{Records: &m})
 		}
 	}
@@ -270,12 +336,17 @@
 	if m.Carried != nil {
 		g.applyCarried(*m.Carried, string(from))
 	}
+	base := g.records.AsOf()
 	updates := g.records.ApplyDelta(now, m.Delta)
 	if len(updates) > 0 {
 		g.recordsReceivedAt = now
 	}
 	g.applyRecords(updates, string(from), m.UnconfirmedFor)
 	g.endBehind()
+	// The reader of another data centre does not send to the members of this one.
+	if len(updates) > 0 && base > 0 && g.members.DataCentre(from) != g.config.Self.DataCentre && g.platformReaders(now).Has(g.config.Self.Name) {
+		g.broadcastRecords(base, m.UnconfirmedFor, false)
+	}
 }
 
 // settleRemovals drops the endpoints whose removal has been unconfirmed for long
@@ -363,9 +434,14 @@
 	// The message takes a while to arrive, so the delay starts again before the
 	// next one.
 	g.laggingPeers[m.Name] = peerLag{asOf: peerRevision, since: now}
-	for base := peerRevision; base < g.records.AsOf(); {
-		missing := message.Records{Delta: g.records.ChangesSince(base, maxRecordsPerMessage), UnconfirmedFor: g.outageWindow(now)}
-		g.sendToMember(m.Name, message.Envelope{Records: &missing})
+	g.sendRecordsAbove(m.Name, peerRevision)
+}
+
+// sendRecordsAbove sends a member all records above a revision.
+func (g *Gateway) sendRecordsAbove(to ident.Instance, base replica.Revision) {
+	for base < g.records.AsOf() {
+		missing := message.Records{Delta: g.records.ChangesSince(base, maxRecordsPerMessage), UnconfirmedFor: g.outageWindow(g.now())}
+		g.sendToMember(to, message.Envelope{Records: &missing})
 		if missing.AsOf <= base {
 			return
 		}
--- a/kernel/membership/membership.go
+++ b/kernel/membership/membership.go
@@ -19,6 +19,8 @@
 	// BasePingPeriod is the time between two pings to the same member in a small
 	// fleet, and between core members in a fleet of any size.
 	BasePingPeriod = 200 * time.Millisecond
+	// WatchedPingPeriod is the longest time between two pings to the watched member.
+	WatchedPingPeriod = 2 * BasePingPeriod
 	// maxPingPeriod bounds PingPeriod.
 	maxPingPeriod = time.Second
 	// basePeriodMembers is the fleet size up to which PingPeriod is
@@ -131,6 +133,9 @@
 	// rotatedAt is when pingCursor last moved.
 	rotatedAt time.Time
 	leaving   bool
+	// watched is the member that the own instance pings every WatchedPingPeriod or more often,
+	// whatever the size of the fleet; empty if there is none.
+	watched ident.Instance
 
 	// links holds what is known of the connection to each other data centre.
 	links map[ident.DataCentre]*centreLink
@@ -162,6 +167,10 @@
 	t.core = nil
 }
 
+// Watch lets the own instance ping a member every WatchedPingPeriod or more often, whatever the
+// size of the fleet; none if the name is empty.
+func (t *Table) Watch(name ident.Instance) { t.watched = name }
+
 // Self returns the own instance.
 func (t *Table) Self() Member { return t.config.Self }
 
@@ -346,8 +355,8 @@
 	return all
 }
 
-// PingTargets returns the instances to ping now: core members without a recent
-// ping of their own, once per period some of the other members in rotation, and
+// PingTargets returns the instances to ping now: core members and the watched one without a
+// recent ping of their own, once per period some of the other members in rotation, and
 // the seeds whose address belongs to no known member. It also removes members
 // that have not been mentioned for a long time.
 func (t *Table) PingTargets(now time.Time) []PeerAddress {
@@ -364,9 +373,13 @@
 		k := t.members[name]
 		addresses.Add(k.Address)
 		address := PeerAddress{Name: name, Address: k.Address}
+		period := period
+		if name == t.watched {
+			period = min(period, WatchedPingPeriod)
+		}
 		switch {
 		case now.Sub(k.lastPingAt) < time.Duration(recentPingShare*float64(period)):
-		case fullMesh || core.Has(name):
+		case fullMesh || core.Has(name) || name == t.watched:
 			targets = append(targets, address)
 		default:
 			nonCore = append(nonCore, address)
--- a/kernel/message/gateway.go
+++ b/kernel/message/gateway.go
@@ -89,6 +89,12 @@
 	Resting map[ident.Endpoint]endpoints.RestReport `json:"resting,omitempty"`
 }
 
+// RecordsRequest asks a member for the platform's records above a revision, which it has told that
+// it has. Earlier builds ignore it, and send them in answer to pings.
+type RecordsRequest struct {
+	Above replica.Revision `json:"above"`
+}
+
 // PermitID numbers the permits that an instance asks for.
 type PermitID uint64
 
--- a/kernel/message/message.go
+++ b/kernel/message/message.go
@@ -56,6 +56,7 @@
 	PermitReply        *PermitReply        `json:"permitReply,omitempty"`
 	PlacementRequest   *placement.Request  `json:"placementRequest,omitempty"`
 	PlacementReply     *placement.Reply    `json:"placementReply,omitempty"`
+	RecordsRequest     *RecordsRequest     `json:"recordsRequest,omitempty"`
 	StreamOrigins      *StreamOrigins      `json:"origins,omitempty"`
 	OriginRequest      *OriginRequest      `json:"originRequest,omitempty"`
 	OriginReply        *OriginReply        `json:"originReply,omitempty"`
--- a/kernel/message/valid.go
+++ b/kernel/message/valid.go
@@ -47,6 +47,8 @@
 		return errors.Annotatef(e.PermitRequest.Limit.Check(), "permit for endpoint %q", e.PermitRequest.Endpoint)
 	case e.PlacementRequest != nil:
 		return e.PlacementRequest.Check()
+	case e.RecordsRequest != nil && e.RecordsRequest.Above < 0:
+		return errors.New("request for records above a negative revision")
 	case e.StreamOrigins != nil:
 		for _, o := range e.StreamOrigins.Streams {
 			if o.Age < 0 {
