Show that crowds at a daemon on one processor exceed its memory

Change: tests only; crowds have their own size and descriptors, and the receive queues of the callers' connections are sampled.

--- a/anvilload/fleet/hostilecallers_test.go
+++ b/anvilload/fleet/hostilecallers_test.go
@@ -47,13 +47,27 @@
 	ordinaryTimeout = 90 * time.Second
 )
 
+// crowdLimits are the limits of a daemon, and the crowd that it meets.
+type crowdLimits struct {
+	// size is the number of callers; zero stands for crowdSize.
+	size int
+	// descriptors is the daemon's limit of them, and maxOpen how many of them may be open.
+	descriptors, maxOpen int
+	// oneProcessor lets the daemon run on one processor at a time.
+	oneProcessor bool
+}
+
 // limitedDaemon is a daemon with lowered limits in front of a site.
 type limitedDaemon struct {
 	*testFleet
 	daemon *Daemon
+	limits crowdLimits
 	// mostDescriptors is the largest number of open descriptors that was seen. It is read
 	// after stopSampling.
 	mostDescriptors int
+	// mostUnreadBytes is the largest sum of the receive queues of the callers' connections that
+	// was seen, those that the daemon has not accepted included.
+	mostUnreadBytes int
 	sampling        sync.WaitGroup
 	endSampling     chan struct{}
 }
@@ -61,6 +75,15 @@
 // startLimitedDaemon starts one daemon with the memory and the descriptors of these tests.
 func startLimitedDaemon(t *testing.T) *limitedDaemon {
 	t.Helper()
+	return startDaemonWithin(t, crowdLimits{size: crowdSize, descriptors: crowdDescriptors, maxOpen: maxOpenDescriptors})
+}
+
+// startDaemonWithin does the same with other limits.
+func startDaemonWithin(t *testing.T, c crowdLimits) *limitedDaemon {
+	t.Helper()
+	if c.oneProcessor {
+		t.Setenv("GOMAXPROCS", "1")
+	}
 	s, err := site.Start(site.Config{})
 	if err != nil {
 		t.Fatal(err)
@@ -75,6 +98,7 @@
 	l := &limitedDaemon{
 		testFleet:   &testFleet{t: t, site: s, fleet: f, httpClient: &http.Client{Timeout: 20 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}},
 		daemon:      f.Daemons[0],
+		limits:      c,
 		endSampling: make(chan struct{}),
 	}
 	t.Cleanup(func() {
@@ -84,26 +108,27 @@
 			l.printLogTails()
 		}
 	})
-	limit := syscall.Rlimit{Cur: crowdDescriptors, Max: crowdDescriptors}
+	limit := syscall.Rlimit{Cur: uint64(c.descriptors), Max: uint64(c.descriptors)}
 	if _, _, code := syscall.RawSyscall6(syscall.SYS_PRLIMIT64, uintptr(l.pid()), syscall.RLIMIT_NOFILE, uintptr(unsafe.Pointer(&limit)), 0, 0, 0); code != 0 {
 		t.Fatal(code)
 	}
 	// The daemon reads its limit once a second.
 	time.Sleep(1500 * time.Millisecond)
 	l.wantOrdinaryAnswer()
-	l.sampling.Go(l.sampleDescriptors)
+	l.sampling.Go(l.sampleProcess)
 	return l
 }
 
 func (l *limitedDaemon) pid() int { return l.daemon.command.Process.Pid }
 
-func (l *limitedDaemon) sampleDescriptors() {
+func (l *limitedDaemon) sampleProcess() {
 	ticker := time.NewTicker(10 * time.Millisecond)
 	defer ticker.Stop()
 	for {
 		if names, err := os.ReadDir(filepath.Join("/proc", strconv.Itoa(l.pid()), "fd")); err == nil {
 			l.mostDescriptors = max(l.mostDescriptors, len(names))
 		}
+		l.mostUnreadBytes = max(l.mostUnreadBytes, unreadBytes(l.daemon.CallerAddress))
 		select {
 		case <-l.endSampling:
 			return
@@ -112,6 +137,37 @@
 	}
 }
 
+// unreadBytes returns the sum of the receive queues of the connections at a local address.
+func unreadBytes(address string) int {
+	const listening = "0A"
+	_, port, err := net.SplitHostPort(address)
+	if err != nil {
+		return 0
+	}
+	number, err := strconv.Atoi(port)
+	if err != nil {
+		return 0
+	}
+	text, err := os.ReadFile("/proc/net/tcp")
+	if err != nil {
+		return 0
+	}
+	sum := 0
+	for line := range strings.Lines(string(text)) {
+		// The fields are: number, local and remote address, state, both queues.
+		fields := strings.Fields(line)
+		if len(fields) < 5 || !strings.HasSuffix(fields[1], fmt.Sprintf(":%04X", number)) || fields[3] == listening {
+			continue
+		}
+		if _, queue, found := strings.Cut(fields[4], ":"); found {
+			if bytes, err := strconv.ParseInt(queue, 16, 64); err == nil {
+				sum += int(bytes)
+			}
+		}
+	}
+	return sum
+}
+
 // mostResidentBytes returns the largest resident memory that the process has had.
 func (l *limitedDaemon) mostResidentBytes() int {
 	l.t.Helper()
@@ -160,7 +216,7 @@
 	var mutex sync.Mutex
 	var open []net.Conn
 	var sending sync.WaitGroup
-	for n := range crowdSize {
+	for n := range l.limits.size {
 		sending.Go(func() {
 			c, err := net.DialTimeout("tcp4", address, crowdWriteTimeout)
 			if err != nil {
@@ -189,12 +245,12 @@
 	close(l.endSampling)
 	l.sampling.Wait()
 	resident := l.mostResidentBytes()
-	l.t.Logf("%d MiB resident at most (bound %d), %d descriptors at most (bound %d)", resident>>20, maxResidentBytes>>20, l.mostDescriptors, maxOpenDescriptors)
+	l.t.Logf("%d MiB resident at most (bound %d), %d descriptors at most (bound %d), %d MiB unread in sockets at most", resident>>20, maxResidentBytes>>20, l.mostDescriptors, l.limits.maxOpen, l.mostUnreadBytes>>20)
 	if resident > maxResidentBytes {
 		l.t.Errorf("the process took %d MiB, want %d at most", resident>>20, maxResidentBytes>>20)
 	}
-	if l.mostDescriptors > maxOpenDescriptors {
-		l.t.Errorf("the process had %d open descriptors, want %d at most", l.mostDescriptors, maxOpenDescriptors)
+	if l.mostDescriptors > l.limits.maxOpen {
+		l.t.Errorf("the process had %d open descriptors, want %d at most", l.mostDescriptors, l.limits.maxOpen)
 	}
 }
 
