Count ended bodies until their readers have let go of them

Callers saw a process end: it ran out of memory under many bodies in chunks of one byte. Cause: a holding that is ended for others counted as free at once, while its reader returns the memory only when it runs. On one busy processor that is many readers later, so what was really held had no bound. TestEndedBodiesCountUntilTheyAreReleased failed before. Change: ended bytes count until Release. A body that needs them waits, and isn't refused beside the one that was ended for it; one that is ended while it waits stops waiting. TestEndedBodiesAreRefused ended its body by a reservation in the reader itself, which now would wait for that same reader: it asks whether a body fits in its place, which ends the holding by the same rule.

--- a/anvilcrossd/callermemory/account.go
+++ b/anvilcrossd/callermemory/account.go
@@ -69,8 +69,12 @@
 type Account struct {
 	config Config
 	mutex  sync.Mutex
-	used   int64
-	byKind [kindCount]int64
+	// changed is signalled when bytes are returned and when a holding is ended.
+	changed *sync.Cond
+	// used counts all bytes that are held, and ending those of ended holdings among them, which
+	// their readers have not returned yet.
+	used, ending int64
+	byKind       [kindCount]int64
 	// receiving has the holdings that are not complete: these may be ended.
 	receiving map[*Holding]bool
 	counts    Counts
@@ -104,7 +108,9 @@
 		c.Now = time.Now
 	}
 	c.LimitBytes = max(c.LimitBytes, MinLimitBytes)
-	return &Account{config: c, receiving: map[*Holding]bool{}}
+	a := &Account{config: c, receiving: map[*Holding]bool{}}
+	a.changed = sync.NewCond(&a.mutex)
+	return a
 }
 
 // NewHolding returns an empty holding. interrupt ends its receiving if others need its memory.
@@ -154,7 +160,8 @@
 	return false
 }
 
-// Grow reserves bytes. It returns false if there is no room, or if the holding has been ended.
+// Grow reserves bytes. It waits for the bytes of ended holdings, whose readers return them once they
+// run. It returns false if there is no room, or if the holding has been ended.
 func (h *Holding) Grow(bytes int64) bool {
 	a := h.account
 	a.mutex.Lock()
@@ -162,23 +169,31 @@
 	if h.ended {
 		return false
 	}
-	if !a.makeRoom(h, bytes, h.held+bytes) {
-		a.counts.Refused++
-		return false
+	size := h.held + bytes
+	for a.makeRoom(h, bytes, size) {
+		if a.used+bytes <= a.limitFor(size) {
+			a.add(h, bytes)
+			h.progressAt = a.config.Now()
+			return true
+		}
+		// The readers of ended holdings have been interrupted and will return their bytes.
+		a.changed.Wait()
+		if h.ended {
+			return false
+		}
 	}
-	a.add(h, bytes)
-	h.progressAt = a.config.Now()
-	return true
+	a.counts.Refused++
+	return false
 }
 
-// makeRoom reports whether bytes can be reserved for a holding that then has the given size. It
-// ends others that have made no progress until there is room.
+// makeRoom reports whether bytes can be reserved for a holding that then has the given size, once
+// the ended holdings are released. It ends others that have made no progress until that is so.
 func (a *Account) makeRoom(h *Holding, bytes, size int64) bool {
 	limit := a.limitFor(size)
 	if size > limit {
 		return false
 	}
-	for a.used+bytes > limit {
+	for a.used-a.ending+bytes > limit {
 		victim := a.findStalled(h)
 		if victim == nil {
 			return false
@@ -205,29 +220,34 @@
 	return found
 }
 
-// end ends a holding. Its bytes count as free from now on: its reader drops them as soon as it
-// is interrupted.
+// end ends a holding. Its bytes count as held until its reader, which is interrupted, has run: on a
+// busy processor that takes a while.
 func (a *Account) end(h *Holding) {
 	a.counts.Ended++
 	h.ended = true
-	a.add(h, -h.held)
+	a.ending += h.held
 	delete(a.receiving, h)
 	h.interrupt()
+	a.changed.Broadcast()
 }
 
 func (a *Account) add(h *Holding, bytes int64) {
 	h.held += bytes
 	a.used += bytes
 	a.byKind[h.kind] += bytes
+	if h.ended {
+		a.ending += bytes
+	}
+	if bytes < 0 {
+		a.changed.Broadcast()
+	}
 }
 
 // shrink returns bytes that are no longer held.
 func (h *Holding) shrink(bytes int64) {
 	h.account.mutex.Lock()
 	defer h.account.mutex.Unlock()
-	if !h.ended {
-		h.account.add(h, -bytes)
-	}
+	h.account.add(h, -bytes)
 }
 
 // recordProgress records that the caller goes on sending.
@@ -252,6 +272,6 @@
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	delete(a.receiving, h)
-	a.add(h, -h.held)
 	h.data = nil
+	a.add(h, -h.held)
 }
--- a/anvilcrossd/callermemory/account_test.go
+++ b/anvilcrossd/callermemory/account_test.go
@@ -166,8 +166,7 @@
 			h := a.NewHolding(Bodies, func() {})
 			body := readerFunc(func(p []byte) (int, error) {
 				a.now = a.now.Add(2 * stallTime)
-				a.hold(t, 10<<20)
-				a.Fits(3 << 20)
+				a.Fits(10 << 20)
 				return 1, readErr
 			})
 			h.Grow(4 << 20)
@@ -178,6 +177,62 @@
 	}
 }
 
+// The memory of ended bodies is given to others before their readers, which wait for a processor,
+// have let go of it, so that more than the limit is held.
+func TestEndedBodiesCountUntilTheyAreReleased(t *testing.T) {
+	a := newTestAccount()
+	first, interrupted := a.hold(t, 6<<20)
+	second, _ := a.hold(t, 6<<20)
+	a.now = a.now.Add(2 * stallTime)
+	grown := make(chan bool)
+	third := a.NewHolding(Bodies, func() {})
+	go func() { grown <- third.Grow(4 << 20) }()
+	for ended := false; !ended; time.Sleep(time.Millisecond) {
+		ended = a.Counts().Ended > 0
+	}
+	if used := a.Used(Bodies); used != 12<<20 {
+		t.Errorf("%d bytes count as held, want those of the ended body among them", used)
+	}
+	select {
+	case <-grown:
+		t.Fatal("a body grows into memory that is still held")
+	case <-time.After(50 * time.Millisecond):
+	}
+	if *interrupted {
+		first.Release()
+	} else {
+		second.Release()
+	}
+	if !<-grown {
+		t.Error("a body that waited for memory is refused")
+	}
+	first.Release()
+	second.Release()
+	third.Release()
+	if used := a.Used(Bodies); used != 0 {
+		t.Errorf("%d bytes count as held after all were released", used)
+	}
+}
+
+// A body that waits for the memory of an ended one is ended itself and waits for ever.
+func TestBodiesThatWaitForMemoryCanBeEnded(t *testing.T) {
+	a := newTestAccount()
+	a.hold(t, 6<<20)
+	waiting, _ := a.hold(t, 4<<20)
+	a.now = a.now.Add(2 * stallTime)
+	grown := make(chan bool)
+	go func() { grown <- waiting.Grow(5 << 20) }()
+	for a.Counts().Ended == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	if !a.Fits(12 << 20) {
+		t.Error("no room for a body once the others are ended")
+	}
+	if <-grown {
+		t.Error("an ended body grows")
+	}
+}
+
 type readerFunc func([]byte) (int, error)
 
 func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
