Limit the unread bytes in the sockets of callers

Callers' unread bodies took as much of a machine's memory as the process itself. Cause: nothing limits the receive buffers of callers' connections. The kernel accepts some 64 KiB before anything is read, also on connections that wait to be accepted, and lets the buffer grow to megabytes. Change: the listener's receive buffer, which its connections inherit, is limited so that connections without a whole request take an eighth of the memory (receiveBufferBytes, 16 to 256 KiB each). A caller that sends faster waits; nothing is refused. The runtime's memory limit goes from 0.7 to 0.6 of the memory, since the kernel's buffers come out of the same.

--- a/anvilcrossd/gatewayd/callerlimits.go
+++ b/anvilcrossd/gatewayd/callerlimits.go
@@ -22,6 +22,14 @@
 	// waitingDescriptorsDivisor is the part of the descriptors, as a divisor, that they may
 	// take.
 	waitingDescriptorsDivisor = 2
+	// unreadMemoryDivisor is the part of the memory, as a divisor, that the unread bytes of callers'
+	// connections without a whole request may take in the kernel, which needs
+	// receiveBufferFactor times as much as the bytes. minReceiveBufferBytes and
+	// maxReceiveBufferBytes bound those of one connection.
+	unreadMemoryDivisor   = 8
+	receiveBufferFactor   = 2
+	minReceiveBufferBytes = 16 << 10
+	maxReceiveBufferBytes = 256 << 10
 	// peerMemoryDivisor is the part of the memory, as a divisor, for messages of other instances
 	// that are being received. A batch usually has a few kilobytes.
 	peerMemoryDivisor = 16
@@ -82,6 +90,15 @@
 	return min(byMemory, int(d.descriptors.Limit()/waitingDescriptorsDivisor))
 }
 
+// receiveBufferBytes returns how many unread bytes a connection of a caller may have.
+func (d *daemon) receiveBufferBytes() int {
+	if limit := d.settings.ReceiveBufferBytes; limit > 0 {
+		return limit
+	}
+	bytes := d.settings.MemoryMegabytes << 20 / unreadMemoryDivisor / receiveBufferFactor / max(d.maxWaitingCallers(), 1)
+	return min(max(bytes, minReceiveBufferBytes), maxReceiveBufferBytes)
+}
+
 // handleWhole records that the whole request on a connection has arrived.
 func (d *daemon) handleWhole(n net.Conn) {
 	d.callersWaiting.HandleWhole(n)
--- a/anvilcrossd/gatewayd/gatewayd.go
+++ b/anvilcrossd/gatewayd/gatewayd.go
@@ -33,6 +33,7 @@
 	"anvilcross/anvilcrossd/replymemory"
 	"anvilcross/anvilcrossd/settings"
 	"anvilcross/anvilcrossd/signals"
+	"anvilcross/anvilcrossd/socket"
 	"anvilcross/anvilcrossd/stagecall"
 	"anvilcross/kernel/batching"
 	"anvilcross/kernel/endpoints"
@@ -76,7 +77,7 @@
 	settingsPollPeriod = 2 * time.Second
 	// memoryLimitShare is the share of the allowed memory that is set as the Go
 	// runtime's memory limit; the garbage collector runs more often near it.
-	memoryLimitShare = 0.7
+	memoryLimitShare = 0.6
 	// headerTimeout limits the time to read a request header. net/http cannot
 	// change it while the server runs; the users' configurations set the same
 	// value.
@@ -365,6 +366,9 @@
 			return errors.Trace(err)
 		}
 		if l.server == callerServer {
+			if err := socket.LimitReceiveBuffers(tcp.(*net.TCPListener), d.receiveBufferBytes()); err != nil {
+				d.log.WriteEvent("receiveBuffersUnlimited", "reason", err)
+			}
 			listener = newCallerListener(tcp.(*net.TCPListener), d.newHeadMemory)
 			tcp = listener
 		}
--- a/anvilcrossd/settings/callers_test.go
+++ b/anvilcrossd/settings/callers_test.go
@@ -22,8 +22,8 @@
 			t.Errorf("share %s gives %v", text, s.CallerMemoryShare)
 		}
 	}
-	s, err = ParseGateway([]byte(validGatewayText), []string{"limits.waitingConnections=70"})
-	if err != nil || s.MaxWaitingConnections != 70 {
+	s, err = ParseGateway([]byte(validGatewayText), []string{"limits.waitingConnections=70", "limits.receiveBufferBytes=70000"})
+	if err != nil || s.MaxWaitingConnections != 70 || s.ReceiveBufferBytes != 70000 {
 		t.Errorf("got %+v and %v", s, err)
 	}
 }
--- a/anvilcrossd/settings/gateway.go
+++ b/anvilcrossd/settings/gateway.go
@@ -47,6 +47,9 @@
 	// MaxWaitingConnections limits the callers' connections on which no whole request has
 	// arrived. It is zero if it follows from the memory and the descriptors.
 	MaxWaitingConnections int
+	// ReceiveBufferBytes limits the unread bytes of each connection of callers. It is zero if
+	// it follows from the memory and the number of connections.
+	ReceiveBufferBytes int
 	// ProcessorShare is the share of a processor core that the process may use,
 	// and LinkMegabitsPerSecond the bandwidth of its machine's link. Both are
 	// zero if they are not set.
@@ -83,6 +86,7 @@
 		countSetting("memoryMegabytes", func(s *Gateway) *int { return &s.MemoryMegabytes }),
 		{section: "limits", key: "callerMemoryShare", apply: applyCallerMemoryShare},
 		countSetting("waitingConnections", func(s *Gateway) *int { return &s.MaxWaitingConnections }),
+		countSetting("receiveBufferBytes", func(s *Gateway) *int { return &s.ReceiveBufferBytes }),
 		numberSetting("limits", "processorShare", func(s *Gateway) *float64 { return &s.ProcessorShare }),
 		numberSetting("limits", "linkMegabits", func(s *Gateway) *float64 { return &s.LinkMegabitsPerSecond }),
 		numberSetting("retries", "ratio", func(s *Gateway) *float64 { return &s.RetryRatio }),
--- a/anvilcrossd/socket/socket.go
+++ b/anvilcrossd/socket/socket.go
@@ -50,6 +50,22 @@
 	return input
 }
 
+// LimitReceiveBuffers limits the unread bytes of each connection of a listener, those that wait to be
+// accepted included, to about the given number. The kernel takes twice as much for them.
+func LimitReceiveBuffers(l *net.TCPListener, bytes int) error {
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return errors.Trace(err)
+	}
+	var optionErr error
+	if err := raw.Control(func(fd uintptr) {
+		optionErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, bytes)
+	}); err != nil {
+		return errors.Trace(err)
+	}
+	return errors.Trace(optionErr)
+}
+
 // Backlog returns the number of connections that are open and wait to be accepted.
 func Backlog(l *net.TCPListener) (int, error) {
 	raw, err := l.SyscallConn()
