Keep no more idle connections than endpoints accept

Cause: each instance keeps a connection to each endpoint that it has used; four endpoints that accept 110 connections reset those of the other instances. max-connections was published and not read. Change: kernel/idleshare. Stage endpoints are called by few and are left out. Fleets that fit are served as before.

--- a/anvilcrossd/gatewayd/gatewayd.go
+++ b/anvilcrossd/gatewayd/gatewayd.go
@@ -110,9 +110,12 @@
 	mesh        *peer.Mesh
 	stageClient *stagecall.Client
 	httpClient  *h1.Client
-	descriptors *descriptors.Budget
-	follower    *metadata.Follower
-	metrics     *gatewayMetrics
+	// transientCount is the number of endpoints to which no connection is kept idle, as last
+	// logged.
+	transientCount int
+	descriptors    *descriptors.Budget
+	follower       *metadata.Follower
+	metrics        *gatewayMetrics
 	// limits are those of the configuration in force.
 	limits       atomic.Pointer[published.Limits]
 	shuttingDown atomic.Bool
--- a/anvilcrossd/gatewayd/idle.go
+++ b/anvilcrossd/gatewayd/idle.go
@@ -109,7 +109,7 @@
 			d.callers.closeIdle(limit)
 		}
 		d.httpClient.CloseExpired()
-		d.closeIdleToUnlisted()
+		d.closeUnwantedIdle()
 		if err := d.descriptors.UpdateLimit(); err != nil {
 			d.log.WriteEvent("descriptorLimitUnknown", "reason", err)
 		}
@@ -121,11 +121,23 @@
 	}
 }
 
-// closeIdleToUnlisted closes the idle connections to addresses at which no endpoint is listed.
-func (d *daemon) closeIdleToUnlisted() {
+// closeUnwantedIdle closes the idle connections to addresses at which no endpoint is listed, and
+// to endpoints that do not accept one from each instance.
+func (d *daemon) closeUnwantedIdle() {
 	addresses := d.httpClient.IdleAddresses()
 	var unlisted []string
-	d.withGateway(func(g *gateway.Gateway) { unlisted = g.UnlistedAddresses(addresses) })
+	transient := map[string]bool{}
+	d.withGateway(func(g *gateway.Gateway) {
+		unlisted = g.UnlistedAddresses(addresses)
+		for address := range g.TransientAddresses() {
+			transient[address] = true
+		}
+	})
+	if len(transient) != d.transientCount {
+		d.log.WriteEvent("connectionsScarce", "endpointsWithoutIdle", len(transient))
+		d.transientCount = len(transient)
+	}
+	d.httpClient.SetTransient(transient)
 	for _, address := range unlisted {
 		d.httpClient.CloseIdle(address)
 	}
--- a/anvilcrossd/h1/h1.go
+++ b/anvilcrossd/h1/h1.go
@@ -78,6 +78,8 @@
 	// end; idleCount is their number.
 	idle      map[string][]*connection
 	idleCount int
+	// transient has the addresses to which no connection is kept idle.
+	transient map[string]bool
 	opened    atomic.Int64
 	// descriptors counts the open connections; nil for no limit. closedIdle is the number
 	// of idle connections that were closed to make room for others.
--- a/anvilcrossd/h1/idle.go
+++ b/anvilcrossd/h1/idle.go
@@ -58,6 +58,10 @@
 	_ = k.SetDeadline(time.Time{})
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	if c.transient[address] {
+		_ = k.Close()
+		return
+	}
 	c.setIdle(address, append(c.idle[address], k))
 	switch {
 	case len(c.idle[address]) > maxIdlePerAddress:
@@ -67,6 +71,19 @@
 	}
 }
 
+// SetTransient sets the addresses to which no connection is kept idle, in place of earlier ones.
+func (c *Client) SetTransient(addresses map[string]bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.transient = addresses
+	for address := range addresses {
+		for _, k := range c.idle[address] {
+			_ = k.Close()
+		}
+		c.setIdle(address, nil)
+	}
+}
+
 // closeFirst closes the connection to an address that has been idle for longest.
 func (c *Client) closeFirst(address string) {
 	list := c.idle[address]
--- a/anvilcrossd/h1/idle_test.go
+++ b/anvilcrossd/h1/idle_test.go
@@ -118,3 +118,24 @@
 		}
 	})
 }
+
+// Connections to endpoints that do not accept one from each instance are kept idle.
+func TestTransientAddressesKeepNoConnection(t *testing.T) {
+	c := NewClient(Config{})
+	scarce, other := startKeepingEndpoint(t, 0), startKeepingEndpoint(t, 0)
+	mustGet(t, c, scarce)
+	mustGet(t, c, other)
+	c.SetTransient(map[string]bool{scarce: true})
+	if got := c.IdleAddresses(); len(got) != 1 || got[0] != other {
+		t.Errorf("idle connections to %v, want one to %s", got, other)
+	}
+	mustGet(t, c, scarce)
+	if got := c.IdleCount(); got != 1 {
+		t.Errorf("%d idle connections after another request, want 1", got)
+	}
+	c.SetTransient(nil)
+	mustGet(t, c, scarce)
+	if got := c.IdleCount(); got != 2 {
+		t.Errorf("%d idle connections once there is room, want 2", got)
+	}
+}
--- a/kernel/gateway/gateway.go
+++ b/kernel/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"anvilcross/kernel/eras"
 	"anvilcross/kernel/evacuation"
 	"anvilcross/kernel/ident"
+	"anvilcross/kernel/idleshare"
 	"anvilcross/kernel/membership"
 	"anvilcross/kernel/message"
 	"anvilcross/kernel/origin"
@@ -394,6 +395,29 @@
 // calls.
 func (g *Gateway) Batcher() *batching.Batcher { return g.batcher }
 
+// TransientAddresses returns the addresses of endpoints to which this instance does not keep idle
+// connections, since the endpoint does not accept one from each instance. Stage endpoints are
+// called by few.
+func (g *Gateway) TransientAddresses() value.Set[string] {
+	addresses := value.NewSet[string]()
+	if g.catalog == nil {
+		return addresses
+	}
+	alive := g.AliveCount()
+	for _, s := range value.SortedKeys(g.serviceNames()) {
+		service := g.catalog.Services[s]
+		if service.BatchProfile != nil {
+			continue
+		}
+		for _, e := range g.directory.ByService(s) {
+			if !idleshare.Keeps(g.config.Self.Name, e.Name, alive, service.MaxConnections) {
+				addresses.Add(e.Address)
+			}
+		}
+	}
+	return addresses
+}
+
 // UnlistedAddresses returns those of some addresses at which neither an endpoint is known nor an
 // instance is a member.
 func (g *Gateway) UnlistedAddresses(addresses []string) []string {
--- a/kernel/published/published.go
+++ b/kernel/published/published.go
@@ -144,6 +144,9 @@
 	ColdPerSecond float64
 	// HealthPath is the path of an endpoint's health checks; empty if there is none.
 	HealthPath string
+	// MaxConnections is the number of connections that an endpoint accepts from all instances;
+	// zero if the configuration does not tell.
+	MaxConnections int
 	// Engine describes how model endpoints run prompts; its fields are zero if the
 	// configuration does not tell.
 	Engine Engine
