Crowds that read no answer and crowds of whole bodies on one processor

Cause: TestCrowds* had neither, nor one processor. Change: tests only; what holds already is shown to hold.

--- a/anvilload/fleet/slowcrowds_test.go
+++ b/anvilload/fleet/slowcrowds_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"strings"
 	"testing"
 )
 
@@ -56,3 +57,29 @@
 	})
 	l.wantWithinMemory()
 }
+
+// Many callers that send requests without an end and read no answer take the memory of the process
+// and of the machine's sockets.
+func TestCrowdsThatReadNoAnswerOnOneProcessor(t *testing.T) {
+	l := startSlowDaemon(t)
+	requests := []byte(strings.Repeat(crowdHead("Content-Length: 0\r\n"), 100))
+	l.runCrowd(func(n net.Conn, _ int) {
+		for range 40 {
+			if _, err := n.Write(requests); err != nil {
+				return
+			}
+		}
+	})
+	l.wantWithinMemory()
+}
+
+// Many whole bodies of legal size at once, of callers that stay, take the memory of the process.
+func TestCrowdsOfWholeBodiesOnOneProcessor(t *testing.T) {
+	body := strings.Repeat("x", crowdBodyBytes)
+	l := startSlowDaemon(t)
+	l.runCrowd(func(n net.Conn, _ int) {
+		_, _ = io.WriteString(n, crowdHead("Expect: 100-continue\r\nContent-Length: 1048576\r\n"))
+		writePieces(n, []byte(body), 64<<10, 0)
+	})
+	l.wantWithinMemory()
+}
