Let heads not wait for the memory of ended holdings

A head's reader holds its connection's lock while it reserves memory, and the tracking of all connections waits for that lock when this one changes state. If the head waited for ended heads, whose release needs the tracking, none would go on. Change: Grow refuses at once, as before the wait came in; only the bodies' buffers, which are read without a lock, use GrowWaiting. Evidence: TestGrowDoesNotWaitForEndedHoldings, which hangs on the commit before.

--- a/anvilcrossd/callermemory/account.go
+++ b/anvilcrossd/callermemory/account.go
@@ -160,29 +160,32 @@
 	return false
 }
 
-// Grow reserves bytes. It waits for the bytes of ended holdings, whose readers return them once they
-// run. It returns false if there is no room, or if the holding has been ended.
-func (h *Holding) Grow(bytes int64) bool {
+// Grow reserves bytes. It returns false if there is no room, or if the holding has been ended.
+func (h *Holding) Grow(bytes int64) bool { return h.grow(bytes, false) }
+
+// GrowWaiting does the same, but waits for the bytes of ended holdings, whose readers have been
+// interrupted and return them once they run. The caller must not hold a lock that these need.
+func (h *Holding) GrowWaiting(bytes int64) bool { return h.grow(bytes, true) }
+
+func (h *Holding) grow(bytes int64, wait bool) bool {
 	a := h.account
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	if h.ended {
-		return false
-	}
 	size := h.held + bytes
-	for a.makeRoom(h, bytes, size) {
+	for !h.ended && a.makeRoom(h, bytes, size) {
 		if a.used+bytes <= a.limitFor(size) {
 			a.add(h, bytes)
 			h.progressAt = a.config.Now()
 			return true
 		}
-		// The readers of ended holdings have been interrupted and will return their bytes.
-		a.changed.Wait()
-		if h.ended {
-			return false
+		if !wait {
+			break
 		}
+		a.changed.Wait()
+	}
+	if !h.ended {
+		a.counts.Refused++
 	}
-	a.counts.Refused++
 	return false
 }
 
--- a/anvilcrossd/callermemory/account_test.go
+++ b/anvilcrossd/callermemory/account_test.go
@@ -186,7 +186,7 @@
 	a.now = a.now.Add(2 * stallTime)
 	grown := make(chan bool)
 	third := a.NewHolding(Bodies, func() {})
-	go func() { grown <- third.Grow(4 << 20) }()
+	go func() { grown <- third.GrowWaiting(4 << 20) }()
 	for ended := false; !ended; time.Sleep(time.Millisecond) {
 		ended = a.Counts().Ended > 0
 	}
@@ -214,6 +214,28 @@
 	}
 }
 
+// A head, whose reader holds a lock that the release of others may need, waits for their memory.
+func TestGrowDoesNotWaitForEndedHoldings(t *testing.T) {
+	a := newTestAccount()
+	stalled, interrupted := a.hold(t, 12<<20)
+	a.now = a.now.Add(2 * stallTime)
+	head := a.NewHolding(Heads, func() {})
+	if head.Grow(5<<20) || head.Grow(5<<20) {
+		t.Fatal("memory that is still held is given away")
+	}
+	small := a.NewHolding(Heads, func() {})
+	if !small.Grow(smallBytes) {
+		t.Fatal("there is no room for an ordinary head")
+	}
+	if a.Fits(11<<20) && !*interrupted {
+		t.Fatal("the stalled holding is not ended")
+	}
+	stalled.Release()
+	if !head.Grow(5 << 20) {
+		t.Fatal("there is no room once the ended holding is released")
+	}
+}
+
 // A body that waits for the memory of an ended one is ended itself and waits for ever.
 func TestBodiesThatWaitForMemoryCanBeEnded(t *testing.T) {
 	a := newTestAccount()
@@ -221,7 +243,7 @@
 	waiting, _ := a.hold(t, 4<<20)
 	a.now = a.now.Add(2 * stallTime)
 	grown := make(chan bool)
-	go func() { grown <- waiting.Grow(5 << 20) }()
+	go func() { grown <- waiting.GrowWaiting(5 << 20) }()
 	for a.Counts().Ended == 0 {
 		time.Sleep(time.Millisecond)
 	}
--- a/anvilcrossd/callermemory/body.go
+++ b/anvilcrossd/callermemory/body.go
@@ -53,7 +53,7 @@
 	if length > int64(before) {
 		capacity = int(min(int64(capacity), length))
 	}
-	if !h.Grow(int64(capacity)) {
+	if !h.GrowWaiting(int64(capacity)) {
 		return false
 	}
 	grown := newBuffer(capacity)[:len(h.data)]
