--- a/anvilcrossd/gatewayd/idle.go
+++ b/anvilcrossd/gatewayd/idle.go
@@ -8,6 +8,7 @@
 
 	"anvilcross/anvilcrossd/socket"
 	"anvilcross/kernel/gateway"
+	"anvilcross/kernel/value"
 )
 
 const (
@@ -126,12 +127,9 @@
 func (d *daemon) closeUnwantedIdle() {
 	addresses := d.httpClient.IdleAddresses()
 	var unlisted []string
-	transient := map[string]bool{}
+	var transient value.Set[string]
 	d.withGateway(func(g *gateway.Gateway) {
-		unlisted = g.UnlistedAddresses(addresses)
-		for address := range g.TransientAddresses() {
-			transient[address] = true
-		}
+		unlisted, transient = g.UnlistedAddresses(addresses), g.TransientAddresses()
 	})
 	if len(transient) != d.transientCount {
 		d.log.WriteEvent("connectionsScarce", "endpointsWithoutIdle", len(transient))
--- a/anvilcrossd/h1/h1.go
+++ b/anvilcrossd/h1/h1.go
@@ -22,6 +22,7 @@
 
 	"anvilcross/anvilcrossd/descriptors"
 	"anvilcross/anvilcrossd/socket"
+	"anvilcross/kernel/value"
 )
 
 const (
@@ -29,15 +30,6 @@
 	dialTimeout = 350 * time.Millisecond
 	// tcpUserTimeout is how long sent bytes may stay unacknowledged.
 	tcpUserTimeout = 2500 * time.Millisecond
-	// defaultIdleTimeout is how long an unused connection is kept if the
-	// endpoint sends no Keep-Alive timeout.
-	defaultIdleTimeout = 4 * time.Second
-	// idleTimeoutMargin is subtracted from the endpoint's Keep-Alive timeout, so
-	// that no request is sent while the endpoint closes the connection.
-	idleTimeoutMargin = time.Second
-	// staleAfter is how long a connection may have been idle to carry a request
-	// with AvoidStale: the endpoint may be closing one that is idle for longer.
-	staleAfter = time.Second
 	// resetMargin is added to the connect time to get the time for which a new
 	// connection is watched before it carries a request with AvoidStale: an
 	// endpoint with too many connections resets it one round trip and its own delay
@@ -79,7 +71,7 @@
 	idle      map[string][]*connection
 	idleCount int
 	// transient has the addresses to which no connection is kept idle.
-	transient map[string]bool
+	transient value.Set[string]
 	opened    atomic.Int64
 	// descriptors counts the open connections; nil for no limit. closedIdle is the number
 	// of idle connections that were closed to make room for others.
@@ -422,21 +414,6 @@
 // and not from the end of the connection.
 func (r *Response) Delimited() bool { return delimited(r.Response) }
 
-// parseIdleTimeout returns how long the connection may stay idle: the
-// endpoint's Keep-Alive timeout minus idleTimeoutMargin, or defaultIdleTimeout.
-func parseIdleTimeout(response *http.Response) time.Duration {
-	for part := range strings.SplitSeq(response.Header.Get("Keep-Alive"), ",") {
-		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
-		if name != "timeout" {
-			continue
-		}
-		if seconds, err := strconv.Atoi(value); err == nil {
-			return max(time.Duration(seconds)*time.Second-idleTimeoutMargin, 0)
-		}
-	}
-	return defaultIdleTimeout
-}
-
 // ErrInvalidStatus is the cause of an error if a response has a status that no response to a request
 // of ours has.
 var ErrInvalidStatus = errors.New("the response has an invalid status")
--- a/anvilcrossd/h1/idle.go
+++ b/anvilcrossd/h1/idle.go
@@ -4,10 +4,15 @@
 	"context"
 	"maps"
 	"net"
+	"net/http"
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/juju/errors"
+
+	"anvilcross/kernel/value"
 )
 
 const (
@@ -15,6 +20,15 @@
 	// all addresses.
 	maxIdlePerAddress = 32
 	maxIdle           = 1024
+	// defaultIdleTimeout is how long an unused connection is kept if the
+	// endpoint sends no Keep-Alive timeout.
+	defaultIdleTimeout = 4 * time.Second
+	// idleTimeoutMargin is subtracted from the endpoint's Keep-Alive timeout, so
+	// that no request is sent while the endpoint closes the connection.
+	idleTimeoutMargin = time.Second
+	// staleAfter is how long a connection may have been idle to carry a request
+	// with AvoidStale: the endpoint may be closing one that is idle for longer.
+	staleAfter = time.Second
 )
 
 // ErrNoDescriptors is the cause of an error if the process has no descriptor left for a
@@ -58,7 +72,7 @@
 	_ = k.SetDeadline(time.Time{})
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.transient[address] {
+	if c.transient.Has(address) {
 		_ = k.Close()
 		return
 	}
@@ -72,7 +86,7 @@
 }
 
 // SetTransient sets the addresses to which no connection is kept idle, in place of earlier ones.
-func (c *Client) SetTransient(addresses map[string]bool) {
+func (c *Client) SetTransient(addresses value.Set[string]) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.transient = addresses
@@ -186,3 +200,18 @@
 		c.descriptors.Remove()
 	}
 }
+
+// parseIdleTimeout returns how long the connection may stay idle: the
+// endpoint's Keep-Alive timeout minus idleTimeoutMargin, or defaultIdleTimeout.
+func parseIdleTimeout(response *http.Response) time.Duration {
+	for part := range strings.SplitSeq(response.Header.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if name != "timeout" {
+			continue
+		}
+		if seconds, err := strconv.Atoi(value); err == nil {
+			return max(time.Duration(seconds)*time.Second-idleTimeoutMargin, 0)
+		}
+	}
+	return defaultIdleTimeout
+}
--- a/anvilcrossd/h1/idle_test.go
+++ b/anvilcrossd/h1/idle_test.go
@@ -12,6 +12,7 @@
 	"github.com/juju/errors"
 
 	"anvilcross/anvilcrossd/descriptors"
+	"anvilcross/kernel/value"
 )
 
 // startKeepingEndpoint starts a server that answers each request and keeps connections open. It
@@ -125,7 +126,7 @@
 	scarce, other := startKeepingEndpoint(t, 0), startKeepingEndpoint(t, 0)
 	mustGet(t, c, scarce)
 	mustGet(t, c, other)
-	c.SetTransient(map[string]bool{scarce: true})
+	c.SetTransient(value.NewSet(scarce))
 	if got := c.IdleAddresses(); len(got) != 1 || got[0] != other {
 		t.Errorf("idle connections to %v, want one to %s", got, other)
 	}
--- a/anvilload/fleet/hostilecallers_test.go
+++ b/anvilload/fleet/hostilecallers_test.go
@@ -49,7 +49,7 @@
 
 // crowdLimits are the limits of a daemon, and the crowd that it meets.
 type crowdLimits struct {
-	// size is the number of callers; zero stands for crowdSize.
+	// size is the number of callers.
 	size int
 	// descriptors is the daemon's limit of them, and maxOpen how many of them may be open.
 	descriptors, maxOpen int
--- a/kernel/gateway/gateway.go
+++ b/kernel/gateway/gateway.go
@@ -9,7 +9,6 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"anvilcross/kernel/batching"
@@ -18,7 +17,6 @@
 	"anvilcross/kernel/eras"
 	"anvilcross/kernel/evacuation"
 	"anvilcross/kernel/ident"
-	"anvilcross/kernel/idleshare"
 	"anvilcross/kernel/membership"
 	"anvilcross/kernel/message"
 	"anvilcross/kernel/origin"
@@ -395,39 +393,6 @@
 // calls.
 func (g *Gateway) Batcher() *batching.Batcher { return g.batcher }
 
-// TransientAddresses returns the addresses of endpoints to which this instance does not keep idle
-// connections, since the endpoint does not accept one from each instance. Stage endpoints are
-// called by few.
-func (g *Gateway) TransientAddresses() value.Set[string] {
-	addresses := value.NewSet[string]()
-	if g.catalog == nil {
-		return addresses
-	}
-	alive := g.AliveCount()
-	for _, s := range value.SortedKeys(g.serviceNames()) {
-		service := g.catalog.Services[s]
-		if service.BatchProfile != nil {
-			continue
-		}
-		for _, e := range g.directory.ByService(s) {
-			if !idleshare.Keeps(g.config.Self.Name, e.Name, alive, service.MaxConnections) {
-				addresses.Add(e.Address)
-			}
-		}
-	}
-	return addresses
-}
-
-// UnlistedAddresses returns those of some addresses at which neither an endpoint is known nor an
-// instance is a member.
-func (g *Gateway) UnlistedAddresses(addresses []string) []string {
-	members := value.NewSet[string]()
-	for _, m := range g.members.AllAddresses() {
-		members.Add(m.Address)
-	}
-	return slices.DeleteFunc(slices.Clone(addresses), func(a string) bool { return g.directory.ByAddress(a) != nil || members.Has(a) })
-}
-
 // tick runs the periodic checks.
 func (g *Gateway) tick() {
 	now := g.now()
