--- a/anvilcrossd/callermemory/account_test.go
+++ b/anvilcrossd/callermemory/account_test.go
@@ -220,14 +220,16 @@
 	stalled, interrupted := a.hold(t, 12<<20)
 	a.now = a.now.Add(2 * stallTime)
 	head := a.NewHolding(Heads, func() {})
-	if head.Grow(5<<20) || head.Grow(5<<20) {
-		t.Fatal("memory that is still held is given away")
+	for range 2 {
+		if head.Grow(5 << 20) {
+			t.Fatal("memory that is still held is given away")
+		}
 	}
 	small := a.NewHolding(Heads, func() {})
 	if !small.Grow(smallBytes) {
 		t.Fatal("there is no room for an ordinary head")
 	}
-	if a.Fits(11<<20) && !*interrupted {
+	if !*interrupted {
 		t.Fatal("the stalled holding is not ended")
 	}
 	stalled.Release()
