--- a/review/standin-3/torn.go
+++ b/review/standin-3/torn.go
@@ -35,9 +35,11 @@
 	mutex  sync.Mutex
 	status map[string]int
 	body   map[string]string
+	// torn counts the cut copies, counts the answers that clients got, by their status.
 	torn   int
-	broken []string
 	counts map[int]int
+	// broken holds the violations that the clients saw.
+	broken []string
 }
 
 func runTorn(r *run) int {
