--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -27,7 +27,6 @@
 	"siblings": runSiblings,
 	"poison":   runPoison,
 	"torn":     runTorn,
-	"upgrade":  runUpgrade,
 }
 
 func main() {
--- a/review/standin-3/store.go
+++ b/review/standin-3/store.go
@@ -28,8 +28,6 @@
 	history  []item
 	revision int64
 	changed  chan struct{}
-	// down is set while the store answers nobody.
-	down bool
 }
 
 func newStore() *store {
@@ -68,28 +66,9 @@
 	s.changed = make(chan struct{})
 }
 
-// setDown lets the store answer nobody, or everybody again.
-func (s *store) setDown(down bool) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.down = down
-	close(s.changed)
-	s.changed = make(chan struct{})
-}
-
-func (s *store) isDown() bool {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	return s.down
-}
-
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("Store-Era", "0")
 	w.Header().Set("Content-Type", "application/json")
-	if s.isDown() {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
 	query := r.URL.Query()
 	switch r.URL.Path {
 	case "/api/kv-range":
@@ -121,17 +100,13 @@
 	timeout := time.After(wait)
 	for {
 		s.mutex.Lock()
-		events, asOf, changed, down := []item{}, s.revision, s.changed, s.down
+		events, asOf, changed := []item{}, s.revision, s.changed
 		for _, i := range s.history {
 			if i.Revision > after && strings.HasPrefix(i.Key, prefix) {
 				events = append(events, i)
 			}
 		}
 		s.mutex.Unlock()
-		if down {
-			w.WriteHeader(http.StatusServiceUnavailable)
-			return
-		}
 		if len(events) > 0 {
 			_ = json.NewEncoder(w).Encode(map[string]any{"events": events, "as-of": asOf})
 			return
