Review case 12: answers without a length look whole after a kill

Cause: the reset at the end of a connection is taken back before net/http has written the last bytes.

--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -6,4 +6,4 @@
   echo "run the build of deploy/system.toml and review/build-3.sh first" >&2
   exit 2
 fi
-exec target/standin-3 poison review/13
+exec target/standin-3 siblings review/13
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -25,6 +25,7 @@
 // cases holds the cases by name. Each returns an exit code.
 var cases = map[string]func(*run) int{
 	"siblings": runSiblings,
+	"cutend":   runCutEnd,
 	"poison":   runPoison,
 	"torn":     runTorn,
 }
