--- a/review/standin-3/cutend.go
+++ b/review/standin-3/cutend.go
@@ -18,6 +18,7 @@
 const (
 	cutEndWorkers = 3
 	cutEndCallers = 96
+	cutEndWork    = 5 * time.Millisecond
 	cutEndTime    = 95 * time.Second
 	// cutEndBytes is the size of an answer, the largest of the sheet.
 	cutEndBytes = 4800
@@ -94,7 +95,7 @@
 		_, _ = fmt.Fprintf(conn, "HTTP/1.1 421 Misdirected Request\r\nInstance-Id: %s\r\nRequest-Id: %s\r\nContent-Length: 0\r\nConnection: close\r\n\r\n", worker, id)
 		return
 	}
-	time.Sleep(workTime)
+	time.Sleep(cutEndWork)
 	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: %s.%s\r\nContent-Type: text/plain\r\nConnection: close\r\n\r\n%s", id, id, worker, body)
 }
 
