Move the progress of stages to a package of its own

kernel/gateway had the graph of a request's stages, what is missing of their results and what may be freed among its handlers. In tests, fields are renamed only.

--- a/kernel/batching/batching.go
+++ b/kernel/batching/batching.go
@@ -492,17 +492,6 @@
 	}
 }
 
-// EndpointAddress returns the address part of a handle, that of the endpoint
-// that holds the result.
-func EndpointAddress(h message.ResultHandle) string {
-	for i := 0; i < len(h); i++ {
-		if h[i] == '/' {
-			return string(h[:i])
-		}
-	}
-	return string(h)
-}
-
 func (b *Batcher) reportOutcome(p *piece, outcome message.PieceOutcome) {
 	b.config.Output.SendResults(p.work.origin, message.StageResults{Service: p.work.Service, Results: []message.PieceResult{{ID: p.id, Outcome: outcome, Handle: p.handle}}})
 }
--- a/kernel/batching/capacity.go
+++ b/kernel/batching/capacity.go
@@ -120,7 +120,7 @@
 	if rv := b.reservations[h]; rv != nil {
 		return rv.address
 	}
-	return EndpointAddress(h)
+	return h.Address()
 }
 
 // releaseReservation removes and returns the reservation of a result, or
--- a/kernel/batching/dispatch.go
+++ b/kernel/batching/dispatch.go
@@ -154,7 +154,7 @@
 func (b *Batcher) inputSizesOf(s message.StageWork) inputSizes {
 	in := inputSizes{totalBytes: len(s.Inputs) * s.InputBytes, bytesByDataCentre: map[ident.DataCentre]int{}}
 	for _, h := range s.Inputs {
-		if e := b.config.Directory.ByAddress(EndpointAddress(h)); e != nil {
+		if e := b.config.Directory.ByAddress(h.Address()); e != nil {
 			in.bytesByDataCentre[e.DataCentre] += s.InputBytes
 		}
 	}
--- a/kernel/gateway/admission.go
+++ b/kernel/gateway/admission.go
@@ -46,36 +46,3 @@
 	}
 	return g.batcherStatuses[batcher][pool].CallTimeRatio
 }
-
-// startsPipeline reports whether a stage's pieces need no results: it depends on no stage that
-// has pieces.
-func (r *request) startsPipeline(s *stageState) bool {
-	for _, dependency := range s.stage.DependsOn {
-		if r.stages[dependency].pieceCount > 0 {
-			return false
-		}
-	}
-	return true
-}
-
-// firstStageCount returns the number of stages of a service that start the request's pipeline.
-func (r *request) firstStageCount(like *stageState) int {
-	count := 0
-	for i := range r.stages {
-		s := &r.stages[i]
-		if s.pieceCount > 0 && s.stage.Service == like.stage.Service && r.startsPipeline(s) {
-			count++
-		}
-	}
-	return count
-}
-
-// hasResults reports whether a piece of the request has been computed.
-func (r *request) hasResults() bool {
-	for i := range r.stages {
-		if r.stages[i].missingCount < r.stages[i].pieceCount {
-			return true
-		}
-	}
-	return false
-}
--- a/kernel/gateway/admission_test.go
+++ b/kernel/gateway/admission_test.go
@@ -68,7 +68,7 @@
 		tg.gateway.members.RecordPing(tg.timers.Now(), membership.Member{Name: "two", Address: "two:1", DataCentre: "east", Incarnation: 1}, false)
 		tg.gateway.batcherCache[ident.Pool{Service: "registry"}] = "two"
 		r := tg.gateway.requests[h]
-		r.stages[0].handles[0], r.stages[0].missingCount, r.stages[0].submitted = "registry-0:80/x", 1, false
+		r.stages[0].Handles[0], r.stages[0].MissingCount, r.stages[0].Submitted = "registry-0:80/x", 1, false
 		tg.peers = nil
 		tg.gateway.advance(r)
 		if len(tg.peers) != 1 || tg.peers[0].message.StageWork.Recovering != want {
--- a/kernel/gateway/attempts.go
+++ b/kernel/gateway/attempts.go
@@ -122,7 +122,7 @@
 		Address:                   e.Address,
 		Workspace:                 r.workspaceName(),
 		Remaining:                 r.deadline.Sub(now),
-		Inputs:                    r.finalInputs(),
+		Inputs:                    r.stages.FinalInputs(),
 		Stream:                    r.route.Kind == published.Stream,
 		Repeatable:                r.route.Repeatable(),
 		LastEventID:               r.lastEventID,
@@ -410,7 +410,7 @@
 		return
 	}
 	g.counters.Retried++
-	if r.finalInputsReleased() {
+	if r.stages.FinalInputsReleased() {
 		g.recomputeFinalInputs(r)
 		return
 	}
@@ -445,26 +445,9 @@
 	return true
 }
 
-// finalInputsReleased reports whether a result that the model endpoint needs
-// has been freed.
-func (r *request) finalInputsReleased() bool {
-	for i := range r.stages {
-		if s := &r.stages[i]; !s.hasDependents && s.pieceCount > 0 && s.released {
-			return true
-		}
-	}
-	return false
-}
-
 // recomputeFinalInputs has the results that the model endpoint needs computed
 // again where they are lost. The request is sent once they exist.
 func (g *Gateway) recomputeFinalInputs(r *request) {
-	var finalStages []int
-	for i := range r.stages {
-		if s := &r.stages[i]; !s.hasDependents && s.pieceCount > 0 {
-			finalStages = append(finalStages, i)
-		}
-	}
-	g.recomputeResults(r, finalStages)
+	g.recomputeResults(r, r.stages.FinalStages())
 	g.advance(r)
 }
--- a/kernel/gateway/choose.go
+++ b/kernel/gateway/choose.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"anvilcross/kernel/batching"
 	"anvilcross/kernel/endpoints"
 	"anvilcross/kernel/evacuation"
 	"anvilcross/kernel/ident"
@@ -42,15 +41,15 @@
 		p.Left = r.dueAt.Sub(g.now())
 	}
 	for _, s := range r.stages {
-		for _, h := range s.handles {
-			if s.hasDependents {
+		for _, h := range s.Handles {
+			if s.HasDependents {
 				break
 			}
 			centre := ident.DataCentre("")
-			if e := g.directory.ByAddress(batching.EndpointAddress(h)); e != nil {
+			if e := g.directory.ByAddress(h.Address()); e != nil {
 				centre = e.DataCentre
 			}
-			p.InputBytes[centre] += s.stage.ResultBytes
+			p.InputBytes[centre] += s.Spec.ResultBytes
 		}
 	}
 	return p
--- a/kernel/gateway/evacuation_test.go
+++ b/kernel/gateway/evacuation_test.go
@@ -7,7 +7,6 @@
 	"testing"
 	"time"
 
-	"anvilcross/kernel/batching"
 	"anvilcross/kernel/endpoints"
 	"anvilcross/kernel/evacuation"
 	"anvilcross/kernel/ident"
@@ -202,7 +201,7 @@
 	if len(work) != 1 || work[0].Service != "planning" || work[0].PoolDataCentre != "west" {
 		t.Fatalf("submitted %+v, want the second stage in west", work)
 	}
-	if e := tg.gateway.directory.ByAddress(batching.EndpointAddress(work[0].Inputs[0])); e == nil || e.DataCentre != "east" {
+	if e := tg.gateway.directory.ByAddress(work[0].Inputs[0].Address()); e == nil || e.DataCentre != "east" {
 		t.Fatalf("the second stage gets the input %s, want the result in east", work[0].Inputs[0])
 	}
 	if _, running := tg.gateway.EvacuationCounts(); running != 0 {
--- a/kernel/gateway/evacuations.go
+++ b/kernel/gateway/evacuations.go
@@ -115,8 +115,8 @@
 	}
 	needed := []ident.Service{r.service}
 	for i := range r.stages {
-		if s := &r.stages[i]; s.missingCount > 0 && !s.released {
-			needed = append(needed, s.stage.Service)
+		if s := &r.stages[i]; s.MissingCount > 0 && !s.Released {
+			needed = append(needed, s.Spec.Service)
 		}
 	}
 	barred := func(s ident.Service) bool {
--- a/kernel/gateway/lateresults_test.go
+++ b/kernel/gateway/lateresults_test.go
@@ -23,12 +23,12 @@
 	b.gateway.batcherCache[ident.Pool{Service: "registry"}] = "two"
 	b.handle = b.sendRequest(path, func(c *CallerRequest) { c.PieceCounts = pieces })
 	b.request = b.gateway.requests[b.handle]
-	if got := b.request.stages[0].batcher; got != "two" {
+	if got := b.request.stages[0].Batcher; got != "two" {
 		t.Fatalf("the first stage is at batcher %q, want two", got)
 	}
 	for range 20 {
 		b.advance(100 * time.Millisecond)
-		if b.request.stages[0].batcher == "one" {
+		if b.request.stages[0].Batcher == "one" {
 			b.advance(200 * time.Millisecond)
 			return b
 		}
@@ -40,7 +40,7 @@
 // report lets a batcher report the outcome of all pieces of the first stage.
 func (b *lateBatcher) report(from ident.Instance, outcome message.PieceOutcome) {
 	m := message.StageResults{Service: "registry"}
-	for piece := range b.request.stages[0].pieceCount {
+	for piece := range b.request.stages[0].PieceCount {
 		m.Results = append(m.Results, message.PieceResult{ID: message.PieceID{Request: b.request.incoming.ID, Piece: piece}, Outcome: outcome})
 	}
 	b.gateway.HandleMessage(message.Envelope{From: from, StageResults: &m})
@@ -54,8 +54,8 @@
 	if len(b.freed) > 0 {
 		b.t.Fatalf("%d results are freed", len(b.freed))
 	}
-	if r := b.request; r.finished || r.stages[0].missingCount > 0 || r.recomputes > 0 {
-		b.t.Fatalf("finished: %v, %d results are missing, recomputed %d times", r.finished, r.stages[0].missingCount, r.recomputes)
+	if r := b.request; r.finished || r.stages[0].MissingCount > 0 || r.recomputes > 0 {
+		b.t.Fatalf("finished: %v, %d results are missing, recomputed %d times", r.finished, r.stages[0].MissingCount, r.recomputes)
 	}
 }
 
@@ -102,7 +102,7 @@
 			b := newLateBatcher(t, "/draft/", 4)
 			b.report("two", outcome)
 			b.wantSteps(b.handle, 0)
-			if got := b.request.stages[0].batcher; got != "one" {
+			if got := b.request.stages[0].Batcher; got != "one" {
 				t.Fatalf("the stage is at batcher %q, want one", got)
 			}
 			b.finishCalls(1)
--- a/kernel/gateway/limits.go
+++ b/kernel/gateway/limits.go
@@ -141,7 +141,7 @@
 			return false
 		}
 	}
-	return len(candidates) > 0 && len(r.stageServices()) > 0 && g.random.Float64() >= g.throttle.AdmittedShare(now, r.service)
+	return len(candidates) > 0 && len(r.stages.Services()) > 0 && g.random.Float64() >= g.throttle.AdmittedShare(now, r.service)
 }
 
 // shareCount returns the number of equal shares into which the fleet's limits are divided:
--- a/kernel/gateway/move.go
+++ b/kernel/gateway/move.go
@@ -3,14 +3,13 @@
 import (
 	"slices"
 
-	"anvilcross/kernel/batching"
 	"anvilcross/kernel/message"
 )
 
 // stagesUnreachable reports whether the data centre in which a request's stages
 // run cannot be reached.
 func (g *Gateway) stagesUnreachable(r *request) bool {
-	return g.pools().Divided && (g.members.Partitioned(g.now(), r.preferredDataCentre) || g.batcherOf(g.poolOf(r.stages[0].stage.Service, r.preferredDataCentre)) == "")
+	return g.pools().Divided && (g.members.Partitioned(g.now(), r.preferredDataCentre) || g.batcherOf(g.poolOf(r.stages[0].Spec.Service, r.preferredDataCentre)) == "")
 }
 
 // moveStages runs a request's stages in another data centre, because the present
@@ -33,18 +32,18 @@
 func (g *Gateway) dropPartitionedResults(r *request) {
 	for i := range r.stages {
 		s := &r.stages[i]
-		if s.released || s.pieceCount == 0 {
+		if s.Released || s.PieceCount == 0 {
 			continue
 		}
-		s.submitted = false
-		clear(s.inputsFetched)
-		if slices.ContainsFunc(s.handles, g.inPartition) {
+		s.Submitted = false
+		clear(s.InputsFetched)
+		if slices.ContainsFunc(s.Handles, g.inPartition) {
 			g.dropLostResults(r, []int{i})
 		}
 	}
 	for i := range r.stages {
-		if s := &r.stages[i]; s.missingCount > 0 && !s.released {
-			g.dropLostResults(r, r.releasedStages(s.stage.DependsOn))
+		if s := &r.stages[i]; s.MissingCount > 0 && !s.Released {
+			g.dropLostResults(r, r.stages.ReleasedAmong(s.Spec.DependsOn))
 		}
 	}
 }
@@ -52,6 +51,6 @@
 // inPartition reports whether a result is held where this instance cannot reach
 // it.
 func (g *Gateway) inPartition(h message.ResultHandle) bool {
-	e := g.directory.ByAddress(batching.EndpointAddress(h))
+	e := g.directory.ByAddress(h.Address())
 	return h != "" && (e == nil || g.directory.InPartition(e))
 }
--- a/kernel/gateway/partition_test.go
+++ b/kernel/gateway/partition_test.go
@@ -129,7 +129,7 @@
 // unreachableInput reports whether an endpoint cannot fetch one of its inputs.
 func (f *loadedFleet) unreachableInput(inputs []message.ResultHandle, centre ident.DataCentre) bool {
 	for _, h := range inputs {
-		if f.partitioned(f.addressCentre[batching.EndpointAddress(h)], centre) {
+		if f.partitioned(f.addressCentre[h.Address()], centre) {
 			return true
 		}
 	}
@@ -260,10 +260,10 @@
 	}
 	r.preferredDataCentre = "west"
 	first, second := &r.stages[0], &r.stages[1]
-	first.handles[0], first.missingCount, first.released, first.submitted = "registry-1:80/x", 0, true, true
-	second.handles[0], second.handles[1], second.missingCount, second.submitted = "planning-1:80/y", "", 1, true
+	first.Handles[0], first.MissingCount, first.Released, first.Submitted = "registry-1:80/x", 0, true, true
+	second.Handles[0], second.Handles[1], second.MissingCount, second.Submitted = "planning-1:80/y", "", 1, true
 	r.attempt = nil
-	second.batcher, second.batcherIncarnation, second.submittedAt = "far-1", 1, tg.timers.Now()
+	second.Batcher, second.BatcherIncarnation, second.SubmittedAt = "far-1", 1, tg.timers.Now()
 	tg.advance(signOutdated)
 	tg.calls = nil
 	for _, name := range []ident.Instance{"far-1", "far-2"} {
--- a/kernel/gateway/pools.go
+++ b/kernel/gateway/pools.go
@@ -40,17 +40,6 @@
 	return ident.Pool{Service: s, DataCentre: dataCentre}
 }
 
-// stageServices returns the services of a request's stages with pieces.
-func (r *request) stageServices() []ident.Service {
-	services := value.NewSet[ident.Service]()
-	for i := range r.stages {
-		if r.stages[i].pieceCount > 0 {
-			services.Add(r.stages[i].stage.Service)
-		}
-	}
-	return services.Sorted()
-}
-
 // servingCentres returns the data centres that can and may run all stages of a request
 // and whose batchers are alive.
 func (g *Gateway) servingCentres(r *request, services []ident.Service) []ident.DataCentre {
@@ -72,7 +61,7 @@
 // another one that is less busy, and is empty only if none can run the stages.
 func (g *Gateway) chooseStageDataCentre(r *request) ident.DataCentre {
 	home := g.homeDataCentre(r)
-	services := r.stageServices()
+	services := r.stages.Services()
 	if !g.pools().Divided || len(services) == 0 {
 		return home
 	}
--- a/kernel/gateway/request.go
+++ b/kernel/gateway/request.go
@@ -5,9 +5,9 @@
 
 	"anvilcross/kernel/evacuation"
 	"anvilcross/kernel/ident"
-	"anvilcross/kernel/message"
 	"anvilcross/kernel/origin"
 	"anvilcross/kernel/placement"
+	"anvilcross/kernel/progress"
 	"anvilcross/kernel/published"
 	"anvilcross/kernel/timer"
 	"anvilcross/kernel/value"
@@ -85,38 +85,6 @@
 	timeoutTimer *timer.Timer
 }
 
-// stageState is the progress of one stage of a request.
-type stageState struct {
-	stage      published.Stage
-	pieceCount int
-	// handles holds the result of each piece; it is empty until the piece is
-	// computed. missingCount counts the empty ones.
-	handles      []message.ResultHandle
-	missingCount int
-	// inputsFetched holds the indexes of the pieces whose inputs the endpoint
-	// has fetched.
-	inputsFetched value.Set[int]
-	// capacityLow is set if the endpoints of the stage's service are short of
-	// capacity for results.
-	capacityLow bool
-	// submitted is set while the missing pieces are at a batcher, released once
-	// the results have been freed.
-	submitted bool
-	released  bool
-	// recompute is set if results were lost that the batcher may still take for
-	// existing.
-	recompute bool
-	// pool is where the pieces were last submitted; batcher and
-	// batcherIncarnation name the process that has them.
-	pool               ident.Pool
-	batcher            ident.Instance
-	batcherIncarnation ident.Incarnation
-	submittedAt        time.Time
-	// hasDependents is set if another stage of the request needs the results.
-	// The results of the other stages go to the model endpoint.
-	hasDependents bool
-}
-
 // request is the state of a caller's request until it is finished.
 type request struct {
 	handle    RequestHandle
@@ -136,7 +104,7 @@
 	dueAt        time.Time
 	abandonAt    time.Time
 	timeoutTimer *timer.Timer
-	stages       []stageState
+	stages       progress.Stages
 	attempt      *attempt
 	attemptCount AttemptID
 	// sends counts the attempts, except those that failed as NotSent or
@@ -249,7 +217,7 @@
 	if g.refuseEvacuated(r) {
 		return
 	}
-	if len(r.stageServices()) > 0 && g.pools().Divided && r.preferredDataCentre == "" {
+	if len(r.stages.Services()) > 0 && g.pools().Divided && r.preferredDataCentre == "" {
 		g.answer(r, NotRun, busyRetryAfter, noStageCentre)
 		return
 	}
--- a/kernel/gateway/stage_test.go
+++ b/kernel/gateway/stage_test.go
@@ -140,7 +140,7 @@
 		r := tg.gateway.requests[h]
 		tg.gateway.recomputeResults(r, []int{0})
 		tg.peers = nil
-		r.stages[0].batcher, r.stages[0].submitted = "two", false
+		r.stages[0].Batcher, r.stages[0].Submitted = "two", false
 		tg.gateway.batcherCache[ident.Pool{Service: "registry"}] = "two"
 		tg.gateway.advance(r)
 		for _, p := range tg.peers {
--- a/kernel/gateway/stages.go
+++ b/kernel/gateway/stages.go
@@ -2,12 +2,11 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
-	"anvilcross/kernel/batching"
 	"anvilcross/kernel/ident"
 	"anvilcross/kernel/message"
+	"anvilcross/kernel/progress"
 	"anvilcross/kernel/value"
 )
 
@@ -36,20 +35,7 @@
 // setUpStages sets up the state of the route's stages. A stage may have no
 // pieces for this request.
 func (g *Gateway) setUpStages(r *request) {
-	for i, s := range r.route.Stages {
-		pieces := 0
-		if i < len(r.incoming.PieceCounts) {
-			pieces = r.incoming.PieceCounts[i]
-		}
-		r.stages = append(r.stages, stageState{stage: s, pieceCount: pieces, handles: make([]message.ResultHandle, pieces), missingCount: pieces, inputsFetched: value.NewSet[int]()})
-	}
-	for _, s := range r.stages {
-		for _, dependency := range s.stage.DependsOn {
-			if s.pieceCount > 0 {
-				r.stages[dependency].hasDependents = true
-			}
-		}
-	}
+	r.stages = progress.NewStages(r.route.Stages, r.incoming.PieceCounts)
 	r.preferredDataCentre = g.chooseStageDataCentre(r)
 }
 
@@ -62,11 +48,11 @@
 	allDone := true
 	for i := range r.stages {
 		s := &r.stages[i]
-		if s.missingCount == 0 || r.resultsConsumed(i) {
+		if s.MissingCount == 0 || r.stages.Consumed(i) {
 			continue
 		}
 		allDone = false
-		if !s.submitted && g.inputsReady(r, s) {
+		if !s.Submitted && r.stages.InputsReady(i) {
 			if !g.leaveEvacuated(r) {
 				return
 			}
@@ -80,173 +66,54 @@
 	}
 }
 
-// resultsConsumed reports whether all pieces that need a stage's results are
-// done. If capacity for results is low, it is enough that they have fetched the
-// results: if such a piece fails later, its inputs are computed again.
-func (r *request) resultsConsumed(index int) bool {
-	releaseEarly := r.stages[index].capacityLow
-	for i := range r.stages {
-		s := &r.stages[i]
-		if s.missingCount > 0 && !(releaseEarly && s.allInputsFetched()) && slices.Contains(s.stage.DependsOn, index) {
-			return false
-		}
-	}
-	return r.stages[index].hasDependents
-}
-
-// allInputsFetched reports whether every piece of the stage is done or has its
-// inputs at the endpoint.
-func (s *stageState) allInputsFetched() bool {
-	if s.missingCount == 0 {
-		return true
-	}
-	for i, h := range s.handles {
-		if h == "" && !s.inputsFetched.Has(i) {
-			return false
-		}
-	}
-	return true
-}
-
-// inputsReady reports whether all inputs of a stage exist.
-func (g *Gateway) inputsReady(r *request, s *stageState) bool {
-	for _, dependency := range s.stage.DependsOn {
-		if r.stages[dependency].missingCount > 0 || r.stages[dependency].released {
-			return false
-		}
-	}
-	return true
-}
-
-// stageInputs returns the results that a stage's pieces fetch.
-func (r *request) stageInputs(s *stageState) []message.ResultHandle {
-	var inputs []message.ResultHandle
-	for _, dependency := range s.stage.DependsOn {
-		inputs = append(inputs, r.stages[dependency].handles...)
-	}
-	return inputs
-}
-
-// finalInputs returns the results that the model endpoint fetches: those of the
-// stages that no other stage depends on.
-func (r *request) finalInputs() []message.ResultHandle {
-	var inputs []message.ResultHandle
-	for i := range r.stages {
-		if !r.stages[i].hasDependents {
-			inputs = append(inputs, r.stages[i].handles...)
-		}
-	}
-	return inputs
-}
-
-// downstreamDepth returns the length of the longest chain of stages that depend
-// on a stage.
-func (r *request) downstreamDepth(index int) int {
-	longest := 0
-	for i := range r.stages {
-		if r.stages[i].pieceCount > 0 && i > index && slices.Contains(r.stages[i].stage.DependsOn, index) {
-			longest = max(longest, 1+r.downstreamDepth(i))
-		}
-	}
-	return longest
-}
-
-// downstreamStages returns the services of the stages with pieces that depend on
-// a stage, directly or indirectly, and their numbers of pieces. A stage that is
-// reached on several paths is included once for each, its pieces only the first
-// time.
-func (r *request) downstreamStages(index int) (services []ident.Service, pieces []int) {
-	counted := value.NewSet[int]()
-	var visit func(int)
-	visit = func(index int) {
-		for i := range r.stages {
-			s := &r.stages[i]
-			if s.pieceCount == 0 || i <= index || !slices.Contains(s.stage.DependsOn, index) {
-				continue
-			}
-			services = append(services, s.stage.Service)
-			count := s.pieceCount
-			if counted.Has(i) {
-				count = 0
-			}
-			counted.Add(i)
-			pieces = append(pieces, count)
-			visit(i)
-		}
-	}
-	visit(index)
-	return services, pieces
-}
-
-// consumerCount returns how often each result of a stage is fetched: once by
-// every piece of the stages that depend on it, or once by the model endpoint.
-func (r *request) consumerCount(index int) int {
-	if !r.stages[index].hasDependents {
-		return 1
-	}
-	consumers := 0
-	for i := range r.stages {
-		if slices.Contains(r.stages[i].stage.DependsOn, index) {
-			consumers += r.stages[i].pieceCount
-		}
-	}
-	return consumers
-}
-
 // submitStage sends a stage's missing pieces to the instance that batches for
 // the stage's service. If no data centre can run them, the request is answered.
 func (g *Gateway) submitStage(r *request, index int) {
 	s := &r.stages[index]
 	now := g.now()
-	pool, found := g.poolFor(r, s.stage.Service)
+	pool, found := g.poolFor(r, s.Spec.Service)
 	if !found {
 		g.fail(r, busyRetryAfter, noStageCentre)
 		return
 	}
-	s.submitted = true
-	s.submittedAt = now
-	s.pool = pool
-	s.batcher = g.batcherOf(s.pool)
-	s.batcherIncarnation = g.members.Incarnation(s.batcher)
-	var pieces []int
-	for i, h := range s.handles {
-		if h == "" {
-			pieces = append(pieces, i)
-		}
-	}
-	dueAt := r.dueAt.Add(-firstEventEstimate - time.Duration(r.downstreamDepth(index))*stageTimeEstimate)
+	s.Submitted = true
+	s.SubmittedAt = now
+	s.Pool = pool
+	s.Batcher = g.batcherOf(s.Pool)
+	s.BatcherIncarnation = g.members.Incarnation(s.Batcher)
+	dueAt := r.dueAt.Add(-firstEventEstimate - time.Duration(r.stages.DownstreamDepth(index))*stageTimeEstimate)
 	w := message.StageWork{
-		AcceptsRedirect:     g.redirectedTo(now, s.pool) != s.batcher,
+		AcceptsRedirect:     g.redirectedTo(now, s.Pool) != s.Batcher,
 		Request:             r.incoming.ID,
-		Service:             s.stage.Service,
-		PoolDataCentre:      s.pool.DataCentre,
+		Service:             s.Spec.Service,
+		PoolDataCentre:      s.Pool.DataCentre,
 		Stage:               index,
-		Pieces:              pieces,
-		ResultBytes:         s.stage.ResultBytes,
-		Consumers:           r.consumerCount(index),
+		Pieces:              s.MissingPieces(),
+		ResultBytes:         s.Spec.ResultBytes,
+		Consumers:           r.stages.ConsumerCount(index),
 		TimeToDue:           dueAt.Sub(now),
-		TimeToDeadline:      r.abandonAt.Sub(now) - firstEventEstimate - time.Duration(r.downstreamDepth(index))*g.catalog.BatchProfile(s.stage.Service).SinglePieceCallTime(),
+		TimeToDeadline:      r.abandonAt.Sub(now) - firstEventEstimate - time.Duration(r.stages.DownstreamDepth(index))*g.catalog.BatchProfile(s.Spec.Service).SinglePieceCallTime(),
 		PreferredDataCentre: r.preferredDataCentre,
 		Weight:              g.weight(r),
-		Recompute:           s.recompute,
-		Recovering:          r.recomputes > 0 || r.takesUp() || g.pipelineAdmission() && r.hasResults(),
+		Recompute:           s.Recompute,
+		Recovering:          r.recomputes > 0 || r.takesUp() || g.pipelineAdmission() && r.stages.HasResults(),
 		Workspace:           r.workspaceName(),
 	}
-	s.recompute = false
-	if len(s.stage.DependsOn) == 0 || g.pipelineAdmission() && r.startsPipeline(s) {
-		w.DownstreamServices, w.DownstreamPieces = r.downstreamStages(index)
-		w.FirstStages = r.firstStageCount(s)
+	s.Recompute = false
+	if len(s.Spec.DependsOn) == 0 || g.pipelineAdmission() && r.stages.StartsPipeline(index) {
+		w.DownstreamServices, w.DownstreamPieces = r.stages.Downstream(index)
+		w.FirstStages = r.stages.FirstStageCount(index)
 	}
-	if len(s.stage.DependsOn) == 0 {
+	if len(s.Spec.DependsOn) == 0 {
 		w.PieceKey = r.incoming.PieceKey
 	} else {
-		w.Inputs = r.stageInputs(s)
-		for _, dependency := range s.stage.DependsOn {
-			w.InputBytes = max(w.InputBytes, r.stages[dependency].stage.ResultBytes)
-			w.InputCapacityLow = w.InputCapacityLow || r.stages[dependency].capacityLow
+		w.Inputs = r.stages.Inputs(index)
+		for _, dependency := range s.Spec.DependsOn {
+			w.InputBytes = max(w.InputBytes, r.stages[dependency].Spec.ResultBytes)
+			w.InputCapacityLow = w.InputCapacityLow || r.stages[dependency].CapacityLow
 		}
 	}
-	g.sendToMember(s.batcher, message.Envelope{StageWork: &w})
+	g.sendToMember(s.Batcher, message.Envelope{StageWork: &w})
 }
 
 // priorityWeightRatio is the ratio of the weights of two adjacent priorities:
@@ -279,37 +146,37 @@
 	outdated := 0
 	for _, p := range m.Results {
 		r := g.requestsByID[p.ID.Request]
-		if r == nil || p.ID.Stage >= len(r.stages) || p.ID.Piece >= r.stages[p.ID.Stage].pieceCount {
+		if r == nil || p.ID.Stage >= len(r.stages) || p.ID.Piece >= r.stages[p.ID.Stage].PieceCount {
 			g.freeUnneededResult(m, p)
 			continue
 		}
 		s := &r.stages[p.ID.Stage]
 		switch {
 		case p.Outcome == message.PieceDone:
-			if s.handles[p.ID.Piece] != "" || s.released {
-				if s.handles[p.ID.Piece] != p.Handle {
+			if s.Handles[p.ID.Piece] != "" || s.Released {
+				if s.Handles[p.ID.Piece] != p.Handle {
 					g.freeUnneededResult(m, p)
 				}
 				continue
 			}
-			s.handles[p.ID.Piece] = p.Handle
-			s.missingCount--
-			s.capacityLow = s.capacityLow || m.CapacityLow
-		case !s.isAt(from, p.ID.Piece):
+			s.Handles[p.ID.Piece] = p.Handle
+			s.MissingCount--
+			s.CapacityLow = s.CapacityLow || m.CapacityLow
+		case !s.IsAt(from, p.ID.Piece):
 			outdated++
 			continue
 		case p.Outcome == message.PieceInputGone:
-			if !s.submitted {
+			if !s.Submitted {
 				continue
 			}
-			s.submitted = false
-			clear(s.inputsFetched)
-			g.recomputeResults(r, s.stage.DependsOn)
+			s.Submitted = false
+			clear(s.InputsFetched)
+			g.recomputeResults(r, s.Spec.DependsOn)
 		case p.Outcome == message.PieceRefused:
 			g.fail(r, g.retryAfterRefusal(r, p.RetryAfter), "no room at stage "+string(m.Service))
 			continue
 		case p.Outcome == message.PieceMoved:
-			s.submitted = false
+			s.Submitted = false
 			g.counters.PiecesMoved++
 		default:
 			g.fail(r, busyRetryAfter, "stage piece "+string(p.Outcome))
@@ -327,22 +194,16 @@
 	}
 }
 
-// isAt reports whether a piece without a result is at a batcher. Another one's report that it has
-// not computed the piece, or one that comes after the result, says nothing of the request.
-func (s *stageState) isAt(batcher ident.Instance, piece int) bool {
-	return s.batcher == batcher && s.handles[piece] == "" && !s.released
-}
-
 // handleInputsFetched handles a batcher's report that the inputs of pieces have
 // been fetched, and frees the inputs that nothing else needs.
 func (g *Gateway) handleInputsFetched(from ident.Instance, m message.StageInputsFetched) {
 	affected := map[RequestHandle]*request{}
 	for _, id := range m.Pieces {
 		r := g.requestsByID[id.Request]
-		if r == nil || id.Stage >= len(r.stages) || id.Piece >= r.stages[id.Stage].pieceCount || !r.stages[id.Stage].isAt(from, id.Piece) {
+		if r == nil || id.Stage >= len(r.stages) || id.Piece >= r.stages[id.Stage].PieceCount || !r.stages[id.Stage].IsAt(from, id.Piece) {
 			continue
 		}
-		r.stages[id.Stage].inputsFetched.Add(id.Piece)
+		r.stages[id.Stage].InputsFetched.Add(id.Piece)
 		affected[r.handle] = r
 	}
 	for _, h := range value.SortedKeys(affected) {
@@ -363,8 +224,8 @@
 	longest := time.Duration(0)
 	for i := range r.stages {
 		s := &r.stages[i]
-		if s.pieceCount > 0 {
-			longest = max(longest, time.Duration(1+r.downstreamDepth(i))*g.catalog.BatchProfile(s.stage.Service).SinglePieceCallTime())
+		if s.PieceCount > 0 {
+			longest = max(longest, time.Duration(1+r.stages.DownstreamDepth(i))*g.catalog.BatchProfile(s.Spec.Service).SinglePieceCallTime())
 		}
 	}
 	return longest
@@ -403,44 +264,32 @@
 	for pass := 0; pass < 2 && !dropped; pass++ {
 		for _, index := range indexes {
 			s := &r.stages[index]
-			for i, h := range s.handles {
-				e := g.directory.ByAddress(batching.EndpointAddress(h))
-				if h == "" || pass == 0 && !s.released && e != nil && !e.Ejected(now) && !g.directory.InPartition(e) {
+			for i, h := range s.Handles {
+				e := g.directory.ByAddress(h.Address())
+				if h == "" || pass == 0 && !s.Released && e != nil && !e.Ejected(now) && !g.directory.InPartition(e) {
 					continue
 				}
 				dropped = true
-				s.handles[i] = ""
-				s.missingCount++
-				s.submitted, s.recompute = false, true
-				delete(s.inputsFetched, i)
+				s.Handles[i] = ""
+				s.MissingCount++
+				s.Submitted, s.Recompute = false, true
+				delete(s.InputsFetched, i)
 			}
-			s.released = s.released && s.missingCount == 0
+			s.Released = s.Released && s.MissingCount == 0
 		}
 	}
 	for _, index := range indexes {
-		if s := &r.stages[index]; s.missingCount > 0 {
-			g.dropLostResults(r, r.releasedStages(s.stage.DependsOn))
-		}
-	}
-}
-
-// releasedStages returns those of the given stages whose results have been
-// freed.
-func (r *request) releasedStages(indexes []int) []int {
-	var released []int
-	for _, index := range indexes {
-		if r.stages[index].released {
-			released = append(released, index)
+		if s := &r.stages[index]; s.MissingCount > 0 {
+			g.dropLostResults(r, r.stages.ReleasedAmong(s.Spec.DependsOn))
 		}
 	}
-	return released
 }
 
 // releaseConsumed frees the results that all downstream stages have used.
 func (g *Gateway) releaseConsumed(r *request) {
 	for i := range r.stages {
 		s := &r.stages[i]
-		if s.hasDependents && s.missingCount == 0 && !s.released && r.resultsConsumed(i) {
+		if s.HasDependents && s.MissingCount == 0 && !s.Released && r.stages.Consumed(i) {
 			g.releaseStage(r, s, false)
 		}
 	}
@@ -450,25 +299,25 @@
 func (g *Gateway) releaseAll(r *request) {
 	for i := range r.stages {
 		s := &r.stages[i]
-		if s.pieceCount > 0 && (s.submitted || s.missingCount < s.pieceCount) && !s.released {
-			g.releaseStage(r, s, s.missingCount > 0)
+		if s.PieceCount > 0 && (s.Submitted || s.MissingCount < s.PieceCount) && !s.Released {
+			g.releaseStage(r, s, s.MissingCount > 0)
 		}
 	}
 }
 
 // releaseStage frees the results of a stage, and cancels its outstanding pieces
 // if cancelPieces is set.
-func (g *Gateway) releaseStage(r *request, s *stageState, cancelPieces bool) {
-	s.released = true
-	m := message.StageRelease{Service: s.stage.Service, PoolDataCentre: s.pool.DataCentre, Request: r.incoming.ID, CancelPieces: cancelPieces}
-	for _, h := range s.handles {
+func (g *Gateway) releaseStage(r *request, s *progress.Stage, cancelPieces bool) {
+	s.Released = true
+	m := message.StageRelease{Service: s.Spec.Service, PoolDataCentre: s.Pool.DataCentre, Request: r.incoming.ID, CancelPieces: cancelPieces}
+	for _, h := range s.Handles {
 		if h != "" {
 			m.Handles = append(m.Handles, h)
 		}
 	}
-	batcher := s.batcher
+	batcher := s.Batcher
 	if !g.members.Alive(g.now(), batcher) {
-		batcher = g.batcherOf(s.pool)
+		batcher = g.batcherOf(s.Pool)
 	}
 	g.sendToMember(batcher, message.Envelope{StageRelease: &m})
 }
@@ -484,17 +333,17 @@
 		}
 		for i := range r.stages {
 			s := &r.stages[i]
-			if !s.submitted || s.missingCount == 0 || s.released {
+			if !s.Submitted || s.MissingCount == 0 || s.Released {
 				continue
 			}
-			lost := !g.members.Reachable(now, s.batcher)
-			replaced := g.members.Incarnation(s.batcher) != s.batcherIncarnation
-			if lost || replaced || now.Sub(s.submittedAt) > resubmitAfter {
-				g.counters.PiecesResubmitted += s.missingCount
+			lost := !g.members.Reachable(now, s.Batcher)
+			replaced := g.members.Incarnation(s.Batcher) != s.BatcherIncarnation
+			if lost || replaced || now.Sub(s.SubmittedAt) > resubmitAfter {
+				g.counters.PiecesResubmitted += s.MissingCount
 				if lost || replaced {
-					clear(s.inputsFetched)
+					clear(s.InputsFetched)
 				}
-				g.out.LogEvent("piecesResubmitted", "request", r.incoming.ID, "stage", i, "pieces", s.missingCount, "batcher", s.batcher, "lost", lost, "replaced", replaced, "age", now.Sub(s.submittedAt))
+				g.out.LogEvent("piecesResubmitted", "request", r.incoming.ID, "stage", i, "pieces", s.MissingCount, "batcher", s.Batcher, "lost", lost, "replaced", replaced, "age", now.Sub(s.SubmittedAt))
 				if g.stagesUnreachable(r) {
 					g.moveStages(r)
 					break
--- a/kernel/gateway/withheld.go
+++ b/kernel/gateway/withheld.go
@@ -54,5 +54,5 @@
 // endpoint of its service wants a request when they are done at the earliest.
 func (g *Gateway) restsRefuse(r *request) bool {
 	wait, ever, withheld := g.directory.PoolWithheldFor(g.now(), ident.Pool{Service: r.service})
-	return withheld && len(r.stageServices()) > 0 && (!ever || wait > g.minStageTime(r))
+	return withheld && len(r.stages.Services()) > 0 && (!ever || wait > g.minStageTime(r))
 }
--- a/kernel/message/gateway.go
+++ b/kernel/message/gateway.go
@@ -1,6 +1,7 @@
 package message
 
 import (
+	"strings"
 	"time"
 
 	"anvilcross/kernel/endpoints"
@@ -197,6 +198,12 @@
 // holds it, a slash, and a key at that endpoint.
 type ResultHandle string
 
+// Address returns the address of the endpoint that holds the result.
+func (h ResultHandle) Address() string {
+	address, _, _ := strings.Cut(string(h), "/")
+	return address
+}
+
 // PieceID identifies one piece of a stage of a request.
 type PieceID struct {
 	Request ident.RequestID `json:"request"`
