--- a/kernel/batching/batching.go
+++ b/kernel/batching/batching.go
@@ -252,6 +252,8 @@
 	late bool
 	// handle is set once the piece is done.
 	handle message.ResultHandle
+	// withdrawn is set while the inputs of a running piece do not exist any more.
+	withdrawn bool
 }
 
 // reservation is the capacity that one result takes at its endpoint.
@@ -428,13 +430,17 @@
 			b.drop(p)
 		}
 		if p := b.pieces[id]; p != nil {
-			p.work = w
+			p.work, p.withdrawn = w, false
 			if p.state == pieceDone {
 				b.reportOutcome(p, message.PieceDone)
 			}
 			continue
 		}
 		p := &piece{work: w, id: id, submittedAt: now}
+		if s.InputsReleased {
+			b.reportOutcome(p, message.PieceInputGone)
+			continue
+		}
 		if len(q.waiting) >= maxWaitingPieces {
 			b.reportOutcome(p, message.PieceFailed)
 			continue
@@ -461,6 +467,24 @@
 	b.requests[p.id.Request] = others
 }
 
+// Withdraw drops the waiting pieces of a request's stage, because their inputs do not exist any
+// more. A running piece may have fetched its inputs, but is not sent to another endpoint.
+func (b *Batcher) Withdraw(from ident.Instance, w message.StageWithdrawal) {
+	q := b.queue(w.Pool())
+	for _, p := range slices.Clone(b.requests[w.Request]) {
+		if p.id.Stage != w.Stage || p.work.origin != from || p.work.Pool() != w.Pool() {
+			continue
+		}
+		switch p.state {
+		case pieceWaiting:
+			q.waiting = slices.DeleteFunc(q.waiting, func(o *piece) bool { return o == p })
+			b.drop(p)
+		case pieceRunning:
+			p.withdrawn = true
+		}
+	}
+}
+
 // HandleRelease cancels a request's pieces if asked to, and frees the given
 // results at their endpoints.
 func (b *Batcher) HandleRelease(r message.StageRelease) {
--- a/kernel/batching/dispatch.go
+++ b/kernel/batching/dispatch.go
@@ -281,12 +281,16 @@
 	b.Dispatch(c.pool)
 }
 
-// requeue puts a running piece back into the queue, unless it was cancelled.
+// requeue puts a running piece back into the queue, unless it was cancelled or withdrawn.
 // After maxAttempts it is reported as failed instead.
 func (b *Batcher) requeue(p *piece) {
 	if b.pieces[p.id] != p || p.state != pieceRunning {
 		return
 	}
+	if p.withdrawn {
+		b.drop(p)
+		return
+	}
 	if p.attempts >= maxAttempts {
 		b.drop(p)
 		b.reportOutcome(p, message.PieceFailed)
--- a/kernel/gateway/fleet_test.go
+++ b/kernel/gateway/fleet_test.go
@@ -66,6 +66,8 @@
 	extraDelay func() time.Duration
 	// slowness holds what messages from and to an instance take longer than linkDelay.
 	slowness map[ident.Instance]time.Duration
+	// logEvent receives the instances' log events.
+	logEvent func(name string, fields ...any)
 	// loses reports whether a message that is no ping is lost without a failure; nil if none is.
 	loses func(from, to ident.Instance, e message.Envelope) bool
 }
@@ -152,6 +154,7 @@
 	t.Helper()
 	f := &testFleet{t: t, timers: timer.NewScheduler(timer.Config{Start: testStart}), gateways: map[ident.Instance]*Gateway{}, byAddress: map[string]ident.Instance{}, down: map[ident.Instance]bool{}, sent: map[ident.Instance]int{}, received: map[ident.Instance]int{}, calls: map[ident.Instance]int{}, slowness: map[ident.Instance]time.Duration{}}
 	f.nextStep = func(ident.Instance, RequestHandle, Step) {}
+	f.logEvent = func(string, ...any) {}
 	f.startCall = func(name ident.Instance, _ batching.Call) { f.calls[name]++ }
 	f.freeResults = func(ident.Instance, string, []message.ResultHandle) {}
 	f.onStart = func(ident.Instance) {}
@@ -200,7 +203,7 @@
 					f.send(m.Name, f.byAddress[to.Address], e)
 				}
 			},
-			LogEvent:        func(string, ...any) {},
+			LogEvent:        func(name string, fields ...any) { f.logEvent(name, fields...) },
 			StartCall:       func(c batching.Call) { f.startCall(m.Name, c) },
 			InspectEndpoint: func(ident.Endpoint, string) {},
 			CheckEndpoint:   func(e ident.Endpoint, _ string) { f.checkEndpoint(m.Name, e) },
--- a/kernel/gateway/move.go
+++ b/kernel/gateway/move.go
@@ -30,22 +30,18 @@
 // the outstanding pieces. Results that have been freed are dropped too if pieces
 // that need them have to be computed.
 func (g *Gateway) dropPartitionedResults(r *request) {
+	var indexes []int
 	for i := range r.stages {
 		s := &r.stages[i]
 		if s.Released || s.PieceCount == 0 {
 			continue
 		}
-		s.Submitted = false
-		clear(s.InputsFetched)
+		s.Withdraw()
 		if slices.ContainsFunc(s.Handles, g.inPartition) {
-			g.dropLostResults(r, []int{i})
-		}
-	}
-	for i := range r.stages {
-		if s := &r.stages[i]; s.MissingCount > 0 && !s.Released {
-			g.dropLostResults(r, r.stages.ReleasedAmong(s.Spec.DependsOn))
+			indexes = append(indexes, i)
 		}
 	}
+	r.stages.Drop(indexes, g.isLost)
 }
 
 // inPartition reports whether a result is held where this instance cannot reach
--- a/kernel/gateway/peers.go
+++ b/kernel/gateway/peers.go
@@ -170,6 +170,8 @@
 		g.handleInputsFetched(m.From, *m.StageInputsFetched)
 	case m.StageRelease != nil:
 		g.batcher.HandleRelease(*m.StageRelease)
+	case m.StageWithdrawal != nil:
+		g.batcher.Withdraw(m.From, *m.StageWithdrawal)
 	case m.PermitRequest != nil:
 		g.handlePermitRequest(m.From, *m.PermitRequest)
 	case m.PermitReply != nil:
--- a/kernel/gateway/stages.go
+++ b/kernel/gateway/stages.go
@@ -67,10 +67,15 @@
 }
 
 // submitStage sends a stage's missing pieces to the instance that batches for
-// the stage's service. If no data centre can run them, the request is answered.
+// the stage's service. Pieces without inputs are withdrawn instead: the stage is
+// submitted once these exist. If no data centre can run them, the request is answered.
 func (g *Gateway) submitStage(r *request, index int) {
 	s := &r.stages[index]
 	now := g.now()
+	if r.stages.InputsMissing(index) {
+		g.withdraw(r, index)
+		return
+	}
 	pool, found := g.poolFor(r, s.Spec.Service)
 	if !found {
 		g.fail(r, busyRetryAfter, noStageCentre)
@@ -98,6 +103,7 @@
 		Recompute:           s.Recompute,
 		Recovering:          r.recomputes > 0 || r.takesUp() || g.pipelineAdmission() && r.stages.HasResults(),
 		Workspace:           r.workspaceName(),
+		InputsReleased:      !r.stages.InputsReady(index),
 	}
 	s.Recompute = false
 	if len(s.Spec.DependsOn) == 0 || g.pipelineAdmission() && r.stages.StartsPipeline(index) {
@@ -169,8 +175,7 @@
 			if !s.Submitted {
 				continue
 			}
-			s.Submitted = false
-			clear(s.InputsFetched)
+			s.Withdraw()
 			g.recomputeResults(r, s.Spec.DependsOn)
 		case p.Outcome == message.PieceRefused:
 			g.fail(r, g.retryAfterRefusal(r, p.RetryAfter), "no room at stage "+string(m.Service))
@@ -190,6 +195,7 @@
 	for _, h := range value.SortedKeys(affected) {
 		r := affected[h]
 		g.releaseConsumed(r)
+		g.withdrawPieces(r)
 		g.advance(r)
 	}
 }
@@ -250,41 +256,40 @@
 		return
 	}
 	g.out.LogEvent("resultsLost", "request", r.incoming.ID, "stages", indexes, "remakes", r.recomputes)
-	g.dropLostResults(r, indexes)
+	r.stages.Drop(indexes, g.isLost)
+	g.withdrawPieces(r)
 }
 
-// dropLostResults drops the results of stages that are lost: those that have
-// been freed, or whose endpoint is gone or unreachable. If there are none, it
-// is unknown which ones are lost, and it drops all results of these stages. The
-// inputs from which a dropped result is computed are dropped too if they have
-// been freed.
-func (g *Gateway) dropLostResults(r *request, indexes []int) {
-	now := g.now()
-	dropped := false
-	for pass := 0; pass < 2 && !dropped; pass++ {
-		for _, index := range indexes {
-			s := &r.stages[index]
-			for i, h := range s.Handles {
-				e := g.directory.ByAddress(h.Address())
-				if h == "" || pass == 0 && !s.Released && e != nil && !e.Ejected(now) && !g.directory.InPartition(e) {
-					continue
-				}
-				dropped = true
-				s.Handles[i] = ""
-				s.MissingCount++
-				s.Submitted, s.Recompute = false, true
-				delete(s.InputsFetched, i)
-			}
-			s.Released = s.Released && s.MissingCount == 0
-		}
-	}
-	for _, index := range indexes {
-		if s := &r.stages[index]; s.MissingCount > 0 {
-			g.dropLostResults(r, r.stages.ReleasedAmong(s.Spec.DependsOn))
+// isLost reports whether a result is lost: its endpoint is gone or unreachable.
+func (g *Gateway) isLost(h message.ResultHandle) bool {
+	e := g.directory.ByAddress(h.Address())
+	return e == nil || e.Ejected(g.now()) || g.directory.InPartition(e)
+}
+
+// withdrawPieces withdraws the outstanding pieces of stages whose inputs have to be computed
+// again, and of those whose results nothing needs any more. Stages that have lost results
+// themselves are submitted again.
+func (g *Gateway) withdrawPieces(r *request) {
+	for i := range r.stages {
+		s := &r.stages[i]
+		switch {
+		case !s.Submitted || s.MissingCount == 0:
+		case r.stages.InputsMissing(i) || r.stages.Consumed(i):
+			g.withdraw(r, i)
+		case s.Recompute:
+			s.Submitted = false
 		}
 	}
 }
 
+// withdraw withdraws the missing pieces of a stage from their batcher.
+func (g *Gateway) withdraw(r *request, index int) {
+	s := &r.stages[index]
+	g.out.LogEvent("stageWithdrawn", "request", r.incoming.ID, "stage", index, "pieces", s.MissingCount, "batcher", s.Batcher, "age", g.now().Sub(s.SubmittedAt))
+	s.Withdraw()
+	g.sendToMember(s.Batcher, message.Envelope{StageWithdrawal: &message.StageWithdrawal{Service: s.Spec.Service, PoolDataCentre: s.Pool.DataCentre, Request: r.incoming.ID, Stage: index}})
+}
+
 // releaseConsumed frees the results that all downstream stages have used.
 func (g *Gateway) releaseConsumed(r *request) {
 	for i := range r.stages {
@@ -328,30 +333,35 @@
 func (g *Gateway) resubmitLostPieces(now time.Time) {
 	for _, h := range value.SortedKeys(g.requests) {
 		r := g.requests[h]
-		if r == nil || r.attempt != nil {
-			continue
-		}
-		for i := range r.stages {
-			s := &r.stages[i]
-			if !s.Submitted || s.MissingCount == 0 || s.Released {
-				continue
-			}
-			lost := !g.members.Reachable(now, s.Batcher)
-			replaced := g.members.Incarnation(s.Batcher) != s.BatcherIncarnation
-			if lost || replaced || now.Sub(s.SubmittedAt) > resubmitAfter {
-				g.counters.PiecesResubmitted += s.MissingCount
-				if lost || replaced {
-					clear(s.InputsFetched)
-				}
-				g.out.LogEvent("piecesResubmitted", "request", r.incoming.ID, "stage", i, "pieces", s.MissingCount, "batcher", s.Batcher, "lost", lost, "replaced", replaced, "age", now.Sub(s.SubmittedAt))
-				if g.stagesUnreachable(r) {
-					g.moveStages(r)
-					break
-				}
-				if g.submitStage(r, i); r.finished {
-					break
-				}
+		for i := 0; r != nil && !r.finished && r.attempt == nil && i < len(r.stages); i++ {
+			if s := &r.stages[i]; s.Submitted && s.MissingCount > 0 && !s.Released {
+				g.resubmitIfLost(now, r, i)
 			}
 		}
 	}
 }
+
+// resubmitIfLost does so for the outstanding pieces of one stage. With its batcher, the inputs are
+// lost that it had fetched.
+func (g *Gateway) resubmitIfLost(now time.Time, r *request, index int) {
+	s := &r.stages[index]
+	lost := !g.members.Reachable(now, s.Batcher)
+	replaced := g.members.Incarnation(s.Batcher) != s.BatcherIncarnation
+	age := now.Sub(s.SubmittedAt)
+	if !lost && !replaced && age <= resubmitAfter {
+		return
+	}
+	g.counters.PiecesResubmitted += s.MissingCount
+	g.out.LogEvent("piecesResubmitted", "request", r.incoming.ID, "stage", index, "pieces", s.MissingCount, "batcher", s.Batcher, "lost", lost, "replaced", replaced, "age", age, "inputsReady", r.stages.InputsReady(index))
+	switch {
+	case g.stagesUnreachable(r):
+		g.moveStages(r)
+	case lost || replaced:
+		s.Withdraw()
+		r.stages.DropReleasedInputs()
+		g.withdrawPieces(r)
+		g.advance(r)
+	default:
+		g.submitStage(r, index)
+	}
+}
--- a/kernel/message/gateway.go
+++ b/kernel/message/gateway.go
@@ -228,6 +228,10 @@
 	// approximate size of each input.
 	Consumers  int `json:"readers"`
 	InputBytes int `json:"inputBytes,omitempty"`
+	// InputsReleased is set if inputs have been freed because the pieces had fetched them.
+	// Pieces that the batcher does not have cannot be computed from them. Earlier versions do
+	// not set it.
+	InputsReleased bool `json:"inputsReleased,omitempty"`
 	// InputCapacityLow is set if an endpoint that holds inputs is short of result
 	// capacity.
 	InputCapacityLow bool `json:"inputsScarce,omitempty"`
@@ -331,6 +335,20 @@
 	Pieces []PieceID `json:"pieces"`
 }
 
+// StageWithdrawal withdraws the pieces of a stage whose inputs no longer exist. The batcher does
+// not send them to an endpoint until they are submitted again. Earlier versions ignore it.
+type StageWithdrawal struct {
+	Service        ident.Service    `json:"service"`
+	PoolDataCentre ident.DataCentre `json:"poolCentre,omitempty"`
+	Request        ident.RequestID  `json:"request"`
+	Stage          int              `json:"stage"`
+}
+
+// Pool returns the pool that has the pieces.
+func (w StageWithdrawal) Pool() ident.Pool {
+	return ident.Pool{Service: w.Service, DataCentre: w.PoolDataCentre}
+}
+
 // StageRelease frees results of a request and, if CancelPieces is set, cancels
 // its pieces at the pool.
 type StageRelease struct {
--- a/kernel/message/message.go
+++ b/kernel/message/message.go
@@ -52,6 +52,7 @@
 	StageInputsFetched *StageInputsFetched `json:"stageTaken,omitempty"`
 	StageReservations  *StageReservations  `json:"stageBookings,omitempty"`
 	StageRelease       *StageRelease       `json:"stageRelease,omitempty"`
+	StageWithdrawal    *StageWithdrawal    `json:"stageWithdrawal,omitempty"`
 	PermitRequest      *PermitRequest      `json:"permitRequest,omitempty"`
 	PermitReply        *PermitReply        `json:"permitReply,omitempty"`
 	PlacementRequest   *placement.Request  `json:"placementRequest,omitempty"`
--- a/kernel/value/value.go
+++ b/kernel/value/value.go
@@ -22,6 +22,9 @@
 // Add puts an item into the set.
 func (s Set[T]) Add(item T) { s[item] = struct{}{} }
 
+// Remove removes an item; it need not be in the set.
+func (s Set[T]) Remove(item T) { delete(s, item) }
+
 // Has reports whether the item is in the set.
 func (s Set[T]) Has(item T) bool { _, ok := s[item]; return ok }
 
