Ignore reports on inputs that have been replaced

What callers saw: after one crash of one endpoint a request had its lost results computed again several times, so that it was late or ended with 503 as "stage results lost repeatedly".

Cause: a report that an input is gone named the piece, not the inputs. Of the stages that depend on the lost results each sends one, and those that came after the results had been computed again counted as new losses; as none of the new results was known to be lost, all were dropped.

Change: inputs have a revision, which stage work carries and reports repeat; reports about another one are ignored. A batcher queues a piece again whose inputs were replaced while it ran. Dropped results are remembered and named in each submission. Results at the endpoint of a lost one are dropped with it, and those of a replaced process or past their retention are known to be lost. It works since a report can only drop what it is about.

--- a/kernel/batching/batching.go
+++ b/kernel/batching/batching.go
@@ -267,11 +267,13 @@
 
 // call is a running call.
 type call struct {
-	id           CallID
-	pool         ident.Pool
-	endpoint     ident.Endpoint
-	address      string
-	pieces       []*piece
+	id       CallID
+	pool     ident.Pool
+	endpoint ident.Endpoint
+	address  string
+	pieces   []*piece
+	// works holds the submission of each piece when the call began.
+	works        []*work
 	startedAt    time.Time
 	expectedTime time.Duration
 	// overdueAt is when overdueTimer is due.
@@ -425,7 +427,7 @@
 	q := b.queue(s.Pool())
 	for _, index := range s.Pieces {
 		id := message.PieceID{Request: s.Request, Stage: s.Stage, Piece: index}
-		if p := b.pieces[id]; p != nil && s.Recompute && p.state == pieceDone {
+		if p := b.pieces[id]; p != nil && p.state == pieceDone && isLost(s, p.handle) {
 			b.freeResult(p.handle)
 			b.drop(p)
 		}
@@ -452,6 +454,11 @@
 	b.Dispatch(s.Pool())
 }
 
+// isLost reports whether work says that a result is lost.
+func isLost(s message.StageWork, h message.ResultHandle) bool {
+	return s.Recompute || slices.Contains(s.Lost, h)
+}
+
 // drop removes a piece from the batcher's indexes, but not from its queue.
 func (b *Batcher) drop(p *piece) {
 	if b.pieces[p.id] != p {
@@ -516,6 +523,15 @@
 	}
 }
 
+// result returns the report on a piece.
+func (p *piece) result(outcome message.PieceOutcome) message.PieceResult {
+	r := message.PieceResult{ID: p.id, Outcome: outcome, Handle: p.handle}
+	if outcome == message.PieceInputGone {
+		r.InputsRevision = p.work.InputsRevision
+	}
+	return r
+}
+
 func (b *Batcher) reportOutcome(p *piece, outcome message.PieceOutcome) {
-	b.config.Output.SendResults(p.work.origin, message.StageResults{Service: p.work.Service, Results: []message.PieceResult{{ID: p.id, Outcome: outcome, Handle: p.handle}}})
+	b.config.Output.SendResults(p.work.origin, message.StageResults{Service: p.work.Service, Results: []message.PieceResult{p.result(outcome)}})
 }
--- a/kernel/batching/dispatch.go
+++ b/kernel/batching/dispatch.go
@@ -218,6 +218,7 @@
 		p.state = pieceRunning
 		p.attempts++
 		p.runningCalls++
+		c.works = append(c.works, p.work)
 		es.reservedBytes += p.work.ResultBytes
 		items[i] = Item{ID: p.id, Remaining: p.work.deadline.Sub(now), PieceKey: p.work.PieceKey, Inputs: p.work.Inputs}
 	}
@@ -241,14 +242,16 @@
 	if b.calls[c.id] != c {
 		return
 	}
-	byOrigin := map[ident.Instance][]message.PieceID{}
-	for _, p := range c.pieces {
-		if p.work.InputCapacityLow && b.pieces[p.id] == p {
-			byOrigin[p.work.origin] = append(byOrigin[p.work.origin], p.id)
+	byOrigin := map[ident.Instance]message.StageInputsFetched{}
+	for i, p := range c.pieces {
+		if w := c.works[i]; w.InputCapacityLow && b.pieces[p.id] == p {
+			m := byOrigin[w.origin]
+			m.Pieces, m.InputsRevisions = append(m.Pieces, p.id), append(m.InputsRevisions, w.InputsRevision)
+			byOrigin[w.origin] = m
 		}
 	}
 	for _, to := range value.SortedKeys(byOrigin) {
-		b.config.Output.SendInputsFetched(to, message.StageInputsFetched{Pieces: byOrigin[to]})
+		b.config.Output.SendInputsFetched(to, byOrigin[to])
 	}
 }
 
@@ -312,9 +315,9 @@
 	b.config.Timers.Stop(c.overdueTimer)
 	es := b.endpointState(c.endpoint)
 	es.runningCalls--
-	for _, p := range c.pieces {
+	for i, p := range c.pieces {
 		p.runningCalls--
-		es.reservedBytes -= p.work.ResultBytes
+		es.reservedBytes -= c.works[i].ResultBytes
 	}
 	return c
 }
@@ -337,7 +340,7 @@
 	}
 	results := map[ident.Instance]*message.StageResults{}
 	for i, p := range c.pieces {
-		b.handleItem(c, p, r.Items[i], results)
+		b.handleItem(c, p, c.works[i], r.Items[i], results)
 	}
 	capacityLow := b.isCapacityLow(c)
 	for _, to := range value.SortedKeys(results) {
@@ -359,9 +362,9 @@
 	})
 }
 
-// handleItem handles the outcome of one piece of a call and adds what its origin
-// has to be told to results.
-func (b *Batcher) handleItem(c *call, p *piece, item ReplyItem, results map[ident.Instance]*message.StageResults) {
+// handleItem handles the outcome of one piece of a call, which began with the given submission,
+// and adds what its origin has to be told to results.
+func (b *Batcher) handleItem(c *call, p *piece, begun *work, item ReplyItem, results map[ident.Instance]*message.StageResults) {
 	wanted := b.pieces[p.id] == p && p.state != pieceDone
 	if item.Outcome == ItemDone {
 		b.reserve(c, p, item.Handle)
@@ -392,6 +395,11 @@
 		if p.runningCalls > 0 {
 			return
 		}
+		if !slices.Equal(begun.Inputs, p.work.Inputs) {
+			p.attempts--
+			b.requeue(p)
+			return
+		}
 		b.drop(p)
 		addResult(results, p, message.PieceInputGone)
 	case ItemNoCapacity:
@@ -410,7 +418,7 @@
 		r = &message.StageResults{Service: p.work.Service, PoolDataCentre: p.work.PoolDataCentre}
 		results[p.work.origin] = r
 	}
-	r.Results = append(r.Results, message.PieceResult{ID: p.id, Outcome: outcome, Handle: p.handle})
+	r.Results = append(r.Results, p.result(outcome))
 }
 
 // HandleCallFailure handles a call that failed without a usable reply. It queues
--- a/kernel/batching/withdraw_test.go
+++ b/kernel/batching/withdraw_test.go
@@ -146,3 +146,51 @@
 		w.wantOutcomes(message.PieceDone)
 	})
 }
+
+// A piece that runs with old inputs while new ones are submitted is reported as having lost the new ones.
+func TestInputsReplacedWhileAPieceRuns(t *testing.T) {
+	w := newWithdrawal(t, 2)
+	w.submitStage("a", 0)
+	w.submitStage("b", 0)
+	w.reply(ItemInputGone)
+	w.wantOutcomes()
+	if got := w.wantCall(len(w.open)).Items[0].Inputs[0]; got != "maker:80/b" {
+		t.Fatalf("the piece is given %q, want the new input", got)
+	}
+	w.reply(ItemInputGone)
+	w.wantOutcomes(message.PieceInputGone)
+}
+
+// A report on inputs does not say which ones it is about.
+func TestReportsNameTheRevisionOfTheInputs(t *testing.T) {
+	w := newWithdrawal(t, 1)
+	var gone []message.PieceResult
+	var fetched []message.StageInputsFetched
+	w.batcher.config.Output.SendResults = func(_ ident.Instance, r message.StageResults) { gone = append(gone, r.Results...) }
+	w.batcher.config.Output.SendInputsFetched = func(_ ident.Instance, f message.StageInputsFetched) { fetched = append(fetched, f) }
+	w.batcher.Submit("one", message.StageWork{Request: "r", Service: "registry", Stage: 1, Pieces: []int{0}, Inputs: []message.ResultHandle{"maker:80/a"}, InputsRevision: 3, InputCapacityLow: true, ResultBytes: 1000, Consumers: 1, TimeToDue: 5 * time.Second, TimeToDeadline: 9 * time.Second, Weight: 1})
+	w.advance(200 * time.Millisecond)
+	w.reply(ItemInputGone)
+	if len(gone) != 1 || gone[0].InputsRevision != 3 {
+		t.Errorf("reported %+v, want one piece with the revision 3", gone)
+	}
+	if len(fetched) != 1 || fmt.Sprint(fetched[0].InputsRevisions) != "[3]" {
+		t.Errorf("reported %+v as fetched, want the revision 3", fetched)
+	}
+}
+
+// A batcher answers with a lost result, because the submission that said so did not arrive.
+func TestLostResultsAreComputedAgain(t *testing.T) {
+	w := newWithdrawal(t, 1)
+	work := message.StageWork{Request: "r", Service: "registry", Pieces: []int{0}, PieceKey: "key", ResultBytes: 1000, Consumers: 1, TimeToDue: 5 * time.Second, TimeToDeadline: 9 * time.Second, Weight: 1}
+	w.batcher.Submit("one", work)
+	w.advance(200 * time.Millisecond)
+	w.reply(ItemDone)
+	work.Lost = []message.ResultHandle{w.batcher.requests["r"][0].handle}
+	w.batcher.Submit("one", work)
+	w.advance(200 * time.Millisecond)
+	w.wantOutcomes(message.PieceDone)
+	w.reply(ItemDone)
+	w.batcher.Submit("one", work)
+	w.wantOutcomes(message.PieceDone, message.PieceDone, message.PieceDone)
+}
--- a/kernel/gateway/stages.go
+++ b/kernel/gateway/stages.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"anvilcross/kernel/ident"
@@ -100,6 +101,7 @@
 		TimeToDeadline:      r.abandonAt.Sub(now) - firstEventEstimate - time.Duration(r.stages.DownstreamDepth(index))*g.catalog.BatchProfile(s.Spec.Service).SinglePieceCallTime(),
 		PreferredDataCentre: r.preferredDataCentre,
 		Weight:              g.weight(r),
+		Lost:                s.Lost,
 		Recompute:           s.Recompute,
 		Recovering:          r.recomputes > 0 || r.takesUp() || g.pipelineAdmission() && r.stages.HasResults(),
 		Workspace:           r.workspaceName(),
@@ -114,6 +116,7 @@
 		w.PieceKey = r.incoming.PieceKey
 	} else {
 		w.Inputs = r.stages.Inputs(index)
+		w.InputsRevision = r.stages.InputsRevision(index)
 		for _, dependency := range s.Spec.DependsOn {
 			w.InputBytes = max(w.InputBytes, r.stages[dependency].Spec.ResultBytes)
 			w.InputCapacityLow = w.InputCapacityLow || r.stages[dependency].CapacityLow
@@ -159,14 +162,13 @@
 		s := &r.stages[p.ID.Stage]
 		switch {
 		case p.Outcome == message.PieceDone:
-			if s.Handles[p.ID.Piece] != "" || s.Released {
+			if s.Handles[p.ID.Piece] != "" || s.Released || slices.Contains(s.Lost, p.Handle) {
 				if s.Handles[p.ID.Piece] != p.Handle {
 					g.freeUnneededResult(m, p)
 				}
 				continue
 			}
-			s.Handles[p.ID.Piece] = p.Handle
-			s.MissingCount--
+			s.Complete(p.ID.Piece, p.Handle, g.holderOf(p.Handle))
 			s.CapacityLow = s.CapacityLow || m.CapacityLow
 		case !s.IsAt(from, p.ID.Piece):
 			outdated++
@@ -175,6 +177,10 @@
 			if !s.Submitted {
 				continue
 			}
+			if p.InputsRevision != 0 && p.InputsRevision != r.stages.InputsRevision(p.ID.Stage) {
+				outdated++
+				continue
+			}
 			s.Withdraw()
 			g.recomputeResults(r, s.Spec.DependsOn)
 		case p.Outcome == message.PieceRefused:
@@ -204,11 +210,14 @@
 // been fetched, and frees the inputs that nothing else needs.
 func (g *Gateway) handleInputsFetched(from ident.Instance, m message.StageInputsFetched) {
 	affected := map[RequestHandle]*request{}
-	for _, id := range m.Pieces {
+	for i, id := range m.Pieces {
 		r := g.requestsByID[id.Request]
 		if r == nil || id.Stage >= len(r.stages) || id.Piece >= r.stages[id.Stage].PieceCount || !r.stages[id.Stage].IsAt(from, id.Piece) {
 			continue
 		}
+		if !r.stages[id.Stage].Submitted || len(m.InputsRevisions) > 0 && m.InputsRevisions[i] != r.stages.InputsRevision(id.Stage) {
+			continue
+		}
 		r.stages[id.Stage].InputsFetched.Add(id.Piece)
 		affected[r.handle] = r
 	}
@@ -260,10 +269,27 @@
 	g.withdrawPieces(r)
 }
 
-// isLost reports whether a result is lost: its endpoint is gone or unreachable.
-func (g *Gateway) isLost(h message.ResultHandle) bool {
+// holderOf returns where a result that has just been reported is kept.
+func (g *Gateway) holderOf(h message.ResultHandle) progress.Holder {
+	holder := progress.Holder{Since: g.now()}
+	if e := g.directory.ByAddress(h.Address()); e != nil {
+		holder.Process = e.Process()
+	}
+	return holder
+}
+
+// isLost reports whether a result is lost: its endpoint is gone, replaced or unreachable, or has
+// kept it for as long as it keeps results.
+func (g *Gateway) isLost(h message.ResultHandle, holder progress.Holder) bool {
 	e := g.directory.ByAddress(h.Address())
-	return e == nil || e.Ejected(g.now()) || g.directory.InPartition(e)
+	if e == nil || e.Ejected(g.now()) || g.directory.InPartition(e) {
+		return true
+	}
+	if holder == (progress.Holder{}) {
+		return false
+	}
+	p := g.catalog.BatchProfile(e.Service)
+	return holder.Process != e.Process() || p != nil && g.now().Sub(holder.Since) >= p.ResultRetention
 }
 
 // withdrawPieces withdraws the outstanding pieces of stages whose inputs have to be computed
--- a/kernel/message/gateway.go
+++ b/kernel/message/gateway.go
@@ -228,6 +228,9 @@
 	// approximate size of each input.
 	Consumers  int `json:"readers"`
 	InputBytes int `json:"inputBytes,omitempty"`
+	// InputsRevision rises each time inputs of the stage are replaced. Earlier versions do not
+	// set it.
+	InputsRevision int `json:"inputsRevision,omitempty"`
 	// InputsReleased is set if inputs have been freed because the pieces had fetched them.
 	// Pieces that the batcher does not have cannot be computed from them. Earlier versions do
 	// not set it.
@@ -254,8 +257,11 @@
 	// request to be on time, TimeToDeadline that until they are of no use.
 	TimeToDue      time.Duration `json:"due"`
 	TimeToDeadline time.Duration `json:"deadline"`
-	// Recompute is set if earlier results of these pieces were lost. The batcher
-	// must not answer with them.
+	// Lost holds the results of the stage that were lost, also before the last submission, which
+	// may not have arrived. The batcher must not answer with them. Earlier versions do not set it.
+	Lost []ResultHandle `json:"lost,omitempty"`
+	// Recompute is set if earlier results of these pieces were lost since the last submission. The
+	// batcher must not answer with any that it has.
 	Recompute bool `json:"anew,omitempty"`
 	// Recovering is set if the request has lost results of these pieces or of
 	// later stages before, or takes up a stream that has begun.
@@ -302,6 +308,8 @@
 	ID      PieceID      `json:"id"`
 	Outcome PieceOutcome `json:"outcome"`
 	Handle  ResultHandle `json:"handle,omitempty"`
+	// InputsRevision is that of the inputs of which one is gone, zero from earlier versions.
+	InputsRevision int `json:"inputsRevision,omitempty"`
 	// RetryAfter is the delay after which the caller of a refused piece should
 	// retry.
 	RetryAfter time.Duration `json:"retryAfter,omitempty"`
@@ -333,6 +341,9 @@
 // have been fetched.
 type StageInputsFetched struct {
 	Pieces []PieceID `json:"pieces"`
+	// InputsRevisions holds the InputsRevision of the inputs of each piece, in the same order.
+	// Earlier versions do not set it.
+	InputsRevisions []int `json:"inputsRevisions,omitempty"`
 }
 
 // StageWithdrawal withdraws the pieces of a stage whose inputs no longer exist. The batcher does
--- a/kernel/message/valid.go
+++ b/kernel/message/valid.go
@@ -60,6 +60,9 @@
 	case e.PermitReply != nil:
 		return errors.Annotate(e.PermitReply.Warm.Check(), "permit")
 	case e.StageInputsFetched != nil:
+		if n := len(e.StageInputsFetched.InputsRevisions); n > 0 && n != len(e.StageInputsFetched.Pieces) {
+			return errors.Errorf("%d revisions of the inputs of %d pieces", n, len(e.StageInputsFetched.Pieces))
+		}
 		for _, id := range e.StageInputsFetched.Pieces {
 			if err := id.check(); err != nil {
 				return err
--- a/kernel/progress/loss.go
+++ b/kernel/progress/loss.go
@@ -1,40 +1,57 @@
 package progress
 
-import "anvilcross/kernel/message"
+import (
+	"slices"
+
+	"anvilcross/kernel/message"
+	"anvilcross/kernel/value"
+)
 
 // Drop drops those results of the given stages that are lost, so that they are computed again.
 // If none of them is known to be lost, it is unknown which ones are, and it drops all results of
-// these stages. The inputs that were freed are dropped too where pieces have to be computed from
-// them.
-func (ss Stages) Drop(indexes []int, isLost func(message.ResultHandle) bool) {
-	dropped := false
+// these stages. Results of other stages at the same endpoints are dropped with them, since what
+// has ended one result there has ended all. The inputs that were freed are dropped too where
+// pieces have to be computed from them.
+func (ss Stages) Drop(indexes []int, isLost func(message.ResultHandle, Holder) bool) {
+	var dropped []message.ResultHandle
 	for _, index := range indexes {
 		s := &ss[index]
-		dropped = s.drop(func(h message.ResultHandle) bool { return s.Released || isLost(h) }) || dropped
+		dropped = append(dropped, s.drop(func(h message.ResultHandle, holder Holder) bool { return s.Released || isLost(h, holder) })...)
 	}
-	if !dropped {
+	if len(dropped) == 0 {
 		for _, index := range indexes {
-			ss[index].drop(func(message.ResultHandle) bool { return true })
+			dropped = append(dropped, ss[index].drop(always)...)
+		}
+	}
+	addresses := value.NewSet[string]()
+	for _, h := range dropped {
+		addresses.Add(h.Address())
+	}
+	for i := range ss {
+		if s := &ss[i]; !s.Released && !slices.Contains(indexes, i) && !ss.Consumed(i) {
+			s.drop(func(h message.ResultHandle, _ Holder) bool { return addresses.Has(h.Address()) })
 		}
 	}
 	ss.DropReleasedInputs()
 }
 
-// drop drops the results of a stage that are lost, and reports whether there are any.
-func (s *Stage) drop(isLost func(message.ResultHandle) bool) bool {
-	dropped := false
+func always(message.ResultHandle, Holder) bool { return true }
+
+// drop drops the results of a stage that are lost, and returns them.
+func (s *Stage) drop(isLost func(message.ResultHandle, Holder) bool) []message.ResultHandle {
+	known := len(s.Lost)
 	for i, h := range s.Handles {
-		if h == "" || !isLost(h) {
+		if h == "" || !isLost(h, s.Holders[i]) {
 			continue
 		}
-		dropped = true
+		s.Lost = append(s.Lost, h)
 		s.Handles[i] = ""
 		s.MissingCount++
 		s.Recompute = true
 		s.InputsFetched.Remove(i)
 	}
 	s.Released = s.Released && s.MissingCount == 0
-	return dropped
+	return s.Lost[known:]
 }
 
 // DropReleasedInputs drops the results that were freed though pieces have to be computed from
@@ -46,7 +63,7 @@
 			continue
 		}
 		for _, dependency := range ss.ReleasedAmong(ss[i].Spec.DependsOn) {
-			ss[dependency].drop(func(message.ResultHandle) bool { return true })
+			ss[dependency].drop(always)
 		}
 	}
 }
@@ -54,12 +71,7 @@
 // InputsMissing reports whether an input of a stage has to be computed again or for the first
 // time. If it is neither missing nor ready, it has been freed.
 func (ss Stages) InputsMissing(index int) bool {
-	for _, dependency := range ss[index].Spec.DependsOn {
-		if ss[dependency].MissingCount > 0 {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(ss[index].Spec.DependsOn, func(dependency int) bool { return ss[dependency].MissingCount > 0 })
 }
 
 // Withdraw marks the missing pieces of a stage as being at no batcher.
--- a/kernel/progress/progress.go
+++ b/kernel/progress/progress.go
@@ -21,6 +21,9 @@
 	// computed. MissingCount counts the empty ones.
 	Handles      []message.ResultHandle
 	MissingCount int
+	// Holders holds where each result is kept. Lost holds the results that were dropped.
+	Holders []Holder
+	Lost    []message.ResultHandle
 	// InputsFetched holds the indexes of the pieces whose inputs the endpoint
 	// has fetched.
 	InputsFetched value.Set[int]
@@ -45,6 +48,12 @@
 	HasDependents bool
 }
 
+// Holder is the process that keeps a result, as far as it is known, and since when it does.
+type Holder struct {
+	Process ident.EndpointProcess
+	Since   time.Time
+}
+
 // Stages is the progress of a request at all stages of its route. A stage depends on stages
 // with lower indexes only.
 type Stages []Stage
@@ -58,7 +67,7 @@
 		if i < len(pieceCounts) {
 			pieces = pieceCounts[i]
 		}
-		stages = append(stages, Stage{Spec: spec, PieceCount: pieces, Handles: make([]message.ResultHandle, pieces), MissingCount: pieces, InputsFetched: value.NewSet[int]()})
+		stages = append(stages, Stage{Spec: spec, PieceCount: pieces, Handles: make([]message.ResultHandle, pieces), Holders: make([]Holder, pieces), MissingCount: pieces, InputsFetched: value.NewSet[int]()})
 	}
 	for _, s := range stages {
 		for _, dependency := range s.Spec.DependsOn {
@@ -98,6 +107,12 @@
 	return true
 }
 
+// Complete records the result of a piece that has none.
+func (s *Stage) Complete(piece int, h message.ResultHandle, holder Holder) {
+	s.Handles[piece], s.Holders[piece] = h, holder
+	s.MissingCount--
+}
+
 // MissingPieces returns the indexes of the pieces of a stage that have no result.
 func (s *Stage) MissingPieces() []int {
 	var pieces []int
@@ -122,6 +137,15 @@
 	})
 }
 
+// InputsRevision returns a number above zero that rises each time inputs of a stage are dropped.
+func (ss Stages) InputsRevision(index int) int {
+	revision := 1
+	for _, dependency := range ss[index].Spec.DependsOn {
+		revision += len(ss[dependency].Lost)
+	}
+	return revision
+}
+
 // Inputs returns the results that a stage's pieces fetch.
 func (ss Stages) Inputs(index int) []message.ResultHandle {
 	var inputs []message.ResultHandle
