Compute lost results again though later stages are congested

What callers saw: a request that had lost results at its first stage waited for seconds with idle endpoints, and was late or lost its other results, which expired meanwhile.

Cause: a batcher holds pieces of a first stage while a later one is congested, also those of a request that has results already.

Change: pieces of recovering requests are not held. It works since what the hold avoids, results that wait and expire, is what it brought about for these requests.

Test: TestLostResultsAreNotHeldBack failed before.

--- a/kernel/batching/order.go
+++ b/kernel/batching/order.go
@@ -46,8 +46,12 @@
 )
 
 // mustHold reports whether a downstream stage of the piece is congested: the
-// result would only take up capacity and expire.
+// result would only take up capacity and expire. Lost results are computed again at once,
+// since the request's other results expire meanwhile.
 func (b *Batcher) mustHold(p *piece, queueWaits map[ident.Pool]time.Duration) bool {
+	if p.work.Recovering {
+		return false
+	}
 	maxWait := maxDownstreamWait + time.Duration(p.work.Weight*float64(extraDownstreamWait))
 	if p.late && !p.hasPriorWork() {
 		maxWait = maxLateDownstreamWait
--- a/kernel/batching/withdraw_test.go
+++ b/kernel/batching/withdraw_test.go
@@ -194,3 +194,16 @@
 	w.batcher.Submit("one", work)
 	w.wantOutcomes(message.PieceDone, message.PieceDone, message.PieceDone)
 }
+
+// Lost results are computed again only once later stages have room, and the request's other results expire.
+func TestLostResultsAreNotHeldBack(t *testing.T) {
+	for _, recovering := range []bool{false, true} {
+		w := newWithdrawal(t, 1)
+		w.downstreamWait = 5 * time.Second
+		w.batcher.Submit("one", message.StageWork{Request: "r", Service: "registry", Pieces: []int{0}, PieceKey: "key", Recovering: recovering, DownstreamServices: []ident.Service{"planning"}, ResultBytes: 1000, Consumers: 1, TimeToDue: 5 * time.Second, TimeToDeadline: 9 * time.Second, Weight: 1})
+		w.advance(300 * time.Millisecond)
+		if called := len(w.open) > 0; called != recovering {
+			t.Errorf("recovering %v: called %v", recovering, called)
+		}
+	}
+}
