Compute results that will expire again with those that are lost

What callers saw: after one crash a request computed results again up to three times and was late, though each loss was real.

Cause: results that are kept for a limited time were waited with until the others had been computed again, and found to be gone one group after the other.

Evidence: the log of one request with six stages after the first: resultsLost at 6.9 s, and inputsGone at the model endpoint at 10.0 and 11.5 s for results whose retention of 8 s had ended.

Change: when results are dropped, those that expire before they are needed for the last time are dropped with them, by the queue waits that batchers report and the times of full calls. It works since they are then computed beside the others.

--- a/kernel/gateway/move.go
+++ b/kernel/gateway/move.go
@@ -41,7 +41,7 @@
 			indexes = append(indexes, i)
 		}
 	}
-	r.stages.Drop(indexes, g.isLost)
+	r.stages.Drop(indexes, g.isLost, g.stageTiming(r))
 }
 
 // inPartition reports whether a result is held where this instance cannot reach
--- a/kernel/gateway/stages.go
+++ b/kernel/gateway/stages.go
@@ -8,6 +8,7 @@
 	"anvilcross/kernel/ident"
 	"anvilcross/kernel/message"
 	"anvilcross/kernel/progress"
+	"anvilcross/kernel/published"
 	"anvilcross/kernel/value"
 )
 
@@ -265,10 +266,31 @@
 		return
 	}
 	g.out.LogEvent("resultsLost", "request", r.incoming.ID, "stages", indexes, "remakes", r.recomputes)
-	r.stages.Drop(indexes, g.isLost)
+	r.stages.Drop(indexes, g.isLost, g.stageTiming(r))
 	g.withdrawPieces(r)
 }
 
+// stageTiming returns what is known of the times of a request's stages.
+func (g *Gateway) stageTiming(r *request) progress.Timing {
+	profile := func(stage int) published.BatchProfile {
+		if p := g.catalog.BatchProfile(r.stages[stage].Spec.Service); p != nil {
+			return *p
+		}
+		return published.BatchProfile{}
+	}
+	return progress.Timing{
+		Now:       g.now(),
+		Retention: func(stage int) time.Duration { return profile(stage).ResultRetention },
+		Wait: func(stage int) time.Duration {
+			return g.queueWait(g.poolOf(r.stages[stage].Spec.Service, r.preferredDataCentre))
+		},
+		CallTime: func(stage int) time.Duration {
+			p := profile(stage)
+			return p.CallOverhead + time.Duration(p.MaxPiecesPerCall)*p.TimePerPiece
+		},
+	}
+}
+
 // holderOf returns where a result that has just been reported is kept.
 func (g *Gateway) holderOf(h message.ResultHandle) progress.Holder {
 	holder := progress.Holder{Since: g.now()}
--- a/kernel/progress/loss.go
+++ b/kernel/progress/loss.go
@@ -11,8 +11,8 @@
 // If none of them is known to be lost, it is unknown which ones are, and it drops all results of
 // these stages. Results of other stages at the same endpoints are dropped with them, since what
 // has ended one result there has ended all. The inputs that were freed are dropped too where
-// pieces have to be computed from them.
-func (ss Stages) Drop(indexes []int, isLost func(message.ResultHandle, Holder) bool) {
+// pieces have to be computed from them, and the results that expire before the others exist again.
+func (ss Stages) Drop(indexes []int, isLost func(message.ResultHandle, Holder) bool, t Timing) {
 	var dropped []message.ResultHandle
 	for _, index := range indexes {
 		s := &ss[index]
@@ -33,6 +33,7 @@
 		}
 	}
 	ss.DropReleasedInputs()
+	ss.dropExpiring(t)
 }
 
 func always(message.ResultHandle, Holder) bool { return true }
