--- a/anvilcrossd/entry/entry.go
+++ b/anvilcrossd/entry/entry.go
@@ -380,7 +380,7 @@
 		switch {
 		case h1.NotSent(err):
 			failure = gateway.NotSent
-		case errors.Cause(err) == h1.ErrInvalidStatus, errors.Cause(err) == h1.ErrBodyNotAllowed:
+		case h1.InvalidHead(err):
 			failure = gateway.InvalidResponse
 		}
 		c.reportFailure(send, failure, "", err.Error())
--- a/anvilcrossd/h1/h1.go
+++ b/anvilcrossd/h1/h1.go
@@ -323,13 +323,11 @@
 		if err != nil {
 			return nil, errors.Annotate(err, "reading the response")
 		}
-		switch {
-		case !validStatus(response.StatusCode):
-			return nil, errors.Annotatef(ErrInvalidStatus, "status %q", response.Status)
-		case response.StatusCode < http.StatusOK:
+		if err := checkHead(response); err != nil {
+			return nil, errors.Trace(err)
+		}
+		if response.StatusCode < http.StatusOK {
 			continue
-		case namesBodyWithout(response):
-			return nil, errors.Trace(ErrBodyNotAllowed)
 		}
 		if x.request.MatchesResponse == nil || x.request.MatchesResponse(response) {
 			x.connection.source.unlimit()
@@ -342,23 +340,6 @@
 	return nil, errors.New("too many responses to other requests")
 }
 
-// validStatus reports whether a response can have a status. No request of ours asks for another
-// protocol.
-func validStatus(code int) bool {
-	const first, last = 100, 599
-	return code >= first && code <= last && code != http.StatusSwitchingProtocols
-}
-
-// namesBodyWithout reports whether a response with status 204, which has no body, names one. One of
-// status 304 may name the length that another response would have.
-func namesBodyWithout(response *http.Response) bool {
-	if response.StatusCode != http.StatusNoContent {
-		return false
-	}
-	length := response.Header.Get("Content-Length")
-	return len(response.TransferEncoding) > 0 || length != "" && strings.Trim(length, "0") != ""
-}
-
 // skipBody reads the body of a response to another request to its end.
 func (x *exchange) skipBody(response *http.Response) error {
 	expiry := time.AfterFunc(skipTimeout, func() { _ = x.connection.Close() })
@@ -414,14 +395,6 @@
 // and not from the end of the connection.
 func (r *Response) Delimited() bool { return delimited(r.Response) }
 
-// ErrInvalidStatus is the cause of an error if a response has a status that no response to a request
-// of ours has.
-var ErrInvalidStatus = errors.New("the response has an invalid status")
-
-// ErrBodyNotAllowed is the cause of an error if a response names a body that it cannot have by its
-// status. It may arrive after the head, and nobody would read it.
-var ErrBodyNotAllowed = errors.New("the response names a body, which its status does not allow")
-
 // responseStart begins each response.
 const responseStart = "HTTP/"
 
