--- a/anvilcrossd/entry/buffered.go
+++ b/anvilcrossd/entry/buffered.go
@@ -74,7 +74,9 @@
 	if !beginning.complete && !c.relayRest(send, response) {
 		return ""
 	}
-	c.finishAnswer()
+	if err := c.finishAnswer(); err != nil {
+		return c.handleCallerLeft()
+	}
 	c.withGateway(func(g *gateway.Gateway) {
 		g.HandleDelivery(c.active.handle, send.Attempt, gateway.Delivery{Status: response.StatusCode, Delimited: response.Delimited()})
 	})
--- a/anvilcrossd/entry/framing.go
+++ b/anvilcrossd/entry/framing.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"strconv"
 
+	"github.com/juju/errors"
+
 	"anvilcross/anvilcrossd/forward"
 	"anvilcross/anvilcrossd/h1"
 	"anvilcross/platform"
@@ -45,11 +48,18 @@
 	c.writer.WriteHeader(response.StatusCode)
 }
 
-// finishAnswer ends an answer whose body has been written completely.
-func (c *callerExchange) finishAnswer() {
-	if c.endsWithConnection {
-		c.setReset(false)
+// finishAnswer ends an answer whose body has been written completely. Its last bytes are sent
+// before the connection may end without a reset: net/http still holds some of them, and
+// the process may end at any time.
+func (c *callerExchange) finishAnswer() error {
+	if !c.endsWithConnection {
+		return nil
+	}
+	if err := http.NewResponseController(c.writer).Flush(); err != nil {
+		return errors.Trace(err)
 	}
+	c.setReset(false)
+	return nil
 }
 
 // setReset selects whether the caller's connection is reset when it is closed, also by
--- a/anvilcrossd/entry/stream.go
+++ b/anvilcrossd/entry/stream.go
@@ -150,7 +150,9 @@
 func (r *streamRelay) finish() string {
 	c := r.exchange
 	r.begin()
-	c.finishAnswer()
+	if err := c.finishAnswer(); err != nil {
+		return c.handleCallerLeft()
+	}
 	c.withGateway(func(g *gateway.Gateway) { g.HandleDelivery(c.active.handle, r.send.Attempt, r.delivery) })
 	return relayed
 }
