--- a/kernel/blame/news.go
+++ b/kernel/blame/news.go
@@ -45,6 +45,9 @@
 		crash := PartCrash{Address: c.address, At: c.at, Parts: value.SortedKeys(c.ran)}
 		for _, d := range crash.Parts {
 			crash.Ran = append(crash.Ran, c.ran[d])
+			if c.retried.Has(d) {
+				crash.Retried = append(crash.Retried, d)
+			}
 		}
 		n.Crashes = append(n.Crashes, crash)
 	}
--- a/kernel/blame/parts.go
+++ b/kernel/blame/parts.go
@@ -26,6 +26,9 @@
 	// ProbeDelay is the time from a quarantine until a request with the part may run, to show
 	// whether it still crashes endpoints. It doubles with each further one.
 	ProbeDelay time.Duration
+	// MaxLateRetries bounds the requests with a whole suspect that may crash endpoints after
+	// the MinCrashes-th crash, probes included. Zero sets no bound.
+	MaxLateRetries int
 	// MaxCrashes bounds the number of crashes kept, and MaxPartsPerCrash the suspects of
 	// each: those that are used least are kept, since the others would have crashed more.
 	MaxCrashes       int
@@ -56,6 +59,9 @@
 	Address string
 	At      time.Time
 	Parts   []ident.PromptPart
+	// Retried holds the parts of requests that had been sent there after their exchange with
+	// another endpoint had broken.
+	Retried []ident.PromptPart
 	// Ran holds, in the order of Parts, how long the longest answer with each part had been
 	// running there; nil if that is not known.
 	Ran []time.Duration
@@ -76,6 +82,8 @@
 	// ran holds the suspects, with the time for which the longest answer with each had been
 	// running there.
 	ran map[ident.PromptPart]time.Duration
+	// retried holds the suspects whose requests had just been sent from another endpoint.
+	retried value.Set[ident.PromptPart]
 	// cleared holds the parts that were suspects until there was evidence for them.
 	cleared value.Set[ident.PromptPart]
 	// learnedAt is when the latest suspect was added or found to have run for longer, and
@@ -141,7 +149,7 @@
 func (p *Parts) AddCrash(now time.Time, report PartCrash) {
 	c := p.find(report)
 	if c == nil {
-		c = &knownCrash{address: report.Address, at: report.At, ran: map[ident.PromptPart]time.Duration{}, cleared: value.NewSet[ident.PromptPart]()}
+		c = &knownCrash{address: report.Address, at: report.At, ran: map[ident.PromptPart]time.Duration{}, retried: value.NewSet[ident.PromptPart](), cleared: value.NewSet[ident.PromptPart]()}
 		p.crashes = append(p.crashes, c)
 	}
 	changed := value.NewSet[ident.PromptPart]()
@@ -156,6 +164,12 @@
 			changed.Add(d)
 		}
 	}
+	for _, d := range report.Retried {
+		if c.suspects(d) && !c.retried.Has(d) {
+			c.retried.Add(d)
+			changed.Add(d)
+		}
+	}
 	p.dropMostUsed(c)
 	for d := range changed {
 		if c.suspects(d) {
@@ -242,7 +256,7 @@
 func (p *Parts) TakeProbe(now time.Time, part ident.PromptPart) bool {
 	q := p.quarantined[part]
 	due := probePeriods(now.Sub(q.at), p.config.ProbeDelay)
-	if due <= q.probes {
+	if due <= q.probes || p.isWhole(part) && p.config.MaxLateRetries > 0 && p.lateRetries(part) >= p.config.MaxLateRetries {
 		return false
 	}
 	q.probes = due
@@ -362,7 +376,7 @@
 		if q, before := p.quarantined[d]; before && !now.Before(q.until) {
 			lapsed = append(lapsed, d)
 		}
-		count, inAll := countIndependent(byPart[d], p.addressInterval(d)), len(byPart[d])
+		count, inAll := p.countCauses(d, byPart[d]), len(byPart[d])
 		if c := cmp.Or(cmp.Compare(count, most), cmp.Compare(inAll, mostInAll)); c > 0 {
 			most, mostInAll, top = count, inAll, []ident.PromptPart{d}
 		} else if c == 0 {
@@ -386,32 +400,6 @@
 	return p.config.IsWhole != nil && p.config.IsWhole(d)
 }
 
-// addressInterval returns the time within which crashes at one address count as one. Requests
-// that are alike come to a crashed endpoint once more as soon as it is back.
-func (p *Parts) addressInterval(d ident.PromptPart) time.Duration {
-	if p.isWhole(d) {
-		return sameCrashWindow
-	}
-	return sameAddressInterval
-}
-
-// countIndependent counts crashes at different times and addresses.
-func countIndependent(crashes []*knownCrash, addressInterval time.Duration) int {
-	crashes = slices.Clone(crashes)
-	slices.SortFunc(crashes, func(x, y *knownCrash) int { return x.at.Compare(y.at) })
-	countedAt := map[string]time.Time{}
-	count := 0
-	var latest time.Time
-	for _, c := range crashes {
-		if c.at.Sub(latest) < simultaneousCrashes || c.at.Sub(countedAt[c.address]) < addressInterval {
-			continue
-		}
-		countedAt[c.address], latest = c.at, c.at
-		count++
-	}
-	return count
-}
-
 // Expire drops what is too old to matter, and the oldest crashes beyond MaxCrashes.
 func (p *Parts) Expire(now time.Time) {
 	p.crashes = slices.DeleteFunc(p.crashes, func(c *knownCrash) bool { return now.Sub(c.at) > p.config.Retention })
--- a/kernel/gateway/attempts.go
+++ b/kernel/gateway/attempts.go
@@ -390,6 +390,7 @@
 	switch {
 	case f == Broken:
 		g.crashes.recordBroken(a.endpoint, r.brokenExchange(now, a))
+		r.brokenAttempts++
 		g.checkEndpointLater(a)
 	case e != nil && f == NotSent:
 		g.suspectPath(e)
--- a/kernel/gateway/crash.go
+++ b/kernel/gateway/crash.go
@@ -37,6 +37,8 @@
 	address string
 	parts   []ident.PromptPart
 	ran     time.Duration
+	// retried is set if an earlier attempt at the same request had broken.
+	retried bool
 	// looksComplete is set if the answer may have been whole, and suspects holds what is
 	// cleared if it was.
 	looksComplete bool
@@ -112,16 +114,20 @@
 	}
 	crash := blame.PartCrash{Address: blamed[0].address, At: blamed[0].at}
 	ran := map[ident.PromptPart]time.Duration{}
+	retried := value.NewSet[ident.PromptPart]()
 	for _, b := range blamed {
 		for _, d := range b.parts {
 			ran[d] = max(ran[d], b.ran)
+			if b.retried {
+				retried.Add(d)
+			}
 		}
 	}
-	crash.Parts = value.SortedKeys(ran)
+	crash.Parts, crash.Retried = value.SortedKeys(ran), retried.Sorted()
 	for _, d := range crash.Parts {
 		crash.Ran = append(crash.Ran, ran[d])
 	}
-	g.out.LogEvent("endpointCrashed", "endpoint", e.Name, "service", e.Service, "requests", len(blamed), "parts", loggedParts(crash.Parts), "ran", crash.Ran[:min(len(crash.Ran), maxLoggedParts)])
+	g.out.LogEvent("endpointCrashed", "endpoint", e.Name, "service", e.Service, "requests", len(blamed), "parts", loggedParts(crash.Parts), "ran", crash.Ran[:min(len(crash.Ran), maxLoggedParts)], "retried", len(crash.Retried))
 	if len(crash.Parts) > 0 {
 		g.crashes.parts.AddCrash(g.now(), crash)
 	}
--- a/kernel/gateway/parts.go
+++ b/kernel/gateway/parts.go
@@ -27,6 +27,9 @@
 	// probeDelay is the time from a quarantine until one request with the part is sent, and
 	// doubles with each further one.
 	probeDelay = 12 * time.Second
+	// maxLateRetries is the number of requests with a content that may crash endpoints after
+	// it has crashed partCrashes of them.
+	maxLateRetries = 3
 	// beginningTime is how long after the first event of an answer a crash may still be
 	// due to its request: endpoints crash when they begin to answer.
 	beginningTime = 500 * time.Millisecond
@@ -64,7 +67,7 @@
 
 func newParts() *blame.Parts {
 	isContent := func(d ident.PromptPart) bool { return strings.HasPrefix(string(d), contentPrefix) }
-	return blame.NewParts(blame.PartsConfig{IsWhole: isContent, Retention: partRetention, ProbeDelay: probeDelay, MinCrashes: partCrashes, MinTiedCrashes: tiedPartCrashes, MaxCrashes: maxCrashes, MaxPartsPerCrash: maxSuspects, MaxPartsTracked: maxTrackedParts})
+	return blame.NewParts(blame.PartsConfig{IsWhole: isContent, Retention: partRetention, ProbeDelay: probeDelay, MinCrashes: partCrashes, MinTiedCrashes: tiedPartCrashes, MaxLateRetries: maxLateRetries, MaxCrashes: maxCrashes, MaxPartsPerCrash: maxSuspects, MaxPartsTracked: maxTrackedParts})
 }
 
 // sharedParts returns the prompt parts that other requests may share: all but the last. The
@@ -126,7 +129,7 @@
 
 // brokenExchange returns the record of an attempt whose exchange has just broken.
 func (r *request) brokenExchange(now time.Time, a *attempt) brokenExchange {
-	b := brokenExchange{digest: r.incoming.Digest, at: now, address: a.address, parts: r.suspectsOf(now, a)}
+	b := brokenExchange{digest: r.incoming.Digest, at: now, address: a.address, parts: r.suspectsOf(now, a), retried: r.brokenAttempts > 0}
 	if !a.firstEventAt.IsZero() {
 		b.ran = now.Sub(a.firstEventAt)
 	}
@@ -265,7 +268,7 @@
 	news := g.crashes.parts.NewsSince(now, now.Add(-partNewsTime), blame.NewsLimits{Crashes: maxPartCrashesPerPing, Suspects: maxSuspectsPerPing, Sound: maxSoundPartsPerPing, Runs: maxRunsPerPing, Exonerated: maxExoneratedPerPing})
 	p.TellsContents = len(p.CrashReports) > 0
 	for _, c := range news.Crashes {
-		p.PartCrashes = append(p.PartCrashes, message.PartCrash{Address: c.Address, Age: now.Sub(c.At), Parts: c.Parts, Ran: c.Ran})
+		p.PartCrashes = append(p.PartCrashes, message.PartCrash{Address: c.Address, Age: now.Sub(c.At), Parts: c.Parts, Ran: c.Ran, Retried: c.Retried})
 	}
 	for part, at := range news.Sound {
 		if p.SoundParts == nil {
@@ -310,7 +313,7 @@
 	}
 	g.quarantineParts(quarantined, string(p.Member.Name))
 	for _, c := range p.PartCrashes {
-		g.crashes.parts.AddCrash(now, blame.PartCrash{Address: c.Address, At: now.Add(-c.Age), Parts: c.Parts, Ran: c.Ran})
+		g.crashes.parts.AddCrash(now, blame.PartCrash{Address: c.Address, At: now.Add(-c.Age), Parts: c.Parts, Ran: c.Ran, Retried: c.Retried})
 	}
 	for _, r := range p.PartRuns {
 		g.crashes.parts.RecordRun(now, blame.Run{ID: blame.RunID(r.ID), Part: r.Part, Address: r.Address, Length: r.Length, At: now.Add(-r.Age)})
--- a/kernel/gateway/poison_test.go
+++ b/kernel/gateway/poison_test.go
@@ -121,3 +121,55 @@
 	}
 	tg.wantSend(tg.sendRequest("/order/", func(c *CallerRequest) { c.Digest = poisonDigest }))
 }
+
+// A content that crashes two endpoints with each of its requests comes again and again; its
+// retries reach endpoints more than three times later than the third crash.
+func TestContentThatCrashesTwoEndpointsAtATime(t *testing.T) {
+	tg := newConfigured(t)
+	change := func(records ...replica.Record) {
+		revision := tg.gateway.AsOf() + 1
+		for i := range records {
+			records[i].Revision = revision
+		}
+		tg.gateway.HandleChanges(records, revision)
+	}
+	for n := 3; n < 8; n++ {
+		change(testRecord(t, string(testListing("orders", n).Name), 0, testListing("orders", n)))
+	}
+	start, starts, crashes := tg.timers.Now(), 100, 0
+	var third time.Time
+	late := 0
+	for sent := 0; tg.timers.Now().Sub(start) < 98*time.Second; sent++ {
+		h := tg.sendRequest("/lookup/", func(c *CallerRequest) { c.Digest = poisonDigest })
+		reached := false
+		for s := tg.lastStep(h).Send; s != nil; s = tg.lastStep(h).Send {
+			reached = true
+			tg.mustBeginWrite(h, s)
+			if crashes++; crashes == partCrashes {
+				third = tg.timers.Now()
+			}
+			l := tg.gateway.directory.Lookup(s.Endpoint).Listing
+			steps := len(tg.steps[h])
+			tg.gateway.HandleFailure(h, s.Attempt, Broken, "", "reset")
+			change(replica.Record{Key: string(l.Name), Removed: true})
+			starts++
+			l.Name = testListing("orders", starts).Name
+			tg.timers.After(3*time.Second, func() { change(testRecord(t, string(l.Name), 0, l)) })
+			tg.advance(5 * time.Millisecond)
+			if len(tg.steps[h]) == steps {
+				break
+			}
+		}
+		if reached && crashes > partCrashes && tg.timers.Now().Sub(third) > 3*time.Second {
+			late++
+		}
+		if sent < 4 {
+			tg.advance(3200 * time.Millisecond)
+		} else {
+			tg.advance(1100 * time.Millisecond)
+		}
+	}
+	if crashes < partCrashes || late > maxLateRetries {
+		t.Errorf("%d crashes, %d retries later than 3 s after the third, want %d at most", crashes, late, maxLateRetries)
+	}
+}
--- a/kernel/gateway/request.go
+++ b/kernel/gateway/request.go
@@ -115,6 +115,8 @@
 	declines       int
 	unsentAttempts int
 	recomputes     int
+	// brokenAttempts counts the attempts that failed as Broken.
+	brokenAttempts int
 	mayHaveRun     bool
 	// firstEventSent is set once the caller has received the beginning of a
 	// response: the first event of a stream, or a part of a large response.
--- a/kernel/message/gateway.go
+++ b/kernel/message/gateway.go
@@ -130,6 +130,9 @@
 	// Ran holds, in the order of Parts, how long the longest answer with each had been
 	// running. It is not known if Ran has another length.
 	Ran []time.Duration `json:"ran,omitempty"`
+	// Retried holds the parts of requests that had come from another endpoint, whose exchange
+	// with them had broken. Earlier versions do not set it.
+	Retried []ident.PromptPart `json:"retried,omitempty"`
 }
 
 // PartRun is an answer with a prompt part that an endpoint has been giving for Length, with an
--- a/kernel/message/valid.go
+++ b/kernel/message/valid.go
@@ -103,7 +103,7 @@
 		}
 	}
 	for _, c := range p.PartCrashes {
-		if c.Age < 0 || len(c.Parts) > maxPartsPerCrash {
+		if c.Age < 0 || max(len(c.Parts), len(c.Retried)) > maxPartsPerCrash {
 			return errors.Errorf("crash at %q: age %v, %d parts", c.Address, c.Age, len(c.Parts))
 		}
 	}
