--- a/kernel/gateway/stages.go
+++ b/kernel/gateway/stages.go
@@ -108,6 +108,9 @@
 		Workspace:           r.workspaceName(),
 		InputsReleased:      !r.stages.InputsReady(index),
 	}
+	if w.Recovering {
+		g.out.LogEvent("stageSubmitted", "request", r.incoming.ID, "stage", index, "pieces", len(w.Pieces), "lost", len(s.Lost), "batcher", s.Batcher, "inputsRevision", r.stages.InputsRevision(index), "inputsAge", r.stages.InputsAge(now, index))
+	}
 	s.Recompute = false
 	if len(s.Spec.DependsOn) == 0 || g.pipelineAdmission() && r.stages.StartsPipeline(index) {
 		w.DownstreamServices, w.DownstreamPieces = r.stages.Downstream(index)
@@ -333,7 +336,7 @@
 // withdraw withdraws the missing pieces of a stage from their batcher.
 func (g *Gateway) withdraw(r *request, index int) {
 	s := &r.stages[index]
-	g.out.LogEvent("stageWithdrawn", "request", r.incoming.ID, "stage", index, "pieces", s.MissingCount, "batcher", s.Batcher, "age", g.now().Sub(s.SubmittedAt))
+	g.out.LogEvent("stageWithdrawn", "request", r.incoming.ID, "stage", index, "pieces", s.MissingCount, "batcher", s.Batcher, "age", g.now().Sub(s.SubmittedAt), "needed", !r.stages.Consumed(index), "inputsAge", r.stages.InputsAge(g.now(), index))
 	s.Withdraw()
 	g.sendToMember(s.Batcher, message.Envelope{StageWithdrawal: &message.StageWithdrawal{Service: s.Spec.Service, PoolDataCentre: s.Pool.DataCentre, Request: r.incoming.ID, Stage: index}})
 }
--- a/kernel/progress/progress.go
+++ b/kernel/progress/progress.go
@@ -155,6 +155,19 @@
 	return inputs
 }
 
+// InputsAge returns how long the oldest input of a stage has been kept; zero if it has none.
+func (ss Stages) InputsAge(now time.Time, index int) time.Duration {
+	oldest := time.Duration(0)
+	for _, dependency := range ss[index].Spec.DependsOn {
+		for i, h := range ss[dependency].Handles {
+			if h != "" {
+				oldest = max(oldest, now.Sub(ss[dependency].Holders[i].Since))
+			}
+		}
+	}
+	return oldest
+}
+
 // FinalStages returns the stages with pieces that no other stage depends on.
 func (ss Stages) FinalStages() []int {
 	var indexes []int
