Reject stage work with an empty input

Its entry in TestMalformedMessagesAreIgnored failed before.

A result whose endpoint was not listed when it came no longer counts as lost once the endpoint is: that it was replaced is known only of processes that were.

--- a/kernel/gateway/malformed_test.go
+++ b/kernel/gateway/malformed_test.go
@@ -19,6 +19,8 @@
 	{StageInputsFetched: &message.StageInputsFetched{Pieces: []message.PieceID{{Request: "request-1", Stage: -1}}}},
 	{StageWork: &message.StageWork{Request: "request-2", Service: "registry", Pieces: []int{-1}}},
 	{StageWork: &message.StageWork{Request: "request-2", Service: "registry", Stage: -1}},
+	{StageWork: &message.StageWork{Request: "request-2", Service: "registry", Stage: 1, Pieces: []int{0}, Inputs: []message.ResultHandle{"registry-0:80/x", ""}}},
+	{StageInputsFetched: &message.StageInputsFetched{Pieces: []message.PieceID{{Request: "request-1"}}, InputsRevisions: []int{1, 2}}},
 	{Ping: &message.Ping{Member: membership.Member{Name: "two"}, KnownCount: 1 << 30}},
 	{Ping: &message.Ping{Member: membership.Member{Name: "two"}, Limits: map[ident.Endpoint]ratelimit.Report{"orders-0": {Rate: -3}}}},
 	{Ping: &message.Ping{Member: membership.Member{Name: "two"}, PermitLease: &ratelimit.Lease{Issuer: "one", TTL: -time.Second}}},
--- a/kernel/gateway/stages.go
+++ b/kernel/gateway/stages.go
@@ -310,11 +310,11 @@
 	if e == nil || e.Ejected(g.now()) || g.directory.InPartition(e) {
 		return true
 	}
-	if holder == (progress.Holder{}) {
-		return false
+	if holder.Process.Endpoint != "" && holder.Process != e.Process() {
+		return true
 	}
 	p := g.catalog.BatchProfile(e.Service)
-	return holder.Process != e.Process() || p != nil && g.now().Sub(holder.Since) >= p.ResultRetention
+	return p != nil && !holder.Since.IsZero() && g.now().Sub(holder.Since) >= p.ResultRetention
 }
 
 // withdrawPieces withdraws the outstanding pieces of stages whose inputs have to be computed
--- a/kernel/message/valid.go
+++ b/kernel/message/valid.go
@@ -152,6 +152,8 @@
 		return errors.Errorf("request %q: %d pieces", w.Request, len(w.Pieces))
 	case len(w.Pieces) > 0 && slices.Min(w.Pieces) < 0:
 		return errors.Errorf("request %q: negative piece", w.Request)
+	case slices.Contains(w.Inputs, ""):
+		return errors.Errorf("request %q: an input of stage %d is empty", w.Request, w.Stage)
 	case w.ResultBytes < 0 || w.InputBytes < 0 || w.Consumers < 0:
 		return errors.Errorf("request %q: negative size", w.Request)
 	case len(w.DownstreamPieces) > 0 && slices.Min(w.DownstreamPieces) < 0 || w.FirstStages < 0:
