--- a/kernel/gateway/shapefleet_test.go
+++ b/kernel/gateway/shapefleet_test.go
@@ -25,13 +25,15 @@
 	unlistedAfter = 1500 * time.Millisecond
 )
 
-// shapeStage is a stage of a shape: the stages it depends on, its pieces and the time of its calls.
+// shapeStage is a stage of a shape.
 type shapeStage struct {
-	dependsOn    []int
-	pieces       int
-	call, piece  time.Duration
-	sharesWith   int
-	hasSharedSvc bool
+	dependsOn []int
+	pieces    int
+	// call is the fixed part of the time of a call, piece what each piece adds.
+	call, piece time.Duration
+	// sharesWith is the index of an earlier stage whose service this one uses, if sharesService is set.
+	sharesWith    int
+	sharesService bool
 }
 
 // heldResult is a result of a piece.
@@ -89,7 +91,7 @@
 	route := published.Route{Name: "shape", Host: "h", Prefix: "/shape/", Kind: published.Stream, CarriesPrompts: true, Targets: []published.Target{{Service: "models", Weight: 1}}, Timeout: 30 * time.Second, LatencyObjective: 6 * time.Second, MaxAttempts: 1}
 	for i, s := range stages {
 		service := ident.Service(fmt.Sprintf("stage%d", i))
-		if s.hasSharedSvc {
+		if s.sharesService {
 			service = f.services[s.sharesWith]
 		}
 		f.services = append(f.services, service)
@@ -315,7 +317,7 @@
 			}
 		}
 		if i > 0 && random.IntN(4) == 0 {
-			s.sharesWith, s.hasSharedSvc = random.IntN(i), true
+			s.sharesWith, s.sharesService = random.IntN(i), true
 		}
 		stages = append(stages, s)
 	}
